--- /dev/null
+++ b/src/poplaryard/exceptions.py
@@ -0,0 +1,58 @@
+"""All exceptions of the package."""
+
+from .codes import Code
+
+__all__ = [
+    "CallError",
+    "ConfigError",
+    "PoplaryardError",
+    "StoreConflict",
+    "StoreDown",
+    "StoreReplyLost",
+]
+
+
+class PoplaryardError(Exception):
+    """Error with a numbered result code.
+
+    Parameters
+    ----------
+    code : Code
+        Result code.
+    detail : str
+        One plain sentence for the reader.
+    """
+
+    def __init__(self, code: Code, detail: str = ""):
+        super().__init__(detail or code.meaning)
+        self.code = code
+        self.detail = detail or code.meaning
+
+
+class ConfigError(PoplaryardError):
+    """Invalid settings file."""
+
+
+class CallError(PoplaryardError):
+    """Request that cannot be served."""
+
+
+class StoreDown(PoplaryardError):
+    """The store did not take the call; nothing was written."""
+
+    def __init__(self, detail: str = "The store cannot be reached."):
+        super().__init__(Code.TICKET_NOT_ACCEPTED, detail)
+
+
+class StoreReplyLost(PoplaryardError):
+    """The call was sent and no reply came; it may have taken effect."""
+
+    def __init__(self, detail: str = "The store's reply was lost."):
+        super().__init__(Code.TICKET_UNKNOWN, detail)
+
+
+class StoreConflict(PoplaryardError):
+    """The compare-and-swap found another version."""
+
+    def __init__(self, detail: str = "The value has changed."):
+        super().__init__(Code.TICKET_CONFLICT, detail)
