--- /dev/null
+++ b/src/poplaryard/__main__.py
@@ -0,0 +1,5 @@
+"""Entry point of ``python -m poplaryard``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/poplaryard/cli.py
@@ -0,0 +1,31 @@
+"""Command line; each command's module is imported only when it is called."""
+
+import importlib
+
+import click
+
+__all__ = ["main"]
+
+# Command name to "module:attribute". Importing lazily keeps `serve` small: the bench and
+# fuzz modules pull in libraries that the daemon does not need.
+_COMMANDS: dict[str, str] = {}
+
+
+class _LazyGroup(click.Group):
+    """Group that imports a command's module when the command is looked up."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(_COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        path = _COMMANDS.get(cmd_name)
+        if path is None:
+            return None
+        module, attribute = path.split(":")
+        return getattr(importlib.import_module(f"poplaryard.{module}"), attribute)
+
+
+@click.command(cls=_LazyGroup)
+@click.version_option(package_name="poplaryard")
+def main() -> None:
+    """Schedule unlike workloads on shared VMs."""
--- a/src/poplaryard/messages.py
+++ b/src/poplaryard/messages.py
@@ -116,10 +116,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Submit:
-    """Work handed to a shard; `reply_to` is the entry process that answers."""
+    """Work handed to a shard.
+
+    Attributes
+    ----------
+    reply_to : str
+        Entry process that answers the caller.
+    wall : float
+        Wall-clock time of receipt, seconds since the Unix epoch.
+    """
 
     work: Work
     reply_to: str = ""
+    wall: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
