--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -6,8 +6,8 @@
 
 __all__ = ["main"]
 
-# Command name to "module:attribute". Importing lazily keeps `serve` small: the bench and
-# fuzz modules pull in libraries that the daemon does not need.
+# Command name to "module:attribute". Importing lazily keeps `serve` small: the bench
+# and fuzz modules pull in libraries that the daemon does not need.
 _COMMANDS: dict[str, str] = {}
 
 
