Charge before each start, release after the lease wait, index free capacity

Cause: the thin version trusted every reply, forgot attempts of unreachable workers at once and scanned all VMs for room. Change: attempts stay charged until a report, a claim reply that rules them out, or the end of the lease wait; unreachable workers count as full; refused starts are retried. CapacityIndex finds a VM through bit masks of free-capacity levels. Replicas are spread over racks. `bench placement` compares with three baselines.

--- a/src/poplaryard/bench.py
+++ b/src/poplaryard/bench.py
@@ -7,7 +7,9 @@
 __all__ = ["bench"]
 
 # Benchmark name to "module:attribute".
-_BENCHMARKS: dict[str, str] = {}
+_BENCHMARKS: dict[str, str] = {
+    "placement": "bench_placement:placement",
+}
 
 
 class _LazyBenchmarks(click.Group):
--- a/src/poplaryard/fleet.py
+++ b/src/poplaryard/fleet.py
@@ -1,43 +1,87 @@
-"""VMs of one shard and what is charged to them."""
+"""VMs of one shard, what is charged to them and what is held for waiting work."""
 
+import math
+import typing as t
 from dataclasses import dataclass, field
 
+from .capacity import CapacityIndex
 from .configuration import VmSpec
 from .resources import ZERO, Resources
 
 __all__ = ["Fleet", "Vm"]
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Vm:
     """One VM with its charges.
 
     Attributes
     ----------
+    free : Resources
+        Capacity less all charges and holds; negative while a hold waits for room.
     charges : dict of str to Resources
         Charged amount by attempt id.
+    holds : dict of str to Resources
+        Amount held for a waiting task by hold id.
+    claimed : bool
+        Whether the worker has accepted the current epoch and answers.
+    leaving : bool
+        Whether the VM list or a ticket (`listed_leaving`) or the worker itself
+        (`says_leaving`) says that the VM leaves.
+    ejected : bool
+        Whether the worker gets no work because its starts fail.
     clock_ms : int
         Last reading of the worker's monotonic clock in milliseconds.
     clock_at : float
         Time at which that reading arrived.
+    lost_at : float
+        Time since which the worker has not answered; infinity if it answers.
     """
 
     spec: VmSpec
     free: Resources
+    charges: dict[str, Resources] = field(default_factory=dict)
+    holds: dict[str, Resources] = field(default_factory=dict)
     claimed: bool = False
     leaving: bool = False
-    charges: dict[str, Resources] = field(default_factory=dict)
+    listed_leaving: bool = False
+    says_leaving: bool = False
+    ejected: bool = False
     clock_ms: int = 0
     clock_at: float = 0.0
+    claim_sent_at: float = 0.0
+    lost_at: float = float("inf")
+    grid: t.Any = None
+    bucket: int = -1
+    slot: int = -1
+
+    @property
+    def name(self) -> str:
+        """Name of the VM."""
+        return self.spec.name
+
+    @property
+    def shape(self) -> Resources:
+        """Capacity of the VM."""
+        return self.spec.capacity
 
     @property
     def usable(self) -> bool:
         """Whether new work may be placed here."""
-        return self.claimed and not self.leaving
+        return self.claimed and not self.leaving and not self.ejected
+
+    @property
+    def overcommitted(self) -> bool:
+        """Whether holds wait for charges to end."""
+        return self.free.cpu_m < 0 or self.free.mem_mb < 0 or self.free.gpus < 0
 
     def valid_until_ms(self, until: float) -> int:
         """Return the time `until` as a reading of the worker's clock."""
-        return self.clock_ms + int((until - self.clock_at) * 1000)
+        return self.clock_ms + math.floor((until - self.clock_at) * 1000)
+
+    def free_without(self, hold_id: str) -> Resources:
+        """Return the free amount with one hold left out of account."""
+        return self.free + self.holds.get(hold_id, ZERO)
 
 
 class Fleet:
@@ -45,48 +89,114 @@
 
     def __init__(self) -> None:
         self.vms: dict[str, Vm] = {}
-
-    def update(self, spec: VmSpec, leaving: bool) -> Vm:
-        """Add a VM or take over its new capacity and leaving flag."""
+        self.racks: dict[str, dict[str, Vm]] = {}
+        self._rack_names: list[str] = []
+        self.index: CapacityIndex[Vm] = CapacityIndex()
+        self.total = ZERO
+        self.used = ZERO
+
+    def update(self, spec: VmSpec) -> Vm:
+        """Add a VM or take over its new group, rack and capacity."""
         vm = self.vms.get(spec.name)
         if vm is None:
-            vm = self.vms[spec.name] = Vm(spec, spec.capacity)
-        vm.free = vm.free + (spec.capacity - vm.spec.capacity)
-        vm.spec = spec
-        vm.leaving = leaving
+            vm = self.vms[spec.name] = Vm(spec, ZERO)
+            vm.free = spec.capacity
+            self.total += spec.capacity
+        elif vm.spec != spec:
+            self._respecify(vm, spec)
+        self.racks.setdefault(spec.rack, {})[spec.name] = vm
+        self.refresh(vm)
         return vm
 
-    def remove(self, name: str) -> None:
-        """Forget a VM with all its charges."""
-        self.vms.pop(name, None)
+    def rack_names(self) -> list[str]:
+        """Return the names of all racks, sorted."""
+        if len(self._rack_names) != len(self.racks):
+            self._rack_names = sorted(self.racks)
+        return self._rack_names
+
+    def _respecify(self, vm: Vm, spec: VmSpec) -> None:
+        self.index.discard(vm)
+        self._leave_rack(vm)
+        growth = spec.capacity - vm.shape
+        vm.free += growth
+        self.total += growth
+        vm.spec = spec
 
-    def charge(self, name: str, attempt_id: str, amount: Resources) -> None:
+    def _leave_rack(self, vm: Vm) -> None:
+        rack = self.racks.get(vm.spec.rack, {})
+        rack.pop(vm.name, None)
+        if not rack:
+            self.racks.pop(vm.spec.rack, None)
+            self._rack_names = []
+
+    def remove(self, name: str) -> None:
+        """Forget a VM with all its charges and holds."""
+        vm = self.vms.pop(name, None)
+        if vm is None:
+            return
+        self.index.discard(vm)
+        self._leave_rack(vm)
+        self.total -= vm.shape
+        for amount in vm.charges.values():
+            self.used -= amount
+
+    def refresh(self, vm: Vm) -> None:
+        """Bring the index up to date after a change of the VM's state."""
+        if vm.claimed and not vm.leaving and not vm.ejected:
+            self.index.place(vm, vm.spec.group)
+        else:
+            self.index.discard(vm)
+
+    def charge(self, vm: Vm, attempt_id: str, amount: Resources) -> None:
         """Charge an attempt to a VM; a repeated charge changes nothing."""
-        vm = self.vms[name]
         if attempt_id in vm.charges:
             return
         vm.charges[attempt_id] = amount
-        vm.free = vm.free - amount
+        if amount is not ZERO:
+            vm.free -= amount
+            self.used += amount
+            self.refresh(vm)
+
+    def raise_charge(self, vm: Vm, attempt_id: str, amount: Resources) -> None:
+        """Raise an attempt's charge to a larger measured amount."""
+        old = vm.charges.get(attempt_id)
+        if old is None or amount.fits_in(old):
+            return
+        vm.charges[attempt_id] = amount.maximum(old)
+        growth = vm.charges[attempt_id] - old
+        vm.free -= growth
+        self.used += growth
+        self.refresh(vm)
 
     def release(self, name: str, attempt_id: str) -> bool:
         """Release an attempt's charge; return False if it holds none."""
         vm = self.vms.get(name)
         if vm is None or attempt_id not in vm.charges:
             return False
-        vm.free = vm.free + vm.charges.pop(attempt_id)
+        amount = vm.charges.pop(attempt_id)
+        if amount is not ZERO:
+            vm.free += amount
+            self.used -= amount
+            self.refresh(vm)
         return True
 
-    def first_fit(self, need: Resources, group: str = "") -> Vm | None:
-        """Return the first usable VM with room."""
-        for vm in self.vms.values():
-            if vm.usable and group in ("", vm.spec.group) and need.fits_in(vm.free):
-                return vm
-        return None
+    def hold(self, vm: Vm, hold_id: str, amount: Resources) -> None:
+        """Keep an amount for a waiting task, even before it is free."""
+        vm.holds[hold_id] = amount
+        vm.free -= amount
+        self.refresh(vm)
 
-    def total(self) -> Resources:
-        """Return the capacity of all VMs."""
-        return sum((vm.spec.capacity for vm in self.vms.values()), ZERO)
-
-    def used(self) -> Resources:
-        """Return the amount charged on all VMs."""
-        return self.total() - sum((vm.free for vm in self.vms.values()), ZERO)
+    def unhold(self, name: str, hold_id: str) -> None:
+        """Give a held amount back."""
+        vm = self.vms.get(name)
+        if vm is not None and hold_id in vm.holds:
+            vm.free += vm.holds.pop(hold_id)
+            self.refresh(vm)
+
+    def could_hold(self, need: Resources, group: str = "") -> bool:
+        """Tell whether some VM of the group is large enough when empty."""
+        return any(
+            need.fits_in(vm.shape)
+            for vm in self.vms.values()
+            if group in ("", vm.spec.group)
+        )
--- a/src/poplaryard/services.py
+++ b/src/poplaryard/services.py
@@ -1,14 +1,28 @@
 """Service replicas: choice of an executor and comparison with the ticket."""
 
 import random
+import typing as t
 from dataclasses import dataclass
 
 from .configuration import ServiceSpec
+from .resources import Resources
 
-__all__ = ["Replica", "ReplicaPool"]
+__all__ = ["Replica", "ReplicaPool", "split"]
 
+# An old and a new owner together must stay under the 64 connections of an executor.
+MAX_SLOTS = 24
 
-@dataclass(slots=True)
+# A leaving VM must get no new requests within 3 s; this leaves 1 s for the VM list.
+CLOSE_AFTER_S = 2.0
+
+# A replica of an outdated size is stopped without a successor after this time, so that
+# a full cell cannot hold up a change for ever.
+ROLL_WAIT_S = 30.0
+
+NEVER = float("inf")
+
+
+@dataclass(slots=True, eq=False)
 class Replica:
     """Executor of one service.
 
@@ -16,69 +30,184 @@
     ----------
     ready : bool
         Whether the worker has confirmed the start.
+    close_at : float
+        Time at which it takes no more requests, whether or not it has a successor;
+        infinity if it is not being retired or waits for its successor.
+    position : int
+        Place in the pool's list of open replicas; -1 if it is not open.
     """
 
     attempt_id: str
     vm: str
-    slots: int
+    rack: str
+    need: Resources
     in_flight: int = 0
     ready: bool = False
-    draining: bool = False
-
-    @property
-    def open(self) -> bool:
-        """Whether a request may be sent here."""
-        return self.ready and not self.draining and self.in_flight < self.slots
+    retiring: bool = False
+    closed: bool = False
+    close_at: float = NEVER
+    position: int = -1
 
 
 class ReplicaPool:
-    """Replicas of one service in one shard."""
+    """Replicas of one service in one shard.
+
+    Attributes
+    ----------
+    wanted : int
+        Replicas that this shard is to run.
+    """
 
     def __init__(self, spec: ServiceSpec):
         self.spec = spec
+        self.wanted = 0
         self.replicas: dict[str, Replica] = {}
-        self._open: list[str] = []
+        self.racks: dict[str, int] = {}
+        self.retry_at = 0.0
+        self._open: list[Replica] = []
+        self._in_flight: dict[str, int] = {}
 
-    def add(self, replica: Replica) -> None:
-        """Add a replica."""
-        self.replicas[replica.attempt_id] = replica
-        self.refresh(replica.attempt_id)
+    @property
+    def slots(self) -> int:
+        """Requests that one replica serves at a time."""
+        return min(self.spec.slots, MAX_SLOTS)
 
-    def remove(self, attempt_id: str) -> None:
-        """Forget a replica."""
-        self.replicas.pop(attempt_id, None)
-        self.refresh(attempt_id)
+    def add(self, attempt_id: str, vm: str, rack: str, need: Resources) -> None:
+        """Add a replica that is being started."""
+        replica = Replica(attempt_id, vm, rack, need)
+        replica.in_flight = self._in_flight.get(attempt_id, 0)
+        self.replicas[attempt_id] = replica
+        self.racks[rack] = self.racks.get(rack, 0) + 1
 
-    def refresh(self, attempt_id: str) -> None:
-        """Bring the list of open replicas up to date for one replica."""
+    def remove(self, attempt_id: str) -> None:
+        """Forget a replica that has ended."""
+        replica = self.replicas.pop(attempt_id, None)
+        if replica is None:
+            return
+        self.racks[replica.rack] -= 1
+        if not self.racks[replica.rack]:
+            del self.racks[replica.rack]
+        self._set_open(replica, False)
+
+    def set_ready(self, attempt_id: str) -> None:
+        """Note that a replica serves requests."""
         replica = self.replicas.get(attempt_id)
-        is_open = replica is not None and replica.open
-        if is_open and attempt_id not in self._open:
-            self._open.append(attempt_id)
-        elif not is_open and attempt_id in self._open:
-            self._open.remove(attempt_id)
+        if replica is not None:
+            replica.ready = True
+            self._refresh(replica)
 
     def choose(self, rng: random.Random) -> Replica | None:
-        """Return the less loaded of two random open replicas."""
-        if not self._open:
+        """Return the less loaded of two random replicas with a free slot."""
+        count = len(self._open)
+        if not count:
             return None
-        first = self.replicas[rng.choice(self._open)]
-        second = self.replicas[rng.choice(self._open)]
+        first = self._open[int(rng.random() * count)]
+        second = self._open[int(rng.random() * count)]
         return first if first.in_flight <= second.in_flight else second
 
-    def take(self, replica: Replica) -> None:
+    def take(self, attempt_id: str) -> None:
         """Occupy one slot."""
-        replica.in_flight += 1
-        self.refresh(replica.attempt_id)
+        self._count(attempt_id, 1)
 
     def give_back(self, attempt_id: str) -> None:
         """Free one slot."""
+        self._count(attempt_id, -1)
+
+    def _count(self, attempt_id: str, step: int) -> None:
+        """Count requests by executor, also before it is reported after a take-over."""
+        count = self._in_flight.get(attempt_id, 0) + step
+        if count:
+            self._in_flight[attempt_id] = count
+        else:
+            del self._in_flight[attempt_id]
         replica = self.replicas.get(attempt_id)
         if replica is not None:
-            replica.in_flight -= 1
-            self.refresh(attempt_id)
+            replica.in_flight = count
+            self._refresh(replica)
+
+    def _refresh(self, replica: Replica) -> None:
+        is_open = (
+            replica.ready and not replica.closed and replica.in_flight < self.slots
+        )
+        self._set_open(replica, is_open)
+
+    def _set_open(self, replica: Replica, is_open: bool) -> None:
+        if is_open == (replica.position >= 0):
+            return
+        if is_open:
+            replica.position = len(self._open)
+            self._open.append(replica)
+            return
+        last = self._open.pop()
+        if last is not replica:
+            self._open[replica.position] = last
+            last.position = replica.position
+        replica.position = -1
+
+    def configure(self, spec: ServiceSpec) -> None:
+        """Take a new specification."""
+        self.spec = spec
+        for replica in self.replicas.values():
+            self._refresh(replica)
+
+    def retire(self, vm: str, close_at: float) -> None:
+        """Replace the replicas on a VM; they close at `close_at` at the latest."""
+        for replica in self.replicas.values():
+            if replica.vm == vm:
+                replica.retiring = True
+                replica.close_at = min(replica.close_at, close_at)
 
     def missing(self) -> int:
-        """Return how many replicas the ticket asks for beyond those present."""
-        present = sum(not replica.draining for replica in self.replicas.values())
-        return max(0, self.spec.replicas - present)
+        """Return how many replicas are to be started."""
+        return max(0, self.wanted - len(self._keepers()))
+
+    def reconcile(self, now: float) -> list[Replica]:
+        """Retire surplus and outdated replicas; return those that are to be drained.
+
+        A retiring replica takes requests until its successor is ready, and is drained
+        once it has no request in flight.
+        """
+        keepers = self._keepers()
+        for replica in sorted(keepers, key=self._surplus_order)[self.wanted :]:
+            replica.retiring = True
+            replica.close_at = now
+        self._roll(now)
+        ready = sum(replica.ready for replica in self._keepers())
+        for replica in self.replicas.values():
+            if replica.retiring and not replica.closed:
+                replica.closed = ready >= self.wanted or now >= replica.close_at
+                self._refresh(replica)
+        return [r for r in self.replicas.values() if r.closed and not r.in_flight]
+
+    def _keepers(self) -> list[Replica]:
+        return [r for r in self.replicas.values() if not r.retiring]
+
+    def _surplus_order(self, replica: Replica) -> tuple[bool, int, int, str]:
+        """Order in which replicas are kept: ready, in thin racks, busy."""
+        rack = self.racks[replica.rack]
+        return not replica.ready, rack, -replica.in_flight, replica.attempt_id
+
+    def _roll(self, now: float) -> None:
+        """Retire one replica of an outdated size if all others are settled."""
+        if any(r.retiring or not r.ready for r in self.replicas.values()):
+            return
+        for replica in self.replicas.values():
+            if replica.need != self.spec.need:
+                replica.retiring = True
+                replica.close_at = now + ROLL_WAIT_S
+                return
+
+
+def split(total: int, weights: t.Mapping[str, int]) -> dict[str, int]:
+    """Split a count by weight with the largest-remainder rule; ties go by name."""
+    whole = sum(weights.values())
+    if not whole:
+        return dict.fromkeys(weights, 0)
+    shares = {name: total * weight // whole for name, weight in weights.items()}
+    rest = total - sum(shares.values())
+    by_remainder = sorted(
+        weights, key=lambda name: (-(total * weights[name] % whole), name)
+    )
+    for name in by_remainder[:rest]:
+        shares[name] += 1
+    return shares
