Split the shard scheduler; add gangs, preemption, estimates and roll-over

Cause: scheduler.py had 600 lines and knew neither gangs, urgent work, exclusive keys nor leaving VMs. Gangs start whole and reserve room by holds, which are charged like attempts but may exceed what is free; short work is backfilled. Urgent work preempts what can be checkpointed or has run for the shortest time. Replicas move off leaving VMs before they drain. Cancelled jobs are answered once it is certain whether they ran. Replicas start only after all claims or 1 s, since a new owner otherwise put them all on the first VM claimed (seen in a test). Conclusion: behaviour is tested; the cost of the whole scheduler is measured next.

--- a/src/poplaryard/attempts.py
+++ b/src/poplaryard/attempts.py
@@ -54,12 +54,25 @@
 
 
 class AttemptTable:
-    """Attempts in progress with the charge and the executor slot that each holds."""
+    """Attempts in progress with the charge and the executor slot that each holds.
+
+    Attributes
+    ----------
+    keys : dict of str to int
+        Attempts in progress by exclusive key.
+    freed_keys : list of str
+        Exclusive keys that became free since they were last looked at.
+    preemptible : dict of str to int
+        Attempts that may be preempted by VM.
+    """
 
     def __init__(self, fleet: Fleet, pools: dict[str, ReplicaPool]):
         self._fleet = fleet
         self._pools = pools
         self._attempts: dict[str, Attempt] = {}
+        self.keys: dict[str, int] = {}
+        self.freed_keys: list[str] = []
+        self.preemptible: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -79,6 +92,10 @@
         """Charge an attempt to its VM, and to its executor if it has one."""
         self._attempts[attempt.attempt_id] = attempt
         self._fleet.charge(vm, attempt.attempt_id, amount)
+        if attempt.work.exclusive_key:
+            _count(self.keys, attempt.work.exclusive_key, 1)
+        if attempt.preemptible:
+            _count(self.preemptible, vm.name, 1)
         pool = self._pools.get(attempt.work.target)
         if pool is None:
             return
@@ -103,6 +120,12 @@
         if attempt is None:
             return None
         self._fleet.release(attempt.vm, attempt_id)
+        if attempt.work.exclusive_key:
+            _count(self.keys, attempt.work.exclusive_key, -1)
+            if attempt.work.exclusive_key not in self.keys:
+                self.freed_keys.append(attempt.work.exclusive_key)
+        if attempt.preemptible:
+            _count(self.preemptible, attempt.vm, -1)
         pool = self._pools.get(attempt.work.target)
         if pool is None:
             return attempt
@@ -111,3 +134,9 @@
         elif attempt.executor:
             pool.give_back(attempt.executor)
         return attempt
+
+
+def _count(counts: dict[str, int], key: str, step: int) -> None:
+    counts[key] = counts.get(key, 0) + step
+    if not counts[key]:
+        del counts[key]
--- a/src/poplaryard/bench_placement.py
+++ b/src/poplaryard/bench_placement.py
@@ -11,7 +11,7 @@
 
 from .configuration import VmSpec
 from .fleet import Fleet, Vm
-from .placement import BatchTask, choose_vm
+from .placement import BatchTask, choose
 from .resources import ZERO, Resources
 
 __all__ = ["placement"]
@@ -35,7 +35,8 @@
 
 
 def _ours(task: BatchTask, fleet: Fleet, rng: random.Random) -> Vm | None:
-    return choose_vm(task, fleet, rng)
+    choice = choose(task, fleet, rng)
+    return choice.vm if choice else None
 
 
 def _first_fit(task: BatchTask, fleet: Fleet, rng: random.Random) -> Vm | None:
@@ -99,7 +100,7 @@
     return Resources(cpu_m, mem_mb, rng.choice((1, 2, 4)) if gpus else 0)
 
 
-def _pack(choose: Chooser, vms: int, seed: int) -> float:
+def _pack(chooser: Chooser, vms: int, seed: int) -> float:
     """Return the fewest VMs that could hold the work as a share of those used."""
     rng = random.Random(seed)
     fleet = _cell(vms, ((1.0, PLAIN_SHAPE),))
@@ -108,7 +109,7 @@
     for number, need in enumerate(_needs(rng, gpus=False)):
         if not (placed + need).fits_in(limit):
             break
-        vm = choose(BatchTask(need), fleet, rng)
+        vm = chooser(BatchTask(need), fleet, rng)
         if vm is None:
             break
         fleet.charge(vm, str(number), need)
@@ -120,8 +121,8 @@
 class _Churn:
     """Cell at a steady load in which decisions are timed."""
 
-    def __init__(self, choose: Chooser, vms: int, seed: int):
-        self._choose = choose
+    def __init__(self, chooser: Chooser, vms: int, seed: int):
+        self._chooser = chooser
         self._rng = random.Random(seed)
         self._picks = random.Random(seed + 1)
         self._fleet = _cell(vms, SHAPES)
@@ -153,7 +154,7 @@
 
     def _decide(self) -> None:
         need = next(self._needs)
-        vm = self._choose(BatchTask(need), self._fleet, self._picks)
+        vm = self._chooser(BatchTask(need), self._fleet, self._picks)
         if vm is None:
             self.misses += 1
             return
@@ -175,8 +176,8 @@
             self._fleet.release(*self._placed.pop())
 
 
-def _measure(choose: Chooser, vms: int, tasks: int, seed: int) -> dict[str, t.Any]:
-    churn = _Churn(choose, vms, seed)
+def _measure(chooser: Chooser, vms: int, tasks: int, seed: int) -> dict[str, t.Any]:
+    churn = _Churn(chooser, vms, seed)
     churn.fill()
     begun = time.perf_counter()
     elapsed = sorted(churn.run(tasks))
@@ -185,7 +186,7 @@
         "decisions_per_s": round(tasks / total_s),
         "p50_us": round(elapsed[len(elapsed) // 2] / 1000, 1),
         "p99_us": round(elapsed[len(elapsed) * 99 // 100] / 1000, 1),
-        "packing": round(_pack(choose, vms, seed), 4),
+        "packing": round(_pack(chooser, vms, seed), 4),
         "misses": churn.misses,
         "plain_tasks_on_gpu_vms": churn.on_gpu_vms,
         "digest": churn.digest(),
@@ -207,8 +208,8 @@
     """Measure decisions per second, their latency, and packing."""
     choosers = {"ours": _ours, **(BASELINES if baselines else {})}
     result: dict[str, t.Any] = {"vms": vms, "tasks": tasks, "seed": seed}
-    for name, choose in choosers.items():
-        result[name] = _measure(choose, vms, tasks, seed)
+    for name, chooser in choosers.items():
+        result[name] = _measure(chooser, vms, tasks, seed)
     text = json.dumps(result, indent=2, allow_nan=False) + "\n"
     if output == "-":
         sys.stdout.write(text)
--- a/src/poplaryard/capacity.py
+++ b/src/poplaryard/capacity.py
@@ -10,7 +10,7 @@
 
 from .resources import Resources
 
-__all__ = ["LEVELS", "CapacityIndex", "Indexed"]
+__all__ = ["LEVELS", "CapacityIndex", "Indexed", "count_fits"]
 
 # A VM that is a fraction of a level short is found only by probing its bucket, so more
 # levels pack tighter. 64 levels are a quarter of a core on a 16-core VM.
@@ -33,6 +33,20 @@
         """Capacity of the VM."""
 
 
+# Tasks without any need that one VM is taken to hold.
+_MANY = 4096
+
+
+def count_fits(need: Resources, room: Resources) -> int:
+    """Return how many tasks of size `need` fit in `room`."""
+    pairs = (
+        (need.cpu_m, room.cpu_m),
+        (need.mem_mb, room.mem_mb),
+        (need.gpus, room.gpus),
+    )
+    return max(0, min((free // part for part, free in pairs if part), default=_MANY))
+
+
 V = t.TypeVar("V", bound=Indexed)
 
 
@@ -104,19 +118,17 @@
                         return vm
         return None
 
-    def count(self, need: Resources, capacity: Resources) -> int:
-        """Return a lower bound of how many tasks of size `need` fit."""
+    def at_most(self, need: Resources, shape: Resources, gpus: int) -> int:
+        """Return an upper bound of how many tasks of size `need` fit."""
         found = 0
         for key, bucket in self.buckets.items():
             if bucket:
-                cpu = (key >> 8) * capacity.cpu_m // LEVELS
-                mem = (key & 255) * capacity.mem_mb // LEVELS
-                fits = [LEVELS * LEVELS]
-                if need.cpu_m:
-                    fits.append(cpu // need.cpu_m)
-                if need.mem_mb:
-                    fits.append(mem // need.mem_mb)
-                found += len(bucket) * min(fits)
+                cpu = ((key >> 8) + 1) * shape.cpu_m // LEVELS
+                mem = ((key & 255) + 1) * shape.mem_mb // LEVELS
+                room = Resources(
+                    min(cpu, shape.cpu_m), min(mem, shape.mem_mb), min(gpus, shape.gpus)
+                )
+                found += len(bucket) * count_fits(need, room)
         return found
 
 
@@ -137,15 +149,10 @@
                     return vm
         return None
 
-    def count(self, need: Resources) -> int:
-        total = 0
-        for gpus, grid in enumerate(self.grids[need.gpus :], need.gpus):
-            found = grid.count(need, self.shape)
-            if need.gpus:
-                members = sum(len(bucket) for bucket in grid.buckets.values())
-                found = min(found, members * (gpus // need.gpus))
-            total += found
-        return total
+    def at_most(self, need: Resources) -> int:
+        return sum(
+            grid.at_most(need, self.shape, gpus) for gpus, grid in enumerate(self.grids)
+        )
 
 
 class CapacityIndex(t.Generic[V]):
@@ -183,10 +190,10 @@
                     return vm
         return None
 
-    def count(self, need: Resources, group: str = "") -> int:
-        """Return a lower bound of how many tasks of size `need` fit now."""
+    def at_most(self, need: Resources, group: str = "") -> int:
+        """Return an upper bound of how many tasks of size `need` fit now."""
         classes = self._order(group, bool(need.gpus))
-        return sum(cls.count(need) for cls in classes if need.fits_in(cls.shape))
+        return sum(cls.at_most(need) for cls in classes if need.fits_in(cls.shape))
 
     def _class(self, group: str, shape: Resources) -> _Class[V]:
         cls = self._classes.get((group, shape))
--- a/src/poplaryard/fleet.py
+++ b/src/poplaryard/fleet.py
@@ -91,6 +91,7 @@
         self.vms: dict[str, Vm] = {}
         self.racks: dict[str, dict[str, Vm]] = {}
         self._rack_names: list[str] = []
+        self._shapes: dict[tuple[str, Resources], int] = {}
         self.index: CapacityIndex[Vm] = CapacityIndex()
         self.total = ZERO
         self.used = ZERO
@@ -102,6 +103,7 @@
             vm = self.vms[spec.name] = Vm(spec, ZERO)
             vm.free = spec.capacity
             self.total += spec.capacity
+            self._count_shape(spec, 1)
         elif vm.spec != spec:
             self._respecify(vm, spec)
         self.racks.setdefault(spec.rack, {})[spec.name] = vm
@@ -117,6 +119,8 @@
     def _respecify(self, vm: Vm, spec: VmSpec) -> None:
         self.index.discard(vm)
         self._leave_rack(vm)
+        self._count_shape(vm.spec, -1)
+        self._count_shape(spec, 1)
         growth = spec.capacity - vm.shape
         vm.free += growth
         self.total += growth
@@ -136,6 +140,7 @@
             return
         self.index.discard(vm)
         self._leave_rack(vm)
+        self._count_shape(vm.spec, -1)
         self.total -= vm.shape
         for amount in vm.charges.values():
             self.used -= amount
@@ -186,17 +191,31 @@
         vm.free -= amount
         self.refresh(vm)
 
-    def unhold(self, name: str, hold_id: str) -> None:
-        """Give a held amount back."""
+    def unhold(self, name: str, hold_id: str) -> Resources:
+        """Give a held amount back and return it."""
         vm = self.vms.get(name)
-        if vm is not None and hold_id in vm.holds:
-            vm.free += vm.holds.pop(hold_id)
-            self.refresh(vm)
-
-    def could_hold(self, need: Resources, group: str = "") -> bool:
-        """Tell whether some VM of the group is large enough when empty."""
-        return any(
-            need.fits_in(vm.shape)
-            for vm in self.vms.values()
-            if group in ("", vm.spec.group)
-        )
+        if vm is None or hold_id not in vm.holds:
+            return ZERO
+        amount = vm.holds.pop(hold_id)
+        vm.free += amount
+        self.refresh(vm)
+        return amount
+
+    def shapes(self, group: str = "") -> dict[Resources, int]:
+        """Return the number of VMs of a group by shape, usable or not."""
+        found: dict[Resources, int] = {}
+        for (name, shape), count in self._shapes.items():
+            if group in ("", name):
+                found[shape] = found.get(shape, 0) + count
+        return found
+
+    def roomiest(self, need: Resources, group: str = "") -> Resources | None:
+        """Return the largest shape that holds `need`, or None if none does."""
+        fitting = [shape for shape in self.shapes(group) if need.fits_in(shape)]
+        return max(fitting, key=lambda s: (s.cpu_m, s.mem_mb, s.gpus), default=None)
+
+    def _count_shape(self, spec: VmSpec, step: int) -> None:
+        key = spec.group, spec.capacity
+        self._shapes[key] = self._shapes.get(key, 0) + step
+        if not self._shapes[key]:
+            del self._shapes[key]
--- a/src/poplaryard/jobs.py
+++ b/src/poplaryard/jobs.py
@@ -4,7 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from .messages import Work, WorkKind
+from .messages import Priority, StopMode, Work, WorkKind
 
 __all__ = ["Attempt", "Job"]
 
@@ -27,6 +27,8 @@
         Time at which the worker confirmed the start; infinity if it has not.
     stop_sent_at : float
         Time of the last stop; minus infinity if none was sent.
+    stop_mode : StopMode or None
+        How it was last asked to end.
     preempted : bool
         Whether it is stopped so that other work can start.
     """
@@ -41,6 +43,7 @@
     valid_until_ms: int = 0
     confirmed_at: float = float("inf")
     stop_sent_at: float = float("-inf")
+    stop_mode: StopMode | None = None
     preempted: bool = False
 
     @property
@@ -48,6 +51,14 @@
         """Whether this attempt is a service replica."""
         return self.work.kind is WorkKind.SERVICE
 
+    @property
+    def preemptible(self) -> bool:
+        """Whether other work may take its place; it is then run again."""
+        work = self.work
+        if work.kind is not WorkKind.BATCH or work.priority is Priority.URGENT:
+            return False
+        return work.idempotent and not work.exclusive_key
+
     @property
     def confirmed(self) -> bool:
         """Whether the worker has said that it started."""
@@ -68,10 +79,16 @@
         Attempts in progress.
     failures : int
         Attempts that failed or were lost.
-    started : bool
-        Whether any attempt may have run.
+    refusals : int
+        Starts that a worker refused.
+    ran : bool
+        Whether any attempt has run or was lost with its worker.
     retry_at : float
         Time before which no task is started again.
+    held : dict of int to str
+        VM on which room is held, by task.
+    reason : str
+        Why it waits, as one sentence.
     """
 
     work: Work
@@ -82,6 +99,23 @@
     attempts: set[str] = field(default_factory=set)
     failures: int = 0
     refusals: int = 0
-    started: bool = False
+    ran: bool = False
     cancelled: bool = False
     retry_at: float = 0.0
+    held: dict[int, str] = field(default_factory=dict)
+    reason: str = ""
+
+    @property
+    def request_id(self) -> str:
+        """Id of the request."""
+        return self.work.request_id
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether "not run" would be untrue or could become so."""
+        return self.ran or bool(self.attempts)
+
+    @property
+    def stoppable(self) -> bool:
+        """Whether its attempts may be stopped half-way."""
+        return self.work.idempotent and not self.work.exclusive_key
--- a/src/poplaryard/placement.py
+++ b/src/poplaryard/placement.py
@@ -1,18 +1,27 @@
 """Choice of a VM for one task, with one policy for each kind of work."""
 
 import random
+import typing as t
 from dataclasses import dataclass, field
 from functools import singledispatch
 
 from .fleet import Fleet, Vm
-from .resources import Resources
+from .resources import ZERO, Resources
+from .services import ReplicaPool
 
-__all__ = ["BatchTask", "ReplicaTask", "Task", "choose_vm"]
+__all__ = ["BatchTask", "Choice", "ReplicaTask", "RequestTask", "Task", "choose"]
 
 # Racks tried for a replica before any VM with room is taken.
 RACK_PROBES = 16
 
 
+class Choice(t.NamedTuple):
+    """VM for a task; `executor` is the replica that serves it, if it needs one."""
+
+    vm: Vm
+    executor: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Task:
     """One task to place.
@@ -47,25 +56,42 @@
     racks: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTask(Task):
+    """Request to a service; it takes a slot of one of the service's replicas."""
+
+    need: Resources = ZERO
+    pool: ReplicaPool | None = None
+
+
 @singledispatch
-def choose_vm(task: Task, fleet: Fleet, rng: random.Random) -> Vm | None:
+def choose(task: Task, fleet: Fleet, rng: random.Random) -> Choice | None:
     """Return a usable VM with room for the task, or None."""
     raise TypeError(f"No placement policy for {type(task).__name__}.")
 
 
-@choose_vm.register
-def _(task: BatchTask, fleet: Fleet, rng: random.Random) -> Vm | None:
-    return fleet.index.tightest(task.need, task.group)
+@choose.register
+def _(task: BatchTask, fleet: Fleet, rng: random.Random) -> Choice | None:
+    vm = fleet.index.tightest(task.need, task.group)
+    return Choice(vm) if vm else None
+
+
+@choose.register
+def _(task: RequestTask, fleet: Fleet, rng: random.Random) -> Choice | None:
+    """Take the less loaded of two random replicas, as `ReplicaPool.choose` does."""
+    replica = task.pool.choose(rng) if task.pool else None
+    return Choice(fleet.vms[replica.vm], replica.attempt_id) if replica else None
 
 
-@choose_vm.register
-def _(task: ReplicaTask, fleet: Fleet, rng: random.Random) -> Vm | None:
+@choose.register
+def _(task: ReplicaTask, fleet: Fleet, rng: random.Random) -> Choice | None:
     """Take the rack with the fewest replicas of the service that has room."""
     for rack in _racks_to_try(task, fleet, rng):
         fitting = [vm for vm in fleet.racks[rack].values() if _suits(vm, task)]
         if fitting:
-            return min(fitting, key=_preference)
-    return fleet.index.tightest(task.need, task.group)
+            return Choice(min(fitting, key=_preference))
+    vm = fleet.index.tightest(task.need, task.group)
+    return Choice(vm) if vm else None
 
 
 def _racks_to_try(task: ReplicaTask, fleet: Fleet, rng: random.Random) -> list[str]:
--- /dev/null
+++ b/src/poplaryard/preemption.py
@@ -0,0 +1,154 @@
+"""Preemption: room for urgent work at the least loss of other work."""
+
+import heapq
+import typing as t
+
+from .fleet import Vm
+from .jobs import Attempt, Job
+from .messages import StopMode
+from .resources import ZERO, Resources
+from .state import ShardState
+
+__all__ = ["Preemptor", "choose_victims"]
+
+# VMs compared for one task, so that the cost does not grow with their number.
+VM_PROBES = 32
+
+# Time given to a checkpoint before the task is stopped. Urgent work starts within
+# 2.3 s; the stop, its report and the start need the rest.
+CHECKPOINT_S = 1.2
+
+# A stop whose effect is not reported is sent again after this time.
+STOP_AGAIN_S = 1.0
+
+
+class Victims(t.NamedTuple):
+    """Attempts to be ended on one VM, compared by the work that is lost."""
+
+    stopped: int
+    lost_s: float
+    attempts: list[Attempt]
+
+
+def choose_victims(
+    now: float, vm: Vm, attempts: t.Iterable[Attempt], need: Resources
+) -> Victims | None:
+    """Return the attempts to end so that `need` fits, or None if none suffice.
+
+    Attempts that can be checkpointed go first, then those that have run for the
+    shortest time. Exclusive and non-idempotent ones are never chosen. Attempts that
+    are being stopped already count as room.
+    """
+    chosen: list[Attempt] = []
+    room = vm.free
+    eligible = [attempt for attempt in attempts if attempt.preemptible]
+    for attempt in eligible:
+        if attempt.preempted:
+            room += vm.charges[attempt.attempt_id]
+    for attempt in sorted(eligible, key=_loss_order):
+        if need.fits_in(room):
+            break
+        if not attempt.preempted:
+            chosen.append(attempt)
+            room += vm.charges[attempt.attempt_id]
+    if not need.fits_in(room):
+        return None
+    chosen = _without_spare(vm, chosen, need, room)
+    stopped = [attempt for attempt in chosen if not attempt.work.checkpointable]
+    lost_s = sum(now - attempt.sent_at for attempt in stopped)
+    return Victims(len(stopped), lost_s, chosen)
+
+
+def _loss_order(attempt: Attempt) -> tuple[bool, float]:
+    return not attempt.work.checkpointable, -attempt.sent_at
+
+
+def _without_spare(
+    vm: Vm, chosen: list[Attempt], need: Resources, room: Resources
+) -> list[Attempt]:
+    """Drop attempts, the most costly first, whose room is not needed after all."""
+    kept = list(chosen)
+    for attempt in reversed(chosen):
+        smaller = room - vm.charges[attempt.attempt_id]
+        if need.fits_in(smaller):
+            kept.remove(attempt)
+            room = smaller
+    return kept
+
+
+class Preemptor:
+    """Ends attempts so that other work can start in their place."""
+
+    def __init__(self, state: ShardState):
+        self._state = state
+        self._watched: list[tuple[float, str]] = []
+
+    def make_room(
+        self,
+        now: float,
+        job: Job,
+        task: int,
+        need: Resources,
+        *,
+        checkpoint_only: bool = False,
+    ) -> bool:
+        """Hold room for a task on the VM where least is lost; False if there is none.
+
+        Parameters
+        ----------
+        checkpoint_only : bool
+            Whether only attempts that can be checkpointed may be ended.
+        """
+        best: tuple[Vm, Victims] | None = None
+        for vm in self._candidates(need, job.work.group):
+            victims = self._victims(now, vm, need)
+            if victims is None or (checkpoint_only and victims.stopped):
+                continue
+            if best is None or victims[:2] < best[1][:2]:
+                best = vm, victims
+        if best is None:
+            return False
+        self._state.hold(job, task, best[0], need)
+        self._end(now, best[1].attempts)
+        return True
+
+    def clear(self, now: float, vm: Vm) -> None:
+        """End attempts so that what is held on a VM gets its room."""
+        victims = self._victims(now, vm, ZERO)
+        if victims is not None:
+            self._end(now, victims.attempts)
+
+    def tick(self, now: float) -> None:
+        """Stop attempts whose checkpoint or stop has taken too long."""
+        while self._watched and self._watched[0][0] <= now:
+            attempt = self._state.attempts.get(heapq.heappop(self._watched)[1])
+            if attempt is not None:
+                self._stop(now, attempt, StopMode.STOP, STOP_AGAIN_S)
+
+    def _victims(self, now: float, vm: Vm, need: Resources) -> Victims | None:
+        return choose_victims(now, vm, self._state.attempts.on_vm(vm), need)
+
+    def _candidates(self, need: Resources, group: str) -> list[Vm]:
+        names = list(self._state.attempts.preemptible)
+        if len(names) > VM_PROBES:
+            names = self._state.rng.sample(names, VM_PROBES)
+        vms = [self._state.fleet.vms[name] for name in names]
+        return [
+            vm
+            for vm in vms
+            if vm.usable and group in ("", vm.spec.group) and need.fits_in(vm.shape)
+        ]
+
+    def _end(self, now: float, attempts: t.Iterable[Attempt]) -> None:
+        for attempt in attempts:
+            attempt.preempted = True
+            if attempt.work.checkpointable:
+                self._stop(now, attempt, StopMode.CHECKPOINT, CHECKPOINT_S)
+            else:
+                self._stop(now, attempt, StopMode.STOP, STOP_AGAIN_S)
+
+    def _stop(
+        self, now: float, attempt: Attempt, mode: StopMode, patience_s: float
+    ) -> None:
+        self._state.stop(now, attempt, mode)
+        heapq.heappush(self._watched, (now + patience_s, attempt.attempt_id))
--- /dev/null
+++ b/src/poplaryard/replicas.py
@@ -0,0 +1,92 @@
+"""Reconciliation of service replicas with the ticket in force."""
+
+from .configuration import Configuration, ServiceSpec
+from .fleet import Vm
+from .messages import StopMode, Work, WorkKind
+from .placement import ReplicaTask, choose
+from .services import CLOSE_AFTER_S, ReplicaPool, split
+from .state import ShardState, Start
+
+__all__ = ["Replicas"]
+
+# A drain whose effect is not reported is sent again after this time.
+DRAIN_AGAIN_S = 2.0
+
+# A new owner learns of running replicas from the claims. It waits for them this long
+# before it starts replicas that seem to be missing.
+CLAIMS_WAIT_S = 1.0
+
+
+class Replicas:
+    """Starts, replaces and drains the replicas of one shard."""
+
+    def __init__(self, state: ShardState):
+        self._state = state
+
+    def configure(self, config: Configuration) -> None:
+        """Take the services of a new configuration."""
+        pools = self._state.pools
+        for name, spec in config.services.items():
+            if name in pools:
+                pools[name].configure(spec)
+            else:
+                pools[name] = ReplicaPool(spec)
+        self.share_out()
+
+    def share_out(self) -> None:
+        """Compute the part of each service's replicas that this shard runs."""
+        config = self._state.config
+        vms = self._state.fleet.vms.values()
+        own = next((vm.spec.data_centre for vm in vms), "")
+        weights = {name: len(config.vms(name)) for name in config.data_centres()}
+        for name, pool in self._state.pools.items():
+            spec = config.services.get(name)
+            pool.wanted = split(spec.replicas, weights).get(own, 0) if spec else 0
+
+    def leaves(self, now: float, vm: Vm) -> None:
+        """Replace the replicas on a VM that leaves."""
+        close_at = now if vm.says_leaving else now + CLOSE_AFTER_S
+        for pool in self._state.pools.values():
+            pool.retire(vm.name, close_at)
+
+    def reconcile(self, now: float) -> None:
+        """Start missing replicas and drain those that are not wanted any more."""
+        settled = self._settled(now)
+        for name in sorted(self._state.pools):
+            pool = self._state.pools[name]
+            for replica in pool.reconcile(now):
+                attempt = self._state.attempts.get(replica.attempt_id)
+                if attempt and now >= attempt.stop_sent_at + DRAIN_AGAIN_S:
+                    self._state.stop(now, attempt, StopMode.DRAIN)
+            for _ in range(pool.missing() if settled else 0):
+                if not self._start(now, pool):
+                    break
+            if name not in self._state.config.services and not pool.replicas:
+                del self._state.pools[name]
+
+    def _settled(self, now: float) -> bool:
+        """Tell whether the claims that follow a take-over have been answered."""
+        if now >= self._state.owned_since + CLAIMS_WAIT_S:
+            return True
+        vms = self._state.fleet.vms.values()
+        return all(vm.claimed or vm.lost_at <= now for vm in vms)
+
+    def _start(self, now: float, pool: ReplicaPool) -> bool:
+        spec = pool.spec
+        task = ReplicaTask(spec.need, spec.group, pool.racks)
+        choice = choose(task, self._state.fleet, self._state.rng)
+        if choice is None or now < pool.retry_at:
+            return False
+        start = Start(choice.vm, _work_of(spec), 0, spec.need)
+        return self._state.start(now, start) is not None
+
+
+def _work_of(spec: ServiceSpec) -> Work:
+    return Work(
+        request_id=f"service/{spec.name}",
+        kind=WorkKind.SERVICE,
+        team=spec.team,
+        target=spec.name,
+        group=spec.group,
+        need=spec.need,
+    )
--- /dev/null
+++ b/src/poplaryard/state.py
@@ -0,0 +1,143 @@
+"""State of one shard that the parts of its scheduler share."""
+
+import heapq
+import random
+import typing as t
+from dataclasses import dataclass, field
+
+from .attempts import AttemptTable
+from .configuration import Configuration
+from .fleet import Fleet, Vm
+from .jobs import Attempt, Job
+from .messages import Authority, Message, StartAttempt, StopAttempt, StopMode, Work
+from .resources import Resources
+from .services import ReplicaPool
+
+__all__ = ["ShardState", "Start"]
+
+# A start that the worker reads later than this is refused by it. A short time lets a
+# lost start be tried again soon.
+START_VALID_S = 2.0
+
+
+class Start(t.NamedTuple):
+    """One task with the VM and executor chosen for it."""
+
+    vm: Vm
+    work: Work
+    task: int
+    charge: Resources
+    executor: str = ""
+
+
+@dataclass(slots=True)
+class ShardState:
+    """Fleet, attempts, jobs and outgoing messages of one shard.
+
+    Attributes
+    ----------
+    out : list of Message
+        Messages of the present call.
+    room_freed : bool
+        Whether capacity or slots became free since the last placement pass.
+    owned_since : float
+        Time at which the present epoch began.
+    """
+
+    shard: str
+    rng: random.Random
+    config: Configuration = field(default_factory=Configuration)
+    authority: Authority = Authority("", 0, float("-inf"), False)
+    fleet: Fleet = field(default_factory=Fleet)
+    pools: dict[str, ReplicaPool] = field(default_factory=dict)
+    jobs: dict[str, Job] = field(default_factory=dict)
+    out: list[Message] = field(default_factory=list)
+    room_freed: bool = False
+    owned_since: float = float("-inf")
+    attempts: AttemptTable = field(init=False)
+    _started: int = 0
+    _deadlines: list[tuple[float, str]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.attempts = AttemptTable(self.fleet, self.pools)
+
+    def start(self, now: float, start: Start) -> Attempt | None:
+        """Charge a VM and send it one start; None if the authority has lapsed."""
+        latest = min(self.authority.until, now + START_VALID_S)
+        if now >= latest:
+            return None
+        vm, work = start.vm, start.work
+        attempt = Attempt(self._attempt_id(), work, start.task, vm.name, start.executor)
+        attempt.sent_at = now
+        attempt.latest_start = latest
+        attempt.valid_until_ms = vm.valid_until_ms(latest)
+        self.attempts.add(vm, attempt, start.charge)
+        self.out.append(
+            StartAttempt(
+                vm=vm.name,
+                attempt_id=attempt.attempt_id,
+                epoch=self.authority.epoch,
+                valid_until_ms=attempt.valid_until_ms,
+                work=work,
+                task=start.task,
+                executor=start.executor,
+            )
+        )
+        return attempt
+
+    def stop(self, now: float, attempt: Attempt, mode: StopMode) -> None:
+        """Ask a worker to end one attempt."""
+        attempt.stop_sent_at = now
+        attempt.stop_mode = mode
+        epoch = self.authority.epoch
+        self.out.append(StopAttempt(attempt.vm, attempt.attempt_id, epoch, mode))
+
+    def end(self, attempt: Attempt) -> Job | None:
+        """Release all that an ended attempt held; return its job if it is open."""
+        self.attempts.end(attempt.attempt_id)
+        self.room_freed = True
+        job = self.jobs.get(attempt.work.request_id)
+        if job is not None:
+            job.attempts.discard(attempt.attempt_id)
+        return job
+
+    def hold(self, job: Job, task: int, vm: Vm, amount: Resources) -> None:
+        """Keep room for a task of a job."""
+        self.fleet.hold(vm, _hold_id(job, task), amount)
+        job.held[task] = vm.name
+
+    def unhold(self, job: Job, task: int) -> Resources:
+        """Give up the room kept for one task of a job and return its amount."""
+        vm = job.held.pop(task)
+        self.room_freed = True
+        return self.fleet.unhold(vm, _hold_id(job, task))
+
+    def unhold_all(self, job: Job) -> None:
+        """Give up the room kept for a job."""
+        for task in list(job.held):
+            self.unhold(job, task)
+
+    def add_job(self, job: Job) -> None:
+        """Take up a job and watch its deadline."""
+        self.jobs[job.request_id] = job
+        if job.work.deadline != float("inf"):
+            heapq.heappush(self._deadlines, (job.work.deadline, job.request_id))
+
+    def overdue(self, now: float) -> list[Job]:
+        """Return the open jobs whose deadline has passed since the last call."""
+        found = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heapq.heappop(self._deadlines)
+            job = self.jobs.get(request_id)
+            if job is not None and job.work.deadline <= now:
+                found.append(job)
+        return found
+
+    def _attempt_id(self) -> str:
+        """Return an id unique over processes and restarts, since each epoch is."""
+        self._started += 1
+        return f"{self.shard}/{self.authority.epoch}/{self._started}"
+
+
+def _hold_id(job: Job, task: int) -> str:
+    return f"{job.request_id}/{task}"
--- /dev/null
+++ b/tests/test_preemption.py
@@ -0,0 +1,59 @@
+from poplaryard.messages import AttemptState, Priority, StopMode, WorkKind
+from poplaryard.resources import Resources
+from tests.shard import BIG, Shard, batch, plain
+
+
+def urgent(request_id="u1", **fields):
+    return batch(request_id, priority=Priority.URGENT, **fields)
+
+
+def test_checkpointable_work_gives_way_and_runs_again():
+    shard = Shard(plain())
+    shard.send(batch("b1", checkpointable=True))
+    shard.send(urgent())
+    (stop,) = shard.stops
+    assert stop.mode is StopMode.CHECKPOINT
+    shard.end(shard.starts[stop.attempt_id], state=AttemptState.CHECKPOINTED)
+    assert shard.started(WorkKind.BATCH)[1].work.request_id == "u1"
+    shard.end(shard.started(WorkKind.BATCH)[1])
+    assert shard.started(WorkKind.BATCH)[2].work.request_id == "b1"
+
+
+def test_checkpoint_that_takes_too_long_becomes_a_stop():
+    """Guards against a hung checkpoint delaying urgent work beyond 2.3 s."""
+    shard = Shard(plain())
+    shard.send(batch("b1", checkpointable=True))
+    shard.send(urgent())
+    shard.tick(1.2)
+    assert [stop.mode for stop in shard.stops] == [StopMode.CHECKPOINT, StopMode.STOP]
+
+
+def test_work_that_may_not_run_twice_is_never_preempted():
+    for fields in ({"idempotent": False}, {"exclusive_key": "k"}):
+        shard = Shard(plain())
+        shard.send(batch("b1", **fields))
+        shard.send(urgent())
+        assert shard.stops == []
+
+
+def test_least_work_is_lost():
+    shard = Shard(plain(vms=2))
+    shard.send(batch("old"))
+    shard.now = 100.0
+    shard.send(batch("young"))
+    shard.send(urgent())
+    (stop,) = shard.stops
+    assert shard.starts[stop.attempt_id].work.request_id == "young"
+
+
+def test_work_behind_urgent_work_does_not_take_the_room_made_for_it():
+    shard = Shard(plain())
+    shard.send(batch("b1", checkpointable=True))
+    shard.send(urgent())
+    shard.send(batch("b2", need=Resources(4000, 1024, 0)))
+    shard.send(batch("b3", need=Resources(4000, 1024, 0)))
+    shard.end(shard.starts[shard.stops[0].attempt_id], state=AttemptState.CHECKPOINTED)
+    assert "u1" in {s.work.request_id for s in shard.running.values()}
+    used = shard.scheduler.snapshot().used
+    assert used.cpu_m <= 16_000
+    assert BIG.cpu_m <= used.cpu_m
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,110 +1,16 @@
-import random
-
 from poplaryard.codes import Code
 from poplaryard.messages import (
-    Answer,
-    AttemptReport,
     AttemptState,
     Authority,
     Cancel,
     ClaimReply,
-    ClaimWorker,
-    Configure,
-    PollReply,
-    StartAttempt,
-    StartReply,
-    StopAttempt,
     Submit,
-    Tick,
-    VmUpdate,
     WorkerUnreachable,
     WorkKind,
 )
 from poplaryard.resources import Resources
-from poplaryard.scheduler import ShardScheduler
-from tests.builders import configuration, work
-
-BIG = Resources(12_000, 8192, 0)
-
-
-class Shard:
-    """Scheduler together with workers that answer claims and starts at once."""
-
-    def __init__(self, config=None, until=1000.0):
-        self.scheduler = ShardScheduler("dc1/0", "p1", random.Random(1))
-        self.now = 0.0
-        self.start_code = Code.OK
-        self.claimable = True
-        self.starts = {}
-        self.running = {}
-        self.stops = []
-        self.answers = []
-        config = config or configuration()
-        self.send(Configure(config))
-        for vm in config.vms("dc1"):
-            self.send(VmUpdate(vm))
-        self.send(Authority("dc1/0", 1, until))
-
-    def send(self, msg):
-        out = self.scheduler.handle(self.now, msg)
-        for item in out:
-            if isinstance(item, ClaimWorker) and self.claimable:
-                self.claim_reply(item.vm)
-            elif isinstance(item, StartAttempt):
-                self.on_start(item)
-            elif isinstance(item, StopAttempt):
-                self.stops.append(item)
-            elif isinstance(item, Answer):
-                self.answers.append(item)
-        return out
-
-    def on_start(self, start):
-        self.starts[start.attempt_id] = start
-        if self.start_code is Code.OK:
-            self.running[start.attempt_id] = start
-        if self.start_code is not None:
-            self.send(StartReply(start.vm, start.attempt_id, self.start_code))
-
-    def claim_reply(self, vm):
-        found = [self.report(s) for s in self.running.values() if s.vm == vm]
-        self.send(ClaimReply(vm, 1, True, tuple(found), int(self.now * 1000)))
-
-    def report(self, start, state=AttemptState.RUNNING, body=None):
-        return AttemptReport(
-            start.attempt_id,
-            start.work.request_id,
-            state,
-            kind=start.work.kind,
-            task=start.task,
-            need=start.work.need,
-            executor=start.executor,
-            target=start.work.target,
-            body=body,
-        )
-
-    def end(self, start, body=None, state=AttemptState.SUCCEEDED):
-        self.running.pop(start.attempt_id, None)
-        report = self.report(start, state, body)
-        self.send(PollReply(start.vm, 1, (report,), int(self.now * 1000)))
-
-    def tick(self, seconds):
-        self.now += seconds
-        return self.send(Tick())
-
-    def started(self, kind):
-        return [s for s in self.starts.values() if s.work.kind is kind]
-
-    def codes(self):
-        return [answer.code for answer in self.answers]
-
-
-def batch(request_id, **fields):
-    fields.setdefault("need", BIG)
-    return Submit(work(request_id, kind=WorkKind.BATCH, target="", **fields))
-
-
-def plain(vms=1):
-    return configuration(vms=vms, replicas=0)
+from tests.builders import work
+from tests.shard import BIG, Shard, batch, plain
 
 
 def test_replicas_named_by_the_ticket_are_started():
@@ -220,3 +126,65 @@
     assert shard.codes() == [Code.CANCELLED]
     shard.end(shard.starts[shard.stops[0].attempt_id], state=AttemptState.STOPPED)
     assert shard.codes() == [Code.CANCELLED, Code.STOPPED]
+
+
+def test_work_on_one_exclusive_key_never_runs_twice_at_once():
+    """Guards against a retry or a second request overtaking the first."""
+    shard = Shard(plain(vms=4))
+    for number in range(3):
+        shard.send(batch(f"b{number}", exclusive_key="pass-1", idempotent=False))
+    shard.send(batch("other", exclusive_key="pass-2"))
+    ids = [s.work.request_id for s in shard.running.values()]
+    assert sorted(ids) == ["b0", "other"]
+    for _ in range(3):
+        (held,) = [s for s in shard.running.values() if s.work.request_id != "other"]
+        shard.end(held)
+    assert shard.codes() == [Code.OK] * 3
+
+
+def test_key_of_a_lost_attempt_stays_taken_until_its_lease_has_ended():
+    shard = Shard(plain(vms=2))
+    shard.send(batch("b1", exclusive_key="k", idempotent=False))
+    shard.send(batch("b2", exclusive_key="k", idempotent=False))
+    shard.claimable = False
+    shard.send(WorkerUnreachable(shard.started(WorkKind.BATCH)[0].vm))
+    shard.tick(4.3)
+    assert len(shard.started(WorkKind.BATCH)) == 1
+    shard.tick(0.2)
+    assert len(shard.started(WorkKind.BATCH)) == 2
+
+
+def test_exclusive_work_is_answered_not_run_while_ownership_is_uncertain():
+    shard = Shard(plain())
+    shard.send(Authority("dc1/0", 1, 1000.0, exclusive=False))
+    shard.send(batch("b1", exclusive_key="k"))
+    shard.send(batch("b2", need=Resources(1000, 1024, 0)))
+    assert len(shard.started(WorkKind.BATCH)) == 1
+    shard.tick(1.0)
+    assert shard.codes() == [Code.EXCLUSIVE_PAUSED]
+
+
+def test_waiting_work_is_handed_back_when_the_authority_lapses():
+    shard = Shard(plain(), until=10.0)
+    shard.send(batch("b1"))
+    shard.send(batch("b2"))
+    shard.tick(11.0)
+    assert shard.codes() == [Code.NOT_OWNER]
+
+
+def test_wave_of_cancellations_frees_nothing_twice_and_is_spread_out():
+    """Guards against 10,000 stops in one call, which would delay all placement."""
+    small = Resources(1, 1, 0)
+    shard = Shard(plain(vms=2))
+    for number in range(10):
+        shard.send(batch(f"b{number}", need=small, tasks=1000))
+    most = max(len(shard.send(Cancel(f"b{number}"))) for number in range(10))
+    while len(shard.stops) < 10_000:
+        most = max(most, len(shard.tick(0.001)))
+    assert most <= 64
+    for stop in list(shard.stops):
+        start = shard.starts[stop.attempt_id]
+        shard.end(start, state=AttemptState.STOPPED)
+        shard.end(start, state=AttemptState.STOPPED)
+    assert shard.scheduler.snapshot().used == Resources()
+    assert shard.codes() == [Code.STOPPED] * 10
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,7 +1,103 @@
+from dataclasses import replace
+
+from poplaryard.messages import (
+    AttemptState,
+    Configure,
+    PollReply,
+    StopMode,
+    Submit,
+    VmUpdate,
+    WorkKind,
+)
 from poplaryard.services import split
+from tests.builders import configuration, work
+from tests.shard import Shard
 
 
 def test_split_gives_every_replica_to_exactly_one_shard():
     assert split(10, {"a": 1, "b": 1, "c": 1}) == {"a": 4, "b": 3, "c": 3}
     assert split(0, {"a": 1}) == {"a": 0}
     assert split(3, {}) == {}
+
+
+def scaled(config, replicas, number):
+    service = replace(config.services["booking"], replicas=replicas)
+    return replace(config, number=number, services={"booking": service})
+
+
+def drained(shard):
+    return [s.attempt_id for s in shard.stops if s.mode is StopMode.DRAIN]
+
+
+def test_shrinking_drains_a_replica_only_when_it_has_no_request():
+    """Guards against a request being cut when a service shrinks."""
+    config = configuration()
+    shard = Shard(config)
+    for number in range(16):
+        shard.send(Submit(work(f"r{number}")))
+    shard.send(Configure(scaled(config, 1, 2)))
+    shard.tick(5.0)
+    assert drained(shard) == []
+    for start in shard.started(WorkKind.REQUEST):
+        shard.end(start)
+    shard.tick(0.1)
+    assert len(set(drained(shard))) == 1
+    shard.send(Submit(work("last")))
+    assert shard.started(WorkKind.REQUEST)[-1].executor not in drained(shard)
+
+
+def test_growing_starts_the_missing_replicas():
+    config = configuration()
+    shard = Shard(config)
+    shard.send(Configure(scaled(config, 4, 2)))
+    assert len(shard.started(WorkKind.SERVICE)) == 4
+
+
+def test_replica_on_a_leaving_vm_is_replaced_before_it_drains():
+    config = configuration()
+    shard = Shard(config)
+    old = shard.started(WorkKind.SERVICE)[0]
+    shard.start_code = None
+    leaving = next(vm for vm in config.vms("dc1") if vm.name == old.vm)
+    shard.send(VmUpdate(leaving, True))
+    successor = shard.started(WorkKind.SERVICE)[2]
+    assert successor.vm != old.vm
+    assert drained(shard) == []
+    shard.running[successor.attempt_id] = successor
+    report = shard.report(successor)
+    shard.send(PollReply(successor.vm, 1, (report,)))
+    assert drained(shard) == [old.attempt_id]
+
+
+def test_leaving_vm_gets_no_request_after_two_seconds_without_a_successor():
+    """Guards against a full cell keeping work on a VM that is about to go (P6)."""
+    config = configuration(vms=1, replicas=1)
+    shard = Shard(config)
+    shard.send(VmUpdate(config.vms("dc1")[0], True))
+    shard.tick(2.0)
+    shard.send(Submit(work("r1")))
+    assert shard.started(WorkKind.REQUEST) == []
+
+
+def test_worker_that_says_it_leaves_gets_no_request_at_once():
+    config = configuration(vms=1, replicas=1)
+    shard = Shard(config)
+    shard.send(PollReply("dc1-vm000", 1, leaving=True))
+    shard.send(Submit(work("r1")))
+    assert shard.started(WorkKind.REQUEST) == []
+
+
+def test_changed_size_rolls_one_replica_at_a_time():
+    config = configuration()
+    shard = Shard(config)
+    service = config.services["booking"]
+    larger = replace(service, need=replace(service.need, mem_mb=9000))
+    shard.send(Configure(replace(config, number=2, services={"booking": larger})))
+    for _ in range(2):
+        shard.tick(1.0)
+        (old,) = set(drained(shard))
+        shard.stops.clear()
+        shard.end(shard.starts[old], state=AttemptState.STOPPED)
+    shard.tick(2.0)
+    needs = [s.work.need.mem_mb for s in shard.running.values()]
+    assert needs == [9000, 9000]
