--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/backlog.py
@@ -16,7 +16,7 @@
 from .results import Results
 from .state import ShardState, Start
 
-__all__ = ["Dispatcher"]
+__all__ = ["Backlog"]
 
 # Jobs tried in one pass, so that a deep queue does not delay the next message.
 PASS_LIMIT = 64
@@ -33,7 +33,7 @@
 _Lane: t.TypeAlias = tuple[int, str, str, Resources]
 
 
-class Dispatcher:
+class Backlog:
     """Queues jobs and starts their tasks where they fit."""
 
     def __init__(self, state: ShardState, results: Results, estimator: Estimator):
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -5,9 +5,9 @@
 from collections import deque
 from dataclasses import dataclass
 
+from .backlog import Backlog
 from .claims import Claims
 from .codes import Code
-from .dispatch import Dispatcher
 from .estimate import Estimator
 from .fleet import Vm
 from .jobs import Job
@@ -79,7 +79,7 @@
         self._state = ShardState(shard, rng)
         self._estimator = Estimator()
         self._results = Results(self._state, self._estimator, self._requeue)
-        self._dispatcher = Dispatcher(self._state, self._results, self._estimator)
+        self._backlog = Backlog(self._state, self._results, self._estimator)
         self._replicas = Replicas(self._state)
         self._claims = Claims(self._state, self._results, self._on_leaving)
         self._handlers: dict[type, t.Callable[[float, t.Any], None]] = {
@@ -107,7 +107,7 @@
         self._results.send_stops(now)
         if state.room_freed or type(msg) is Tick:
             self._replicas.reconcile(now)
-        self._dispatcher.run(now)
+        self._backlog.run(now)
         return state.out
 
     def explain(self, request_id: str) -> str:
@@ -131,7 +131,7 @@
         return Snapshot(
             shard=self.shard,
             epoch=state.authority.epoch,
-            queued=self._dispatcher.waiting(),
+            queued=self._backlog.waiting(),
             running=len(state.attempts),
             vms=len(vms),
             usable=sum(vm.usable for vm in vms),
@@ -143,7 +143,7 @@
         )
 
     def _requeue(self, now: float, job: Job) -> None:
-        self._dispatcher.requeue(now, job)
+        self._backlog.requeue(now, job)
 
     def _on_configure(self, now: float, msg: Configure) -> None:
         if msg.config.number >= self._state.config.number:
@@ -159,12 +159,12 @@
         self._claims.unreachable(now, msg.vm)
         vm = self._state.fleet.vms.get(msg.vm)
         if vm is not None:
-            self._dispatcher.gangs.vm_lost(vm)
+            self._backlog.gangs.vm_lost(vm)
 
     def _on_leaving(self, now: float, vm: Vm) -> None:
         """Move replicas and checkpoint what can be; the rest finishes."""
         self._replicas.leaves(now, vm)
-        self._dispatcher.gangs.vm_lost(vm)
+        self._backlog.gangs.vm_lost(vm)
         for attempt in self._state.attempts.on_vm(vm):
             if attempt.work.checkpointable and attempt.stop_mode is None:
                 self._state.stop(now, attempt, StopMode.CHECKPOINT)
@@ -186,7 +186,7 @@
         elif work.deadline <= now:
             self._results.answer(job, Code.EXPIRED)
         else:
-            self._dispatcher.submit(now, job)
+            self._backlog.submit(now, job)
 
     def _on_cancel(self, now: float, msg: Cancel) -> None:
         job = self._state.jobs.get(msg.request_id)
@@ -196,4 +196,4 @@
     def _on_tick(self, now: float, msg: Tick) -> None:
         self._results.expire(now)
         self._claims.tick(now)
-        self._dispatcher.tick(now)
+        self._backlog.tick(now)
