--- /dev/null
+++ b/src/poplaryard/client.py
@@ -0,0 +1,132 @@
+"""HTTP client for calls between processes, JSON in and out."""
+
+import asyncio
+import json
+import typing as t
+
+import aiosonic
+import aiosonic.exceptions
+from aiosonic.connection import Connection
+from aiosonic.connectors import TCPConnector
+from aiosonic.pools import PoolConfig
+from aiosonic.timeout import Timeouts
+
+from .codes import Code
+from .exceptions import PoplaryardError
+
+__all__ = ["HttpClient", "Reply"]
+
+CONNECT_TIMEOUT_S = 1.0
+# Shorter than the servers' keep-alive time, so that no call is sent over a connection
+# that the server is about to close.
+IDLE_MS = 30_000
+
+
+class Reply(t.NamedTuple):
+    """Status and decoded body of a response."""
+
+    status: int
+    body: t.Any
+
+
+class _Connection(Connection):
+    """Connection that is closed when a call over it fails or is cancelled.
+
+    aiosonic 1.3.3 returns such a connection to its pool with the response still to
+    come, so that the next call over it would be given the answer to another request.
+    """
+
+    async def __aexit__(
+        self, exc_type: t.Any, exc: BaseException | None, tb: t.Any
+    ) -> None:
+        if exc_type is not None:
+            self.keep = False
+            self.close()
+        await super().__aexit__(exc_type, exc, tb)
+
+
+class HttpClient:
+    """Client that tells a call that was never sent from one whose reply was lost.
+
+    Parameters
+    ----------
+    connections : int
+        Most connections open at once.
+    key : str
+        Key sent as bearer token; empty for none.
+    """
+
+    def __init__(self, connections: int = 64, key: str = ""):
+        pool = PoolConfig(
+            size=connections, max_conn_requests=None, max_conn_idle_ms=IDLE_MS
+        )
+        connector = TCPConnector(
+            pool_configs={":default": pool}, connection_cls=_Connection
+        )
+        self._client = aiosonic.HTTPClient(connector)
+        self._headers = {"content-type": "application/json"}
+        if key:
+            self._headers["authorization"] = f"Bearer {key}"
+
+    async def post(self, url: str, body: t.Any, timeout_s: float) -> Reply:
+        """Send `body` as JSON and return the reply.
+
+        Raises
+        ------
+        PoplaryardError
+            `Code.PEER_UNREACHABLE` if the call was not sent, `Code.PEER_TIMEOUT` if
+            it may have taken effect.
+        """
+        data = json.dumps(body, separators=(",", ":"), allow_nan=False).encode()
+        return await self.request("POST", url, data, timeout_s)
+
+    async def get(self, url: str, timeout_s: float) -> Reply:
+        """Fetch a URL; raises as `post` does."""
+        return await self.request("GET", url, None, timeout_s)
+
+    async def request(
+        self, method: str, url: str, data: bytes | None, timeout_s: float
+    ) -> Reply:
+        """Send one request; raises as `post` does."""
+        timeouts = Timeouts(
+            sock_connect=min(CONNECT_TIMEOUT_S, timeout_s),
+            sock_read=None,
+            pool_acquire=timeout_s,
+            request_timeout=timeout_s,
+        )
+        try:
+            response = await self._client.request(
+                url, method, headers=self._headers, data=data, timeouts=timeouts
+            )
+            content = await response.content()
+            return Reply(response.status_code, _decoded(content))
+        except _NOT_SENT as exc:
+            detail = f"{url} cannot be reached: {exc or type(exc).__name__}"
+            raise PoplaryardError(Code.PEER_UNREACHABLE, detail) from exc
+        except _LOST as exc:
+            detail = f"{url} did not answer: {exc or type(exc).__name__}"
+            raise PoplaryardError(Code.PEER_TIMEOUT, detail) from exc
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+        await self._client.connector.cleanup()
+
+
+_NOT_SENT = (
+    aiosonic.exceptions.ConnectTimeout,
+    aiosonic.exceptions.ConnectionPoolAcquireTimeout,
+    ConnectionRefusedError,
+)
+_LOST = (
+    aiosonic.exceptions.BaseTimeout,
+    aiosonic.exceptions.ConnectionDisconnected,
+    aiosonic.exceptions.HttpParsingError,
+    asyncio.IncompleteReadError,
+    OSError,
+    ValueError,
+)
+
+
+def _decoded(content: bytes) -> t.Any:
+    return json.loads(content) if content else None
--- /dev/null
+++ b/src/poplaryard/links.py
@@ -0,0 +1,164 @@
+"""Link from the owner of a shard to one of its workers."""
+
+import asyncio
+import random
+import time
+import typing as t
+from collections import deque
+
+from .codes import Code
+from .exceptions import PoplaryardError
+from .messages import (
+    Authority,
+    ClaimWorker,
+    Message,
+    StartAttempt,
+    StartReply,
+    StopAttempt,
+    WorkerUnreachable,
+)
+from .workers import Workers
+
+__all__ = ["WorkerLink"]
+
+START_BATCH = 64
+# Start calls open at once to one worker; a batch gathers while these are under way.
+START_CALLS = 4
+# A quarter of the task lease, so that two lost polls in a row end no task.
+POLL_WAIT_S = 1.0
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 2.0
+_LAPSED_WAIT_S = 0.1
+
+Post: t.TypeAlias = t.Callable[[Message], None]
+
+
+class WorkerLink:
+    """Claims, polls and commands one worker; each call checks the authority first.
+
+    Parameters
+    ----------
+    vm, address : str
+    workers : Workers
+    post : callable
+        Takes the messages that go to the shard.
+    authority : callable
+        Returns the shard's present authority.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        address: str,
+        workers: Workers,
+        post: Post,
+        authority: t.Callable[[], Authority],
+    ):
+        self.vm = vm
+        self.address = address
+        self._workers = workers
+        self._post = post
+        self._authority = authority
+        self._rng = random.Random(vm)
+        self._starts: deque[StartAttempt] = deque()
+        self._calls: set[asyncio.Task[None]] = set()
+        self._start_calls = 0
+        self._poller: asyncio.Task[None] | None = None
+        self._failures = 0
+
+    def claim(self, command: ClaimWorker) -> None:
+        """Claim the worker, then poll it under the same epoch until told otherwise."""
+        if self._poller is not None:
+            self._poller.cancel()
+        self._poller = asyncio.create_task(self._claim_and_poll(command.epoch))
+
+    def start(self, command: StartAttempt) -> None:
+        """Queue a start; it leaves with the next batch."""
+        self._starts.append(command)
+        if self._start_calls < START_CALLS:
+            self._start_calls += 1
+            self._spawn(self._send_starts())
+
+    def stop_attempt(self, command: StopAttempt) -> None:
+        """Send a stop."""
+        self._spawn(self._send_stop(command))
+
+    def close(self) -> None:
+        """End the link; what the worker runs lives on until its lease ends."""
+        if self._poller is not None:
+            self._poller.cancel()
+        for call in list(self._calls):
+            call.cancel()
+
+    def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(call)
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
+
+    async def _claim_and_poll(self, epoch: int) -> None:
+        try:
+            if self._failures:
+                await asyncio.sleep(self._backoff())
+            await self._valid_authority()
+            reply = await self._workers.claim(self.address, self.vm, epoch)
+            self._post(reply)
+            if reply.accepted:
+                await self._poll(epoch)
+        except PoplaryardError:
+            self._failures += 1
+            self._poller = None
+            self._post(WorkerUnreachable(self.vm))
+
+    async def _poll(self, epoch: int) -> None:
+        seen = 0
+        while True:
+            await self._valid_authority()
+            reply, seen = await self._workers.poll(
+                self.address, self.vm, epoch, seen, POLL_WAIT_S
+            )
+            self._failures = 0
+            self._post(reply)
+            if reply.epoch > epoch:
+                return
+
+    async def _valid_authority(self) -> None:
+        """Wait until the authority is valid; renewals without it are not sent."""
+        while time.monotonic() >= self._authority().until:
+            await asyncio.sleep(_LAPSED_WAIT_S)
+
+    def _backoff(self) -> float:
+        bound = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(self._failures, 10))
+        return self._rng.uniform(RETRY_MIN_S, bound)
+
+    async def _send_starts(self) -> None:
+        try:
+            # Starts decided in the same step of the loop leave in one call.
+            await asyncio.sleep(0)
+            while self._starts:
+                count = min(START_BATCH, len(self._starts))
+                batch = [self._starts.popleft() for _ in range(count)]
+                await self._send_batch(batch)
+        finally:
+            self._start_calls -= 1
+
+    async def _send_batch(self, batch: list[StartAttempt]) -> None:
+        if time.monotonic() >= self._authority().until:
+            for start in batch:
+                self._refuse(start)
+            return
+        try:
+            replies = await self._workers.start(self.address, batch)
+        except PoplaryardError:
+            self._post(WorkerUnreachable(self.vm))
+            return
+        for reply in replies:
+            self._post(reply)
+
+    def _refuse(self, start: StartAttempt) -> None:
+        self._post(StartReply(self.vm, start.attempt_id, Code.NO_AUTHORITY))
+
+    async def _send_stop(self, command: StopAttempt) -> None:
+        try:
+            await self._workers.stop(self.address, [command])
+        except PoplaryardError:
+            self._post(WorkerUnreachable(self.vm))
--- /dev/null
+++ b/src/poplaryard/server.py
@@ -0,0 +1,72 @@
+"""HTTP server of a process: uvicorn without its signal handling."""
+
+import asyncio
+import contextlib
+import socket
+import typing as t
+
+import uvicorn
+
+__all__ = ["HttpServer"]
+
+# Longer than the clients' idle time, so that the client closes first.
+KEEP_ALIVE_S = 75
+BACKLOG = 1024
+
+
+class _Server(uvicorn.Server):
+    """Server whose process handles signals itself."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> t.Iterator[None]:
+        yield
+
+
+class HttpServer:
+    """Serves one ASGI application on one address.
+
+    Parameters
+    ----------
+    app : ASGI application
+    host : str
+        IP address to listen on.
+    port : int
+        Port; 0 takes a free one, which `port` then holds.
+    """
+
+    def __init__(self, app: t.Any, host: str, port: int):
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind((host, port))
+        self.port: int = self._socket.getsockname()[1]
+        config = uvicorn.Config(
+            app,
+            http="h11",
+            loop="asyncio",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEP_ALIVE_S,
+            timeout_graceful_shutdown=5,
+        )
+        self._server = _Server(config)
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Serve until `stop`; returns once connections are taken."""
+        self._task = asyncio.create_task(self._server.serve([self._socket]))
+        while not self._server.started:
+            if self._task.done():
+                self._task.result()
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Take no more connections, finish the requests in progress and return."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await self._task
--- /dev/null
+++ b/src/poplaryard/settings.py
@@ -0,0 +1,181 @@
+"""Settings of a process: JSON with comments, validated."""
+
+import pathlib
+import sys
+import typing as t
+
+import click
+from pydantic import (
+    BaseModel,
+    ConfigDict,
+    Field,
+    StringConstraints,
+    ValidationError,
+    field_validator,
+)
+
+from . import jsonc
+from .codes import Code
+from .exceptions import ConfigError, PoplaryardError
+
+__all__ = ["Keys", "Limits", "Settings", "check_config", "load_settings"]
+
+EXIT_INVALID = 2
+
+Name: t.TypeAlias = t.Annotated[
+    str, StringConstraints(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")
+]
+Key: t.TypeAlias = t.Annotated[str, StringConstraints(min_length=8, max_length=256)]
+
+
+def _check_address(value: str) -> str:
+    host, colon, port = value.rpartition(":")
+    octets = host.split(".")
+    numeric = all(octet.isdecimal() and int(octet) < 256 for octet in octets)
+    if not colon or len(octets) != 4 or not numeric:
+        raise ValueError("expected an IPv4 address and a port such as 10.0.0.1:8080")
+    if not port.isdecimal() or int(port) > 65535:
+        raise ValueError("expected a port between 0 and 65535")
+    return value
+
+
+class _Model(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
+
+
+class Keys(_Model):
+    """Keys by name of their holder."""
+
+    callers: dict[Name, Key] = Field(min_length=1)
+    operators: dict[Name, Key] = Field(min_length=1)
+    peer: Key
+
+
+class Limits(_Model):
+    """Bounds of the HTTP interfaces.
+
+    Attributes
+    ----------
+    body_kb : int
+        Largest request body in KB.
+    requests_in_flight : int
+        Most caller requests open at once.
+    peer_in_flight : int
+        Most messages in flight to one peer.
+    """
+
+    body_kb: int = Field(default=256, ge=1, le=1024)
+    json_depth: int = Field(default=16, ge=2, le=64)
+    requests_in_flight: int = Field(default=8192, ge=1, le=100_000)
+    peer_in_flight: int = Field(default=2048, ge=1, le=100_000)
+    default_timeout_s: float = Field(default=30.0, gt=0, le=3600)
+    shutdown_s: float = Field(default=25.0, gt=0, le=600)
+
+
+class Settings(_Model):
+    """Settings of one entry process.
+
+    Attributes
+    ----------
+    process : str
+        Name of the process, unique in the cell.
+    listen : str
+        Address to listen on; port 0 takes a free one.
+    advertise : str
+        Address given to peers; that of `listen` if empty.
+    platform : str
+        Address of the platform's store.
+    peers : list of str
+        Addresses of entry processes of this and other data centres, asked at start.
+    """
+
+    process: Name
+    cell: Name
+    data_centre: Name
+    listen: str
+    advertise: str = ""
+    platform: str
+    peers: list[str] = Field(default_factory=list, max_length=256)
+    keys: Keys
+    limits: Limits = Field(default_factory=Limits)
+    log_level: t.Literal["debug", "info", "warning", "error"] = "info"
+
+    @field_validator("listen", "platform")
+    @classmethod
+    def _address(cls, value: str) -> str:
+        return _check_address(value)
+
+    @field_validator("advertise")
+    @classmethod
+    def _optional_address(cls, value: str) -> str:
+        return _check_address(value) if value else value
+
+    @field_validator("peers")
+    @classmethod
+    def _addresses(cls, value: list[str]) -> list[str]:
+        return [_check_address(item) for item in value]
+
+
+def load_settings(path: str | pathlib.Path) -> Settings:
+    """Return the settings in a file.
+
+    Raises
+    ------
+    ConfigError
+        `SETTINGS_UNREADABLE` or `SETTINGS_INVALID`; the detail names the file, the
+        path of each wrong key and what was expected.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        detail = f"{path}: {exc.strerror or exc}"
+        raise ConfigError(Code.SETTINGS_UNREADABLE, detail) from exc
+    try:
+        found = jsonc.loads(text)
+    except PoplaryardError as exc:
+        raise ConfigError(Code.SETTINGS_UNREADABLE, f"{path}: {exc.detail}") from exc
+    try:
+        return Settings.model_validate(found)
+    except ValidationError as exc:
+        raise ConfigError(Code.SETTINGS_INVALID, _describe(path, exc)) from exc
+
+
+def _describe(path: str | pathlib.Path, exc: ValidationError) -> str:
+    return "\n".join(
+        f"{path}: {_key_path(error['loc'])}: {_expected(error)}"
+        for error in exc.errors(include_url=False)
+    )
+
+
+def _key_path(loc: tuple[int | str, ...]) -> str:
+    if not loc:
+        return "(whole file)"
+    path = "".join(f"[{p}]" if isinstance(p, int) else f".{p}" for p in loc)
+    return path.removeprefix(".")
+
+
+def _expected(error: t.Any) -> str:
+    if error["type"] == "extra_forbidden":
+        return "unknown key; remove it or correct its name"
+    if error["type"] == "missing":
+        return "this key is required"
+    message = str(error["msg"]).removeprefix("Value error, ")
+    return f"{message} (found {error['input']!r:.80})"
+
+
+def settings_or_exit(path: str) -> Settings:
+    """Return the settings in a file, or print what is wrong and exit with status 2."""
+    try:
+        return load_settings(path)
+    except ConfigError as exc:
+        for line in exc.detail.splitlines():
+            click.echo(f"{line} [code {int(exc.code)}]", err=True)
+        sys.exit(EXIT_INVALID)
+
+
+@click.command("check-config")
+@click.argument("file", type=click.Path())
+def check_config(file: str) -> None:
+    """Check a settings FILE; exit 2 if it is invalid."""
+    settings = settings_or_exit(file)
+    click.echo(f"{file}: the settings of {settings.process} are valid.")
--- /dev/null
+++ b/src/poplaryard/shards.py
@@ -0,0 +1,213 @@
+"""Task of one shard: owns its scheduler, its queue and the links to its workers."""
+
+import asyncio
+import dataclasses
+import random
+import time
+import typing as t
+
+from .codes import Code
+from .configuration import Configuration, VmSpec
+from .links import WorkerLink
+from .messages import (
+    Answer,
+    AuditEvent,
+    Authority,
+    ClaimWorker,
+    Configure,
+    Message,
+    StartAttempt,
+    StopAttempt,
+    Submit,
+    Tick,
+    VmGone,
+    VmUpdate,
+)
+from .scheduler import ShardScheduler
+from .workers import Workers
+
+__all__ = ["ShardTask"]
+
+QUEUE_LIMIT = 20_000
+# Messages handled before other tasks of the loop run again.
+SLICE = 128
+BUSY_TICK_S = 0.1
+IDLE_TICK_S = 0.5
+_BUSY_AFTER_MESSAGE_S = 2.0
+
+Deliver: t.TypeAlias = t.Callable[[str, Message], None]
+
+
+class ShardTask:
+    """Runs the scheduler of one shard that this process owns.
+
+    Parameters
+    ----------
+    shard, process : str
+    workers : Workers
+    deliver : callable
+        Takes a process id and the answer that goes to it.
+    audit : callable
+        Takes audit events.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        process: str,
+        workers: Workers,
+        deliver: Deliver,
+        audit: t.Callable[[AuditEvent], None],
+        rng: random.Random,
+    ):
+        self.shard = shard
+        self.scheduler = ShardScheduler(shard, process, rng)
+        self._process = process
+        self._workers = workers
+        self._deliver = deliver
+        self._audit = audit
+        self._queue: asyncio.Queue[Message] = asyncio.Queue(QUEUE_LIMIT)
+        self._authority = Authority(shard, 0, 0.0, False)
+        self._links: dict[str, WorkerLink] = {}
+        self._vms: dict[str, tuple[VmSpec, bool]] = {}
+        self._waiting: dict[str, set[str]] = {}
+        self._task: asyncio.Task[None] | None = None
+        self._busy_until = 0.0
+
+    @property
+    def authority(self) -> Authority:
+        """Authority last posted."""
+        return self._authority
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have not been answered."""
+        return len(self._waiting)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._task = asyncio.create_task(self._run())
+
+    async def stop(self) -> None:
+        """End the task and its links."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        for link in self._links.values():
+            link.close()
+
+    def post(self, msg: Message) -> None:
+        """Queue a message that must not be lost: reports, configuration, authority."""
+        if isinstance(msg, Authority):
+            self._authority = msg
+        try:
+            self._queue.put_nowait(msg)
+        except asyncio.QueueFull:
+            # Bounded by the number of attempts that run, unlike submits.
+            self._queue._queue.append(msg)  # type: ignore[attr-defined]
+
+    def submit(self, msg: Submit, again: bool = False) -> None:
+        """Queue work, or answer that the queue is full.
+
+        Parameters
+        ----------
+        again : bool
+            Whether the work was sent before. It may then have run, so that no refusal
+            can be given and the entry process is left to ask again.
+        """
+        if self._queue.qsize() < QUEUE_LIMIT:
+            self._queue.put_nowait(msg)
+        elif not again:
+            self._refuse(msg, Code.QUEUE_FULL)
+
+    def configure(self, config: Configuration, vms: t.Mapping[str, VmSpec]) -> None:
+        """Apply a configuration and the VMs of this shard that it names."""
+        self.post(Configure(config))
+        leaving = {name for g in config.vm_groups.values() for name in g.leaving}
+        for name in sorted(self._vms.keys() - vms.keys()):
+            del self._vms[name]
+            self.post(VmGone(name))
+        for name, vm in vms.items():
+            self._update_vm(vm, name in leaving)
+
+    def vm_leaving(self, name: str, leaving: bool) -> None:
+        """Note what the platform's list says about a VM."""
+        if name in self._vms:
+            self._update_vm(self._vms[name][0], leaving)
+
+    def _update_vm(self, vm: VmSpec, leaving: bool) -> None:
+        if self._vms.get(vm.name) == (vm, leaving):
+            return
+        self._vms[vm.name] = (vm, leaving)
+        self.post(VmUpdate(vm, leaving))
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                msg = await asyncio.wait_for(self._queue.get(), self._tick_s())
+            except TimeoutError:
+                self._handle(Tick())
+                continue
+            self._handle(msg)
+            self._handle_slice()
+            await asyncio.sleep(0)
+
+    def _handle_slice(self) -> None:
+        for _ in range(min(SLICE, self._queue.qsize())):
+            self._handle(self._queue.get_nowait())
+
+    def _tick_s(self) -> float:
+        busy = self._waiting or time.monotonic() < self._busy_until
+        return BUSY_TICK_S if busy else IDLE_TICK_S
+
+    def _handle(self, msg: Message) -> None:
+        now = time.monotonic()
+        if isinstance(msg, Submit):
+            self._busy_until = now + _BUSY_AFTER_MESSAGE_S
+            self._waiting.setdefault(msg.work.request_id, set()).add(msg.reply_to)
+        elif isinstance(msg, VmUpdate):
+            self._link(msg.vm)
+        elif isinstance(msg, VmGone):
+            self._unlink(msg.vm)
+        for out in self.scheduler.handle(now, msg):
+            self._dispatch(out)
+
+    def _dispatch(self, out: t.Any) -> None:
+        if isinstance(out, StartAttempt):
+            self._links[out.vm].start(out)
+        elif isinstance(out, Answer):
+            self._answer(out)
+        elif isinstance(out, StopAttempt):
+            self._links[out.vm].stop_attempt(out)
+        elif isinstance(out, ClaimWorker):
+            self._links[out.vm].claim(out)
+        elif isinstance(out, AuditEvent):
+            self._audit(out)
+
+    def _answer(self, answer: Answer) -> None:
+        """Send an answer to every process that has a caller waiting for it."""
+        targets = self._waiting.pop(answer.request_id, set())
+        for target in sorted(targets or {answer.reply_to}):
+            if target:
+                self._deliver(target, dataclasses.replace(answer, reply_to=target))
+
+    def _refuse(self, msg: Submit, code: Code) -> None:
+        answer = Answer(
+            msg.work.request_id, code, code.outcome, (), code.meaning, 1.0, msg.reply_to
+        )
+        self._deliver(msg.reply_to, answer)
+
+    def _link(self, vm: VmSpec) -> None:
+        link = self._links.get(vm.name)
+        if link is not None and link.address == vm.address:
+            return
+        if link is not None:
+            link.close()
+        self._links[vm.name] = WorkerLink(
+            vm.name, vm.address, self._workers, self.post, lambda: self._authority
+        )
+
+    def _unlink(self, name: str) -> None:
+        link = self._links.pop(name, None)
+        if link is not None:
+            link.close()
--- /dev/null
+++ b/src/poplaryard/standin_worker_http.py
@@ -0,0 +1,154 @@
+"""HTTP routes and command of the worker stand-in."""
+
+import asyncio
+import dataclasses
+import json
+import time
+import typing as t
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
+
+from . import wire
+from .messages import StartAttempt, StopAttempt
+from .server import HttpServer
+from .standin_worker import WorkerVm
+
+__all__ = ["WorkerHost"]
+
+# Time for which a dropped reply is withheld; longer than any caller waits for it.
+HANG_S = 30.0
+EXPIRY_PERIOD_S = 0.25
+PAUSE_POLL_S = 0.05
+
+
+class WorkerHost:
+    """Serves many workers on one address.
+
+    Parameters
+    ----------
+    vms : sequence of WorkerVm
+    """
+
+    def __init__(self, vms: t.Sequence[WorkerVm]):
+        self.vms = {vm.name: vm for vm in vms}
+        self.calls = 0
+        self.app = Starlette(routes=self._routes())
+        self._server: HttpServer | None = None
+        self._expiry: asyncio.Task[None] | None = None
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Serve and return the address."""
+        self._server = HttpServer(self.app, host, port)
+        await self._server.start()
+        self._expiry = asyncio.create_task(self._expire())
+        return f"{host}:{self._server.port}"
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._expiry is not None:
+            self._expiry.cancel()
+        if self._server is not None:
+            await self._server.stop()
+
+    def _routes(self) -> list[Route]:
+        calls = {
+            "/worker/v1/claim": self._claim,
+            "/worker/v1/start": self._start,
+            "/worker/v1/stop": self._stop,
+            "/worker/v1/poll": self._poll,
+            "/standin/fault": self._fault,
+        }
+        routes = [Route(path, call, methods=["POST"]) for path, call in calls.items()]
+        return [*routes, Route("/standin/record", self._record, methods=["GET"])]
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_PERIOD_S)
+            for vm in self.vms.values():
+                if not vm.faults.paused:
+                    vm.expire()
+
+    async def _claim(self, request: Request) -> Response:
+        body = await self._body(request)
+        vm = await self._vm(body["vm"])
+        if vm is None:
+            return _no_such_vm(body["vm"])
+        reply = vm.claim(int(body["epoch"]))
+        return await self._answer(vm, wire.encode(reply, time.monotonic()))
+
+    async def _start(self, request: Request) -> Response:
+        body = await self._body(request)
+        now = time.monotonic()
+        starts = [wire.decode_as(StartAttempt, item, now) for item in body["starts"]]
+        vm = await self._vm(starts[0].vm) if starts else None
+        if vm is None:
+            return _no_such_vm(starts[0].vm if starts else "")
+        replies = [wire.encode(vm.start(start), now) for start in starts]
+        return await self._answer(vm, {"replies": replies})
+
+    async def _stop(self, request: Request) -> Response:
+        body = await self._body(request)
+        now = time.monotonic()
+        stops = [wire.decode_as(StopAttempt, item, now) for item in body["stops"]]
+        vm = await self._vm(stops[0].vm) if stops else None
+        if vm is None:
+            return _no_such_vm(stops[0].vm if stops else "")
+        for stop in stops:
+            vm.stop(stop)
+        return await self._answer(vm, {})
+
+    async def _poll(self, request: Request) -> Response:
+        body = await self._body(request)
+        vm = await self._vm(body["vm"])
+        if vm is None:
+            return _no_such_vm(body["vm"])
+        reply, number = await vm.poll(
+            int(body["epoch"]), int(body["seen"]), float(body["wait_s"])
+        )
+        await self._vm(vm.name)
+        found = wire.encode(reply, time.monotonic())
+        return await self._answer(vm, {"reply": found, "number": number})
+
+    async def _fault(self, request: Request) -> Response:
+        """Set faults of one worker, or of all if no name is given."""
+        body = await self._body(request)
+        name = body.pop("vm", "")
+        chosen = [self.vms[name]] if name else list(self.vms.values())
+        for vm in chosen:
+            vm.faults = dataclasses.replace(vm.faults, **body)
+            vm.set_leaving(vm.faults.leaving)
+        return JSONResponse({"vms": len(chosen)})
+
+    async def _record(self, request: Request) -> Response:
+        found = [dataclasses.asdict(r) for vm in self.vms.values() for r in vm.records]
+        overcommits = sum(vm.overcommits for vm in self.vms.values())
+        return JSONResponse(
+            {"records": found, "overcommits": overcommits, "calls": self.calls}
+        )
+
+    async def _body(self, request: Request) -> t.Any:
+        self.calls += 1
+        return json.loads(await request.body())
+
+    async def _vm(self, name: str) -> WorkerVm | None:
+        """Return a worker, after waiting while it is paused."""
+        vm = self.vms.get(name)
+        while vm is not None and vm.faults.paused:
+            await asyncio.sleep(PAUSE_POLL_S)
+        return vm
+
+    async def _answer(self, vm: WorkerVm, body: t.Any) -> Response:
+        if vm.faults.drop_replies > 0:
+            vm.faults.drop_replies -= 1
+            await asyncio.sleep(HANG_S)
+        data = json.dumps(body, separators=(",", ":")).encode()
+        return Response(data, media_type="application/json")
+
+
+def _no_such_vm(name: str) -> Response:
+    return JSONResponse({"error": f"There is no worker {name!r} here."}, 404)
+
+
