--- /dev/null
+++ b/src/poplaryard/tickets.py
@@ -0,0 +1,244 @@
+"""Tickets: reading them, applying them, and encoding a whole configuration."""
+
+import hashlib
+import json
+import typing as t
+from dataclasses import replace
+
+import pydantic
+from pydantic import Field
+
+from . import jsonc
+from .codes import Code
+from .configuration import Configuration, Policy
+from .exceptions import CallError
+from .ticket_objects import AnyObject, Removal, Spec, object_of, parse_object
+
+__all__ = [
+    "FORMAT",
+    "POLICY_KEY",
+    "Ticket",
+    "apply",
+    "changes_of",
+    "check_vms",
+    "decode",
+    "digest",
+    "encode",
+    "objects_of",
+    "parse",
+    "with_objects",
+]
+
+FORMAT = 1
+POLICY_KEY = "policy/policy"
+
+# Kind of object to the mapping of the configuration that holds it.
+_FIELDS = {
+    "service": "services",
+    "batch": "batches",
+    "vm_group": "vm_groups",
+    "team": "teams",
+    "work_kind": "work_kinds",
+}
+
+
+class Ticket(pydantic.BaseModel):
+    """Change of whole objects, as an operator files it.
+
+    Attributes
+    ----------
+    uid : str
+        Id chosen by the operator's client; filing it again gives the first answer.
+    based_on : int or None
+        Number of the last ticket that the author had seen.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    format: t.Literal[1]
+    uid: t.Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{3,79}$")]
+    author: t.Annotated[str, Field(min_length=1, max_length=80)]
+    note: t.Annotated[str, Field(max_length=400)] = ""
+    based_on: t.Annotated[int, Field(strict=True, ge=0)] | None = None
+    objects: t.Annotated[tuple[AnyObject, ...], Field(min_length=1, max_length=1000)]
+
+    @pydantic.model_validator(mode="after")
+    def _check(self) -> t.Self:
+        keys = self.keys()
+        twice = sorted({key for key in keys if keys.count(key) > 1})
+        if twice:
+            raise ValueError(f"names the object {twice[0]} twice")
+        return self
+
+    def keys(self) -> list[str]:
+        """Return ``kind/name`` of each object, in the ticket's order."""
+        return [f"{item.kind}/{item.name}" for item in self.objects]
+
+
+def parse(value: str | bytes | t.Mapping[str, t.Any]) -> Ticket:
+    """Return the ticket that a text or a decoded JSON value holds.
+
+    Raises
+    ------
+    CallError
+        `TICKET_INVALID` with one plain sentence per fault, or a code of `jsonc`.
+    """
+    if isinstance(value, str | bytes):
+        value = jsonc.loads(value)
+    if not isinstance(value, dict):
+        raise CallError(Code.TICKET_INVALID, "The ticket must be a JSON object.")
+    try:
+        return Ticket.model_validate(value)
+    except pydantic.ValidationError as exc:
+        raise CallError(Code.TICKET_INVALID, _sentences(exc, value)) from exc
+
+
+_PLAIN = {
+    "missing": "is missing",
+    "extra_forbidden": "is not a known field",
+    "union_tag_invalid": "has an unknown kind",
+    "union_tag_not_found": "has no kind",
+}
+
+
+def _sentences(exc: pydantic.ValidationError, value: t.Mapping[str, t.Any]) -> str:
+    lines = []
+    for error in exc.errors(include_url=False)[:20]:
+        where = _place(error["loc"], value)
+        what = _PLAIN.get(error["type"]) or _lower(error["msg"])
+        lines.append(f"{where} {what}.")
+    return " ".join(lines)
+
+
+def _lower(text: str) -> str:
+    text = text.removeprefix("Value error, ")
+    return text.replace("Input should", "should")
+
+
+def _place(loc: tuple[int | str, ...], value: t.Mapping[str, t.Any]) -> str:
+    """Return a readable place, such as `In service "booking", "cpu"`."""
+    if len(loc) >= 2 and loc[0] == "objects" and isinstance(loc[1], int):
+        found = _item(value, loc[1])
+        path = ".".join(str(part) for part in loc[3:])
+        return f'In {found}, "{path}"' if path else f"Object {found}"
+    path = ".".join(str(part) for part in loc)
+    return f'"{path}"' if path else "The ticket"
+
+
+def _item(value: t.Mapping[str, t.Any], index: int) -> str:
+    item = value["objects"][index]
+    if not isinstance(item, dict):
+        return f"number {index + 1}"
+    return f'{item.get("kind", "object")} "{item.get("name", index + 1)}"'
+
+
+def digest(value: t.Any) -> str:
+    """Return 16 hexadecimal digits that identify a JSON value."""
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def changes_of(ticket: Ticket) -> dict[str, dict[str, t.Any] | None]:
+    """Return the stored form of each object of a ticket; None for a removal."""
+    return {
+        key: None if isinstance(item, Removal) else object_of(item.spec())
+        for key, item in zip(ticket.keys(), ticket.objects, strict=True)
+    }
+
+
+def apply(config: Configuration, number: int, ticket: Ticket) -> Configuration:
+    """Return the configuration after a ticket; the cost follows the ticket's size."""
+    specs: dict[str, Spec | None] = {
+        key: None if isinstance(item, Removal) else item.spec()
+        for key, item in zip(ticket.keys(), ticket.objects, strict=True)
+    }
+    return _with_specs(config, number, specs)
+
+
+def with_objects(
+    config: Configuration,
+    number: int,
+    objects: t.Mapping[str, t.Mapping[str, t.Any] | None],
+) -> Configuration:
+    """Return the configuration with stored objects replaced, or removed if None."""
+    specs = {
+        key: None if value is None else parse_object(value)
+        for key, value in objects.items()
+    }
+    return _with_specs(config, number, specs)
+
+
+def _with_specs(
+    config: Configuration, number: int, specs: t.Mapping[str, Spec | None]
+) -> Configuration:
+    changed: dict[str, t.Any] = {"number": number}
+    for key, spec in specs.items():
+        if key == POLICY_KEY:
+            changed["policy"] = spec or Policy()
+            continue
+        kind, name = key.split("/", 1)
+        field = _FIELDS[kind]
+        # Each mapping is copied once per ticket; readers keep the old one unchanged.
+        if field not in changed:
+            changed[field] = dict(getattr(config, field))
+        if spec is None:
+            changed[field].pop(name, None)
+        else:
+            changed[field][name] = spec
+    return replace(config, **changed)
+
+
+def objects_of(config: Configuration) -> t.Iterator[tuple[str, Spec]]:
+    """Yield ``kind/name`` and the state of each object of a configuration."""
+    for kind, field in _FIELDS.items():
+        for name, spec in getattr(config, field).items():
+            yield f"{kind}/{name}", spec
+    if config.policy != Policy():
+        yield POLICY_KEY, config.policy
+
+
+def encode(config: Configuration) -> dict[str, t.Any]:
+    """Return a whole configuration as a JSON value."""
+    return {
+        "format": FORMAT,
+        "number": config.number,
+        "objects": [object_of(spec) for _, spec in objects_of(config)],
+    }
+
+
+def decode(value: t.Mapping[str, t.Any]) -> Configuration:
+    """Return the configuration that `encode` gave.
+
+    Raises
+    ------
+    CallError
+        `TICKET_INVALID` if the format is unknown or an object is not valid.
+    """
+    if value.get("format") != FORMAT:
+        detail = f"The configuration has the unknown format {value.get('format')}."
+        raise CallError(Code.TICKET_INVALID, detail)
+    try:
+        items = {f"{item['kind']}/{item['name']}": item for item in value["objects"]}
+        return with_objects(Configuration(), value["number"], items)
+    except (pydantic.ValidationError, KeyError, TypeError) as exc:
+        detail = f"The configuration cannot be read: {exc}."
+        raise CallError(Code.TICKET_INVALID, detail) from exc
+
+
+def check_vms(config: Configuration) -> None:
+    """Refuse a VM that two groups list, or an address that two VMs share.
+
+    A VM counted twice would be given twice the work that it can hold.
+    """
+    groups: dict[str, str] = {}
+    addresses: dict[str, str] = {}
+    for group in config.vm_groups.values():
+        for vm in group.vms:
+            if vm.name in groups:
+                detail = f'VM "{vm.name}" is listed in "{groups[vm.name]}" and '
+                raise CallError(Code.TICKET_INVALID, f'{detail}in "{group.name}".')
+            if vm.address in addresses:
+                detail = f'"{vm.name}" and "{addresses[vm.address]}" have the address '
+                raise CallError(Code.TICKET_INVALID, f"{detail}{vm.address}.")
+            groups[vm.name] = group.name
+            addresses[vm.address] = vm.name
