Add wait queues, admission, quotas, ejection and limits

Cause: the shard scheduler needs the interfaces of the policy objects. Scheduler calls: WaitQueues.started/ended account long work, Quotas.waits/left count waiting work, Ejector.add names a VM's class.

--- /dev/null
+++ b/src/poplaryard/admission.py
@@ -0,0 +1,108 @@
+"""Admission of work: bounded queues, deadlines, load shedding, retry-after."""
+
+import typing as t
+
+from .codes import Code
+from .configuration import Policy
+from .messages import Work
+from .queues import class_of
+
+__all__ = ["Admission", "Verdict"]
+
+_TEAM_SHARE = 1 / 3
+_RATE_WINDOW_S = 1.0
+_MIN_RETRY_S = 0.1
+_MAX_RETRY_S = 30.0
+
+
+class Verdict(t.NamedTuple):
+    """Result of an admission check; `retry_after_s` is 0 if no retry is worthwhile."""
+
+    code: Code
+    retry_after_s: float = 0.0
+
+
+class Admission:
+    """Decides whether work may join its queue.
+
+    Parameters
+    ----------
+    policy : Policy
+        Policy figures in force.
+    """
+
+    def __init__(self, policy: Policy):
+        self._policy = policy
+        self._rates: dict[str, _Rate] = {}
+
+    def configure(self, policy: Policy) -> None:
+        """Take new policy figures."""
+        self._policy = policy
+
+    def admit(
+        self,
+        now: float,
+        work: Work,
+        depth: int,
+        team_depth: int = 0,
+        limit: int | None = None,
+    ) -> Verdict:
+        """Decide on one work.
+
+        Parameters
+        ----------
+        depth : int
+            Entries that wait in the class of the work.
+        team_depth : int
+            Entries of the work's team in that class.
+        limit : int or None
+            Bound of the class's queue; the policy's bound if None.
+        """
+        if work.deadline <= now:
+            return Verdict(Code.EXPIRED)
+        bound = self._policy.queue_limit if limit is None else limit
+        if depth >= bound or team_depth >= max(1, int(bound * _TEAM_SHARE)):
+            return Verdict(Code.QUEUE_FULL, self._retry_after_s(now, work, depth))
+        expected_s = self.expected_wait_s(now, work, depth)
+        if now + expected_s > work.deadline:
+            return Verdict(Code.QUEUE_FULL, self._retry_after_s(now, work, depth))
+        return Verdict(Code.ACCEPTED)
+
+    def started(self, now: float, work: Work) -> None:
+        """Record that work left its queue to run."""
+        self._rates.setdefault(class_of(work), _Rate()).add(now)
+
+    def expected_wait_s(self, now: float, work: Work, depth: int) -> float:
+        """Return the wait at the present rate of starts; 0 if there is no rate yet."""
+        rate = self._rates.get(class_of(work))
+        per_s = rate.per_s(now) if rate else 0.0
+        return depth / per_s if per_s else 0.0
+
+    def _retry_after_s(self, now: float, work: Work, depth: int) -> float:
+        expected_s = self.expected_wait_s(now, work, depth)
+        return min(_MAX_RETRY_S, max(_MIN_RETRY_S, expected_s))
+
+
+class _Rate:
+    """Starts per second over the last whole window and the present one."""
+
+    def __init__(self) -> None:
+        self._window = 0
+        self._count = 0
+        self._before = 0.0
+
+    def add(self, now: float) -> None:
+        self._turn(now)
+        self._count += 1
+
+    def per_s(self, now: float) -> float:
+        self._turn(now)
+        return self._before
+
+    def _turn(self, now: float) -> None:
+        window = int(now / _RATE_WINDOW_S)
+        if window == self._window:
+            return
+        adjacent = window == self._window + 1
+        self._before = self._count / _RATE_WINDOW_S if adjacent else 0.0
+        self._window, self._count = window, 0
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,37 @@
+import testtools
+
+from poplaryard.admission import Admission
+from poplaryard.codes import Code
+from poplaryard.configuration import Policy
+from tests.builders import work
+
+
+class AdmissionTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.admission = Admission(Policy(queue_limit=30))
+
+    def test_full_queue_sheds_with_retry_after(self):
+        """Guards against a queue that grows without bound."""
+        verdict = self.admission.admit(0.0, work(), depth=30)
+        self.assertEqual(Code.QUEUE_FULL, verdict.code)
+        self.assertGreater(verdict.retry_after_s, 0.0)
+
+    def test_team_holds_at_most_a_third(self):
+        """Guards against one team that fills the queue of a class."""
+        admit = self.admission.admit
+        self.assertEqual(Code.ACCEPTED, admit(0.0, work(), 9, team_depth=9).code)
+        self.assertEqual(Code.QUEUE_FULL, admit(0.0, work(), 10, team_depth=10).code)
+
+    def test_expired_work_is_refused(self):
+        """Guards against queueing work that nobody waits for."""
+        verdict = self.admission.admit(9.0, work(deadline=9.0), depth=0)
+        self.assertEqual(Code.EXPIRED, verdict.code)
+
+    def test_work_that_would_expire_in_the_queue_is_shed(self):
+        """Guards against a queue longer than its deadlines allow."""
+        for step in range(10):
+            self.admission.started(0.5 + step / 100, work())
+        verdict = self.admission.admit(1.0, work(deadline=2.0), depth=20)
+        self.assertEqual(Code.QUEUE_FULL, verdict.code)
+        self.assertEqual(2.0, verdict.retry_after_s)
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,42 @@
+import testtools
+
+from poplaryard.ejection import Ejector
+
+
+class EjectorTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ejector = Ejector()
+        for number in range(4):
+            self.ejector.add(f"vm{number}", "class")
+
+    def fail(self, vm, now=0.0, count=10):
+        for _ in range(count):
+            self.ejector.record(now, vm, False, 0.01)
+
+    def test_failing_vm_is_ejected_and_returns_by_steps(self):
+        """Guards against a black hole, and against its return at full weight."""
+        self.fail("vm0")
+        self.assertEqual(0.0, self.ejector.weight(1.0, "vm0"))
+        probe = self.ejector.weight(6.0, "vm0")
+        self.assertTrue(0.0 < probe < 0.2)
+        for _ in range(3):
+            self.ejector.record(6.0, "vm0", True, 0.01)
+        self.assertTrue(probe <= self.ejector.weight(7.0, "vm0") < 1.0)
+        self.assertEqual(1.0, self.ejector.weight(60.0, "vm0"))
+
+    def test_at_most_half_of_a_class_is_ejected(self):
+        """Guards against ejecting every VM when the fault is in the work itself."""
+        for number in range(4):
+            self.fail(f"vm{number}")
+        out = [self.ejector.weight(1.0, f"vm{n}") == 0.0 for n in range(4)]
+        self.assertEqual(2, sum(out))
+
+    def test_forgotten_vm_frees_its_place(self):
+        """Guards against replaced VMs that use up the ejection bound."""
+        self.fail("vm0")
+        self.fail("vm1")
+        self.ejector.forget("vm0")
+        self.ejector.add("vm4", "class")
+        self.fail("vm2")
+        self.assertEqual(0.0, self.ejector.weight(1.0, "vm2"))
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,74 @@
+import testtools
+
+from poplaryard.configuration import Policy
+from poplaryard.messages import Priority
+from poplaryard.queues import Pending, WaitQueues
+from poplaryard.resources import Resources
+from tests.builders import work
+
+
+def entry(sequence, **fields):
+    item = work(f"r{sequence}", **fields)
+    return Pending(item, arrived=float(sequence), sequence=sequence)
+
+
+def ids(entries):
+    return [found.work.request_id for found in entries]
+
+
+class WaitQueuesTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.queues = WaitQueues(Policy())
+        self.queues.configure(Policy(), Resources(1000, 1000, 0))
+
+    def push(self, *entries):
+        for item in entries:
+            self.queues.push(item.arrived, item)
+
+    def test_urgent_then_short_then_long(self):
+        """Guards against short work queued behind long work of its priority."""
+        self.push(
+            entry(1, declared_s=100.0),
+            entry(2, declared_s=1.0),
+            entry(3, declared_s=100.0, priority=Priority.URGENT),
+        )
+        self.assertEqual(["r3", "r2", "r1"], ids(self.queues.candidates(3.0, 10)))
+
+    def test_other_lane_is_tried_when_the_head_does_not_fit(self):
+        """Guards against one wide need filling the whole candidate list."""
+        self.push(*(entry(n, need=Resources(900, 1, 0)) for n in range(20)))
+        self.push(entry(20, need=Resources(1, 1, 0)))
+        self.assertIn("r20", ids(self.queues.candidates(20.0, 4)))
+
+    def test_expired_work_is_dropped_and_not_offered(self):
+        """Guards against a start after the deadline."""
+        self.push(entry(1, deadline=5.0), entry(2))
+        self.assertEqual(["r2"], ids(self.queues.candidates(5.0, 10)))
+        self.assertEqual(["r1"], ids(self.queues.expire(5.0)))
+        self.assertEqual(1, len(self.queues))
+
+    def test_remove_frees_the_depths(self):
+        """Guards against a class or team that stays full after cancellations."""
+        item = entry(1, team="a")
+        self.push(item)
+        self.queues.remove("r1")
+        self.assertIsNone(self.queues.remove("r1"))
+        self.assertEqual(0, self.queues.depth(item.work))
+        self.assertEqual(0, self.queues.team_depth(item.work))
+
+    def test_returned_entry_keeps_its_place(self):
+        """Guards against a retried request starting again at the tail."""
+        first, second = entry(1), entry(2)
+        self.push(second, first)
+        self.assertEqual(["r1", "r2"], ids(self.queues.candidates(3.0, 10)))
+
+    def test_long_work_leaves_the_reserved_share(self):
+        """Guards against long work that takes the capacity kept for short work."""
+        running = entry(1, declared_s=100.0)
+        self.push(running, entry(2, declared_s=100.0))
+        self.queues.remove("r1")
+        self.queues.started(running, Resources(800, 0, 0))
+        self.assertEqual([], self.queues.candidates(2.0, 10))
+        self.queues.ended(running, Resources(800, 0, 0))
+        self.assertEqual(["r2"], ids(self.queues.candidates(2.0, 10)))
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,40 @@
+import testtools
+
+from poplaryard.configuration import TeamSpec
+from poplaryard.quota import Quotas
+from poplaryard.resources import Resources
+
+TOTAL = Resources(1000, 1000, 0)
+
+
+class QuotasTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.quotas = Quotas()
+        teams = {name: TeamSpec(name) for name in ("a", "b")}
+        teams["capped"] = TeamSpec("capped", limit=Resources(100, 100, 0))
+        self.quotas.configure(teams, TOTAL)
+
+    def test_team_borrows_while_nobody_else_waits(self):
+        """Guards against idle capacity kept for teams without work."""
+        self.quotas.charge("a", Resources(900, 0, 0))
+        self.assertTrue(self.quotas.allowed("a", Resources(100, 0, 0)))
+
+    def test_no_borrowing_while_a_team_below_its_share_waits(self):
+        """Guards against a team that is starved by a borrower."""
+        self.quotas.charge("a", Resources(600, 0, 0))
+        self.quotas.waits("b")
+        self.assertFalse(self.quotas.allowed("a", Resources(100, 0, 0)))
+        self.assertTrue(self.quotas.allowed("b", Resources(100, 0, 0)))
+        self.assertAlmostEqual(0.1, self.quotas.over_share("a"))
+
+    def test_hard_limit_holds_on_an_idle_shard(self):
+        """Guards against borrowing beyond a team's limit."""
+        self.quotas.charge("capped", Resources(100, 0, 0))
+        self.assertFalse(self.quotas.allowed("capped", Resources(1, 0, 0)))
+
+    def test_released_team_is_no_longer_active(self):
+        """Guards against shares that shrink with every team ever seen."""
+        self.quotas.charge("a", Resources(10, 0, 0))
+        self.quotas.release("a", Resources(10, 0, 0))
+        self.assertEqual(1.0, self.quotas.fair_share("b"))
