Split lanes and the reserve for short work from the wait queues

Cause: a fixed share for short work lets long work fill the rest when the demand for short work exceeds that share, and a single wide need filled the candidate list. Change: lanes by priority, length, place and need; teams inside a lane by share; the reserve follows the recent peak demand of short work. started/ended take an attempt id and are idempotent.

--- /dev/null
+++ b/src/poplaryard/lanes.py
@@ -0,0 +1,171 @@
+"""Queues of one lane: the teams of a lane by share, each in order of arrival."""
+
+import heapq
+import typing as t
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .messages import Priority, Work, WorkKind
+from .resources import Resources
+
+__all__ = [
+    "SLOT",
+    "Lane",
+    "LaneQueue",
+    "Pending",
+    "class_of",
+    "lane_of",
+    "place_of",
+    "unit_of",
+]
+
+SLOT = Resources(cpu_m=1)
+
+
+class Lane(t.NamedTuple):
+    """Work that competes for the same VMs with the same need.
+
+    If the head of a lane cannot be placed now, nothing behind it in the lane can.
+    """
+
+    priority: Priority
+    long: bool
+    place: str
+    need: Resources
+
+
+@dataclass(slots=True)
+class Pending:
+    """One request that waits for a place.
+
+    Attributes
+    ----------
+    arrived : float
+        Monotonic time of arrival in seconds.
+    sequence : int
+        Order of arrival; ties in time are broken by it.
+    next_task : int
+        First task that has not been started yet.
+    expected_s : float
+        Expected run time of one task in seconds; 0 stands for the declared one.
+    reason : str
+        Why the work waits, as one sentence for `explain`.
+    """
+
+    work: Work
+    arrived: float
+    sequence: int
+    next_task: int = 0
+    attempt: int = 0
+    expected_s: float = 0.0
+    reason: str = ""
+    reply_to: str = ""
+    lane: Lane | None = field(default=None, repr=False)
+
+
+def place_of(work: Work) -> str:
+    """Return the target or VM group for whose capacity a work competes."""
+    return work.target or work.group
+
+
+def unit_of(work: Work) -> Resources:
+    """Return what one task holds of its place: an executor slot or its need."""
+    return SLOT if work.kind is WorkKind.REQUEST else work.need
+
+
+def class_of(work: Work) -> str:
+    """Return the class of work whose queue is bounded as one."""
+    return f"{work.kind}:{place_of(work)}"
+
+
+def lane_of(entry: Pending, short_s: float) -> Lane:
+    """Return the lane of an entry by priority, length, place and need."""
+    work = entry.work
+    expected_s = entry.expected_s or work.declared_s
+    return Lane(work.priority, expected_s > short_s, place_of(work), unit_of(work))
+
+
+class LaneQueue:
+    """Entries of one lane.
+
+    Teams come in order of their share, then of their oldest entry. The heap holds
+    outdated items until they surface, so that a change of share costs O(log teams).
+
+    Parameters
+    ----------
+    share : callable
+        Present weighted share of a team.
+    """
+
+    def __init__(self, share: t.Callable[[str], float]):
+        self._share = share
+        self._teams: dict[str, OrderedDict[str, Pending]] = {}
+        self._heap: list[tuple[float, int, str]] = []
+
+    def __bool__(self) -> bool:
+        return bool(self._teams)
+
+    def add(self, entry: Pending) -> None:
+        """Add an entry; one older than its team's head goes to the front."""
+        team, request_id = entry.work.team, entry.work.request_id
+        entries = self._teams.setdefault(team, OrderedDict())
+        is_head = not entries or _head(entries).sequence > entry.sequence
+        entries[request_id] = entry
+        if is_head:
+            entries.move_to_end(request_id, last=False)
+            self.touch(team)
+
+    def discard(self, entry: Pending) -> None:
+        """Remove an entry that is in this lane."""
+        team, request_id = entry.work.team, entry.work.request_id
+        entries = self._teams[team]
+        was_head = _head(entries) is entry
+        del entries[request_id]
+        if not entries:
+            del self._teams[team]
+        elif was_head:
+            self.touch(team)
+
+    def touch(self, team: str) -> None:
+        """Take up a changed share or head of a team."""
+        entries = self._teams.get(team)
+        if entries:
+            item = (self._share(team), _head(entries).sequence, team)
+            heapq.heappush(self._heap, item)
+
+    def walk(self) -> t.Iterator[Pending]:
+        """Yield the entries in the order to try them, team by team in rounds."""
+        visited: list[tuple[float, int, str]] = []
+        walks: list[t.Iterator[Pending]] = []
+        try:
+            while item := self._pop(visited):
+                visited.append(item)
+                walk = iter(self._teams[item[2]].values())
+                walks.append(walk)
+                yield next(walk)
+        finally:
+            for item in visited:
+                heapq.heappush(self._heap, item)
+        while walks:
+            rounds = [(walk, next(walk, None)) for walk in walks]
+            yield from (entry for _, entry in rounds if entry is not None)
+            walks = [walk for walk, entry in rounds if entry is not None]
+
+    def _pop(
+        self, visited: list[tuple[float, int, str]]
+    ) -> tuple[float, int, str] | None:
+        while self._heap:
+            item = heapq.heappop(self._heap)
+            entries = self._teams.get(item[2])
+            if not entries or item[1] != _head(entries).sequence:
+                continue
+            share = self._share(item[2])
+            if share != item[0]:
+                heapq.heappush(self._heap, (share, item[1], item[2]))
+            elif item not in visited[-1:]:
+                return item
+        return None
+
+
+def _head(entries: OrderedDict[str, Pending]) -> Pending:
+    return next(iter(entries.values()))
--- a/src/poplaryard/queues.py
+++ b/src/poplaryard/queues.py
@@ -1,92 +1,52 @@
-"""Waiting work: priority levels, short and long work, reserved share."""
+"""Waiting work of one shard: precedence, lanes, and the reserve for short work."""
 
 import heapq
 import itertools
+import math
 import typing as t
 from collections import OrderedDict
-from dataclasses import dataclass, field
 
 from .configuration import Policy
+from .lanes import Lane, LaneQueue, Pending, class_of, lane_of, unit_of
 from .messages import Priority, Work
+from .reserve import Reserve
 from .resources import ZERO, Resources
 
-__all__ = ["Lane", "Pending", "WaitQueues", "class_of", "lane_of"]
+__all__ = ["Lane", "Pending", "WaitQueues", "class_of"]
 
+_Tier: t.TypeAlias = tuple[int, bool]
 
-class Lane(t.NamedTuple):
-    """Work that competes for the same VMs with the same need.
 
-    If the head of a lane cannot be placed now, nothing behind it in the lane can.
-    """
-
-    priority: Priority
-    long: bool
-    place: str
-    need: Resources
-
-
-@dataclass(slots=True)
-class Pending:
-    """One request that waits for a place.
-
-    Attributes
-    ----------
-    arrived : float
-        Monotonic time of arrival in seconds.
-    sequence : int
-        Order of arrival; ties in time are broken by it.
-    next_task : int
-        First task that has not been started yet.
-    expected_s : float
-        Expected run time of one task in seconds.
-    reason : str
-        Why the work waits, as one sentence for `explain`.
-    """
-
-    work: Work
-    arrived: float
-    sequence: int
-    next_task: int = 0
-    attempt: int = 0
-    expected_s: float = 0.0
-    reason: str = ""
-    reply_to: str = ""
-    lane: Lane | None = field(default=None, repr=False)
-
-
-def class_of(work: Work) -> str:
-    """Return the class of work whose queue is bounded as one."""
-    return f"{work.kind}:{work.target or work.group}"
-
-
-def lane_of(work: Work, expected_s: float, short_s: float) -> Lane:
-    """Return the lane of a work by priority, length, place and need."""
-    place = work.target or work.group
-    return Lane(work.priority, expected_s > short_s, place, work.need)
+def _no_share(team: str) -> float:
+    return 0.0
 
 
 class WaitQueues:
     """Work that waits in one shard.
 
-    Urgent work goes first, then work of normal and low priority. Inside a priority the
-    lanes take turns, so that work that fits nowhere does not block work that does.
-    Long work is held back once it holds all but the share reserved for short work.
+    Urgent work goes first, then work of normal and low priority; inside a priority,
+    short work goes before long work. Lanes of the same precedence take turns, so that
+    work that fits nowhere does not block work that does.
 
     Parameters
     ----------
     policy : Policy
         Policy figures in force.
+    share : callable
+        Present weighted share of a team; teams with less go first.
     """
 
-    def __init__(self, policy: Policy):
+    def __init__(self, policy: Policy, share: t.Callable[[str], float] = _no_share):
         self._policy = policy
+        self._share = share
         self._entries: dict[str, Pending] = {}
-        self._lanes: dict[Lane, OrderedDict[str, Pending]] = {}
+        self._tiers: dict[_Tier, OrderedDict[Lane, LaneQueue]] = {}
+        self._team_lanes: dict[str, dict[Lane, int]] = {}
         self._deadlines: list[tuple[float, int, str]] = []
         self._depths: dict[str, int] = {}
         self._team_depths: dict[tuple[str, str], int] = {}
-        self._total = ZERO
-        self._long_held = ZERO
+        self._reserves: dict[str, Reserve] = {}
+        self._places: dict[str, tuple[str, str]] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -94,10 +54,20 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._entries
 
-    def configure(self, policy: Policy, total: Resources) -> None:
-        """Take new policy figures and the capacity of the shard."""
+    def configure(self, policy: Policy, capacity: t.Mapping[str, Resources]) -> None:
+        """Take new policy figures and the capacity of each place.
+
+        Parameters
+        ----------
+        capacity : mapping of str to Resources
+            Capacity by target (in units of `SLOT`) or VM group; ``""`` stands for
+            work that names neither.
+        """
         self._policy = policy
-        self._total = total
+        for place, total in capacity.items():
+            self._reserve(place).total = total
+        for reserve in self._reserves.values():
+            reserve.policy = policy
 
     def get(self, request_id: str) -> Pending | None:
         """Return the waiting entry of a request, if any."""
@@ -112,44 +82,45 @@
         return self._team_depths.get((class_of(work), work.team), 0)
 
     def push(self, now: float, entry: Pending) -> None:
-        """Add an entry; one that returns keeps its arrival time and its place."""
+        """Add an entry; one that returns keeps its sequence and so its place."""
         work = entry.work
-        expected_s = entry.expected_s or work.declared_s
-        entry.lane = lane_of(work, expected_s, self._policy.short_s)
-        lane = self._lanes.setdefault(entry.lane, OrderedDict())
-        behind = lane and next(reversed(lane.values())).sequence > entry.sequence
-        lane[work.request_id] = entry
-        if behind:
-            lane.move_to_end(work.request_id, last=False)
+        lane = entry.lane = lane_of(entry, self._policy.short_s)
+        tier = self._tiers.setdefault(_tier_of(lane), OrderedDict())
+        if lane not in tier:
+            tier[lane] = LaneQueue(self._share)
+        tier[lane].add(entry)
         self._entries[work.request_id] = entry
-        self._count(work, 1)
-        if work.deadline != float("inf"):
+        self._count(now, entry, lane, 1)
+        if work.deadline != math.inf:
             item = (work.deadline, entry.sequence, work.request_id)
             heapq.heappush(self._deadlines, item)
 
-    def remove(self, request_id: str) -> Pending | None:
+    def remove(self, request_id: str, now: float = 0.0) -> Pending | None:
         """Take an entry out and return it; None if it does not wait."""
         entry = self._entries.pop(request_id, None)
         if entry is None or entry.lane is None:
             return None
-        lane = self._lanes[entry.lane]
-        del lane[request_id]
-        if not lane:
-            del self._lanes[entry.lane]
-        self._count(entry.work, -1)
+        tier = self._tiers[_tier_of(entry.lane)]
+        queue = tier[entry.lane]
+        queue.discard(entry)
+        if not queue:
+            del tier[entry.lane]
+        self._count(now, entry, entry.lane, -1)
         return entry
 
     def candidates(self, now: float, limit: int) -> list[Pending]:
         """Return at most `limit` live entries in the order to try them.
 
-        The entries stay queued; the caller removes those that it places.
+        The entries stay queued; the caller removes those that it places. If one does
+        not fit, no other entry with the same `lane` does.
         """
+        tiers = [key for key in sorted(self._tiers) if self._tiers[key]]
         found: list[Pending] = []
-        for _, lanes in itertools.groupby(self._ordered(), key=lambda item: item[0]):
-            walks = [iter(lane.values()) for _, lane in lanes]
-            self._take_turns(walks, now, limit, found)
-            if len(found) >= limit:
-                break
+        for key in tiers:
+            # Half of the rest, so that a tier that fits nowhere leaves room for others.
+            rest = limit - len(found)
+            budget = rest if key == tiers[-1] else math.ceil(rest / 2)
+            found += itertools.islice(self._walk_tier(now, key, budget), budget)
         return found
 
     def expire(self, now: float) -> list[Pending]:
@@ -159,54 +130,89 @@
             _, sequence, request_id = heapq.heappop(self._deadlines)
             entry = self._entries.get(request_id)
             if entry is not None and entry.sequence == sequence:
-                self.remove(request_id)
+                self.remove(request_id, now)
                 expired.append(entry)
         return expired
 
-    def started(self, entry: Pending, charge: Resources) -> None:
-        """Account the capacity that a started task holds."""
-        if entry.lane is not None and entry.lane.long:
-            self._long_held = self._long_held + charge
-
-    def ended(self, entry: Pending, charge: Resources) -> None:
-        """Account the capacity that an ended task gave back."""
-        if entry.lane is not None and entry.lane.long:
-            self._long_held = self._long_held - charge
-
-    def _ordered(self) -> list[tuple[int, OrderedDict[str, Pending]]]:
-        held = self._long_held.dominant_share(self._total)
-        long_allowed = held < 1.0 - self._policy.short_share
-        lanes = [
-            (-int(key.priority), key.long, next(iter(lane.values())).sequence, lane)
-            for key, lane in self._lanes.items()
-            if not key.long or long_allowed or key.priority is Priority.URGENT
-        ]
-        lanes.sort(key=lambda item: item[:3])
-        return [(priority, lane) for priority, _, _, lane in lanes]
-
-    @staticmethod
-    def _take_turns(
-        walks: list[t.Iterator[Pending]],
+    def started(
+        self,
         now: float,
-        limit: int,
-        found: list[Pending],
+        attempt_id: str,
+        entry: Pending,
+        charge: Resources | None = None,
     ) -> None:
-        while walks and len(found) < limit:
-            remaining = []
-            for walk in walks:
-                entry = next((e for e in walk if e.work.deadline > now), None)
-                if entry is None:
-                    continue
-                found.append(entry)
-                if len(found) >= limit:
-                    return
-                remaining.append(walk)
-            walks = remaining
-
-    def _count(self, work: Work, step: int) -> None:
+        """Account the capacity that a started task holds.
+
+        Parameters
+        ----------
+        charge : Resources or None
+            Amount charged; an executor slot or the declared need if None.
+        """
+        charge = unit_of(entry.work) if charge is None else charge
+        lane = entry.lane or lane_of(entry, self._policy.short_s)
+        self._reserve(lane.place).started(now, attempt_id, charge, lane.long)
+        self._places[attempt_id] = (lane.place, entry.work.team)
+        self.touch(entry.work.team)
+
+    def ended(self, now: float, attempt_id: str) -> None:
+        """Account the capacity that an ended task gave back."""
+        place, team = self._places.pop(attempt_id, ("", ""))
+        if team:
+            self._reserve(place).ended(now, attempt_id)
+            self.touch(team)
+
+    def touch(self, team: str) -> None:
+        """Take up a changed share of a team."""
+        for lane in self._team_lanes.get(team, ()):
+            self._tiers[_tier_of(lane)][lane].touch(team)
+
+    def _walk_tier(self, now: float, key: _Tier, budget: int) -> t.Iterator[Pending]:
+        """Yield live entries of one tier, taking turns among its lanes.
+
+        Lanes visited go to the back, which bounds the cost of a call by its limit and
+        not by the number of lanes.
+        """
+        tier = self._tiers[key]
+        lanes = list(itertools.islice(tier, budget))
+        if len(tier) > budget:
+            for lane in lanes:
+                tier.move_to_end(lane)
+        walks = [tier[lane].walk() for lane in lanes if self._may_start(now, lane)]
+        while walks:
+            rounds = [(walk, _next_live(walk, now)) for walk in walks]
+            live = [entry for _, entry in rounds if entry is not None]
+            yield from sorted(live, key=lambda entry: entry.sequence)
+            walks = [walk for walk, entry in rounds if entry is not None]
+
+    def _may_start(self, now: float, lane: Lane) -> bool:
+        if not lane.long or lane.priority is Priority.URGENT:
+            return True
+        return self._reserve(lane.place).long_allowed(now, lane.need)
+
+    def _reserve(self, place: str) -> Reserve:
+        if place not in self._reserves:
+            self._reserves[place] = Reserve(self._policy, ZERO)
+        return self._reserves[place]
+
+    def _count(self, now: float, entry: Pending, lane: Lane, step: int) -> None:
+        work = entry.work
         name = class_of(work)
         _add(self._depths, name, step)
         _add(self._team_depths, (name, work.team), step)
+        lanes = self._team_lanes.setdefault(work.team, {})
+        _add(lanes, lane, step)
+        if not lanes:
+            del self._team_lanes[work.team]
+        if not lane.long:
+            self._reserve(lane.place).waits(now, lane.need, step)
+
+
+def _tier_of(lane: Lane) -> _Tier:
+    return -int(lane.priority), lane.long
+
+
+def _next_live(walk: t.Iterator[Pending], now: float) -> Pending | None:
+    return next((entry for entry in walk if entry.work.deadline > now), None)
 
 
 def _add(counts: dict[t.Any, int], key: t.Hashable, step: int) -> None:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -1,13 +1,14 @@
 import testtools
 
 from poplaryard.configuration import Policy
-from poplaryard.messages import Priority
+from poplaryard.messages import Priority, WorkKind
 from poplaryard.queues import Pending, WaitQueues
 from poplaryard.resources import Resources
 from tests.builders import work
 
 
 def entry(sequence, **fields):
+    fields = {"kind": WorkKind.BATCH, "target": "", "group": "booking", **fields}
     item = work(f"r{sequence}", **fields)
     return Pending(item, arrived=float(sequence), sequence=sequence)
 
@@ -20,7 +21,7 @@
     def setUp(self):
         super().setUp()
         self.queues = WaitQueues(Policy())
-        self.queues.configure(Policy(), Resources(1000, 1000, 0))
+        self.queues.configure(Policy(), {"booking": Resources(1000, 1000, 0)})
 
     def push(self, *entries):
         for item in entries:
@@ -66,9 +67,9 @@
     def test_long_work_leaves_the_reserved_share(self):
         """Guards against long work that takes the capacity kept for short work."""
         running = entry(1, declared_s=100.0)
-        self.push(running, entry(2, declared_s=100.0))
+        self.push(running, entry(2, declared_s=100.0, need=Resources(1, 0, 0)))
         self.queues.remove("r1")
-        self.queues.started(running, Resources(800, 0, 0))
+        self.queues.started(1.0, "a1", running, Resources(800, 0, 0))
         self.assertEqual([], self.queues.candidates(2.0, 10))
-        self.queues.ended(running, Resources(800, 0, 0))
+        self.queues.ended(2.0, "a1")
         self.assertEqual(["r2"], ids(self.queues.candidates(2.0, 10)))
