--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -10,6 +10,9 @@
 # and fuzz modules pull in libraries that the daemon does not need.
 _COMMANDS: dict[str, str] = {
     "bench": "bench:bench",
+    "check-config": "settings:check_config",
+    "serve": "serve:serve",
+    "standin": "standin:standin",
 }
 
 
--- a/src/poplaryard/links.py
+++ b/src/poplaryard/links.py
@@ -19,7 +19,7 @@
 )
 from .workers import Workers
 
-__all__ = ["WorkerLink"]
+__all__ = ["AuthorityCell", "WorkerLink"]
 
 START_BATCH = 64
 # Start calls open at once to one worker; a batch gathers while these are under way.
@@ -28,11 +28,33 @@
 POLL_WAIT_S = 1.0
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 2.0
-_LAPSED_WAIT_S = 0.1
 
 Post: t.TypeAlias = t.Callable[[Message], None]
 
 
+class AuthorityCell:
+    """Present authority over a shard, which its links check before each call."""
+
+    def __init__(self, shard: str):
+        self.value = Authority(shard, 0, 0.0, False)
+        self._renewed = asyncio.Event()
+
+    def set(self, value: Authority) -> None:
+        """Replace the authority."""
+        self.value = value
+        self._renewed.set()
+
+    def valid(self) -> bool:
+        """Tell whether the authority holds now."""
+        return time.monotonic() < self.value.until
+
+    async def wait_valid(self) -> None:
+        """Wait until the authority holds."""
+        while not self.valid():
+            self._renewed.clear()
+            await self._renewed.wait()
+
+
 class WorkerLink:
     """Claims, polls and commands one worker; each call checks the authority first.
 
@@ -42,8 +64,7 @@
     workers : Workers
     post : callable
         Takes the messages that go to the shard.
-    authority : callable
-        Returns the shard's present authority.
+    authority : AuthorityCell
     """
 
     def __init__(
@@ -52,7 +73,7 @@
         address: str,
         workers: Workers,
         post: Post,
-        authority: t.Callable[[], Authority],
+        authority: AuthorityCell,
     ):
         self.vm = vm
         self.address = address
@@ -99,7 +120,7 @@
         try:
             if self._failures:
                 await asyncio.sleep(self._backoff())
-            await self._valid_authority()
+            await self._authority.wait_valid()
             reply = await self._workers.claim(self.address, self.vm, epoch)
             self._post(reply)
             if reply.accepted:
@@ -112,7 +133,7 @@
     async def _poll(self, epoch: int) -> None:
         seen = 0
         while True:
-            await self._valid_authority()
+            await self._authority.wait_valid()
             reply, seen = await self._workers.poll(
                 self.address, self.vm, epoch, seen, POLL_WAIT_S
             )
@@ -121,11 +142,6 @@
             if reply.epoch > epoch:
                 return
 
-    async def _valid_authority(self) -> None:
-        """Wait until the authority is valid; renewals without it are not sent."""
-        while time.monotonic() >= self._authority().until:
-            await asyncio.sleep(_LAPSED_WAIT_S)
-
     def _backoff(self) -> float:
         bound = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(self._failures, 10))
         return self._rng.uniform(RETRY_MIN_S, bound)
@@ -142,7 +158,7 @@
             self._start_calls -= 1
 
     async def _send_batch(self, batch: list[StartAttempt]) -> None:
-        if time.monotonic() >= self._authority().until:
+        if not self._authority.valid():
             for start in batch:
                 self._refuse(start)
             return
--- a/src/poplaryard/server.py
+++ b/src/poplaryard/server.py
@@ -31,16 +31,23 @@
     host : str
         IP address to listen on.
     port : int
-        Port; 0 takes a free one, which `port` then holds.
+        First port; 0 takes free ones.
+    count : int
+        Number of ports to listen on.
+
+    Attributes
+    ----------
+    ports : list of int
+        Ports that it listens on.
     """
 
-    def __init__(self, app: t.Any, host: str, port: int):
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._socket.bind((host, port))
-        self.port: int = self._socket.getsockname()[1]
+    def __init__(self, app: t.Any, host: str, port: int, count: int = 1):
+        numbers = [port + index if port else 0 for index in range(count)]
+        self._sockets = [_bound(host, number) for number in numbers]
+        self.ports: list[int] = [sock.getsockname()[1] for sock in self._sockets]
         config = uvicorn.Config(
             app,
+            interface="asgi3",
             http="h11",
             loop="asyncio",
             ws="none",
@@ -59,7 +66,7 @@
 
     async def start(self) -> None:
         """Serve until `stop`; returns once connections are taken."""
-        self._task = asyncio.create_task(self._server.serve([self._socket]))
+        self._task = asyncio.create_task(self._server.serve(self._sockets))
         while not self._server.started:
             if self._task.done():
                 self._task.result()
@@ -70,3 +77,10 @@
         self._server.should_exit = True
         if self._task is not None:
             await self._task
+
+
+def _bound(host: str, port: int) -> socket.socket:
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -5,10 +5,11 @@
 import random
 import time
 import typing as t
+from collections import deque
 
 from .codes import Code
 from .configuration import Configuration, VmSpec
-from .links import WorkerLink
+from .links import AuthorityCell, WorkerLink
 from .messages import (
     Answer,
     AuditEvent,
@@ -66,18 +67,19 @@
         self._workers = workers
         self._deliver = deliver
         self._audit = audit
-        self._queue: asyncio.Queue[Message] = asyncio.Queue(QUEUE_LIMIT)
-        self._authority = Authority(shard, 0, 0.0, False)
+        self._inbox: deque[Message] = deque()
+        self._wake = asyncio.Event()
+        self._authority = AuthorityCell(shard)
         self._links: dict[str, WorkerLink] = {}
         self._vms: dict[str, tuple[VmSpec, bool]] = {}
         self._waiting: dict[str, set[str]] = {}
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: list[asyncio.Task[None]] = []
         self._busy_until = 0.0
 
     @property
     def authority(self) -> Authority:
         """Authority last posted."""
-        return self._authority
+        return self._authority.value
 
     @property
     def in_progress(self) -> int:
@@ -86,25 +88,28 @@
 
     def start(self) -> None:
         """Start the task."""
-        self._task = asyncio.create_task(self._run())
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._tick()),
+        ]
 
     async def stop(self) -> None:
         """End the task and its links."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         for link in self._links.values():
             link.close()
 
     def post(self, msg: Message) -> None:
-        """Queue a message that must not be lost: reports, configuration, authority."""
+        """Queue a message that must not be lost: reports, configuration, authority.
+
+        The number of attempts and workers bounds these; only submits are refused.
+        """
         if isinstance(msg, Authority):
-            self._authority = msg
-        try:
-            self._queue.put_nowait(msg)
-        except asyncio.QueueFull:
-            # Bounded by the number of attempts that run, unlike submits.
-            self._queue._queue.append(msg)  # type: ignore[attr-defined]
+            self._authority.set(msg)
+        self._inbox.append(msg)
+        self._wake.set()
 
     def submit(self, msg: Submit, again: bool = False) -> None:
         """Queue work, or answer that the queue is full.
@@ -115,8 +120,8 @@
             Whether the work was sent before. It may then have run, so that no refusal
             can be given and the entry process is left to ask again.
         """
-        if self._queue.qsize() < QUEUE_LIMIT:
-            self._queue.put_nowait(msg)
+        if len(self._inbox) < QUEUE_LIMIT:
+            self.post(msg)
         elif not again:
             self._refuse(msg, Code.QUEUE_FULL)
 
@@ -143,22 +148,18 @@
 
     async def _run(self) -> None:
         while True:
-            try:
-                msg = await asyncio.wait_for(self._queue.get(), self._tick_s())
-            except TimeoutError:
-                self._handle(Tick())
-                continue
-            self._handle(msg)
-            self._handle_slice()
-            await asyncio.sleep(0)
-
-    def _handle_slice(self) -> None:
-        for _ in range(min(SLICE, self._queue.qsize())):
-            self._handle(self._queue.get_nowait())
-
-    def _tick_s(self) -> float:
-        busy = self._waiting or time.monotonic() < self._busy_until
-        return BUSY_TICK_S if busy else IDLE_TICK_S
+            await self._wake.wait()
+            self._wake.clear()
+            while self._inbox:
+                for _ in range(min(SLICE, len(self._inbox))):
+                    self._handle(self._inbox.popleft())
+                await asyncio.sleep(0)
+
+    async def _tick(self) -> None:
+        while True:
+            busy = self._waiting or time.monotonic() < self._busy_until
+            await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
+            self.post(Tick())
 
     def _handle(self, msg: Message) -> None:
         now = time.monotonic()
@@ -204,7 +205,7 @@
         if link is not None:
             link.close()
         self._links[vm.name] = WorkerLink(
-            vm.name, vm.address, self._workers, self.post, lambda: self._authority
+            vm.name, vm.address, self._workers, self.post, self._authority
         )
 
     def _unlink(self, name: str) -> None:
--- a/src/poplaryard/standin_platform_http.py
+++ b/src/poplaryard/standin_platform_http.py
@@ -54,7 +54,7 @@
         self._server = HttpServer(self.app, host, port)
         await self._server.start()
         self._expiry = asyncio.create_task(self._expire())
-        return f"{host}:{self._server.port}"
+        return f"{host}:{self._server.ports[0]}"
 
     async def stop(self) -> None:
         """Stop serving."""
--- a/src/poplaryard/standin_worker.py
+++ b/src/poplaryard/standin_worker.py
@@ -117,6 +117,8 @@
         self._number = itertools.count(1)
         self._last_number = 0
         self._changed = asyncio.Event()
+        self.resumed = asyncio.Event()
+        self.resumed.set()
 
     def clock_ms(self) -> int:
         """Return the worker's monotonic clock in milliseconds."""
@@ -147,14 +149,10 @@
             return
         if stop.mode is StopMode.CHECKPOINT:
             self._end(run, AttemptState.CHECKPOINTED)
-        elif stop.mode is StopMode.STOP:
-            self._end(run, AttemptState.STOPPED)
-        elif stop.mode is StopMode.DRAIN and not run.busy and not run.waiting:
+        elif stop.mode is StopMode.STOP or _drained(run, stop.mode):
             self._end(run, AttemptState.STOPPED)
 
-    async def poll(
-        self, epoch: int, seen: int, wait_s: float
-    ) -> tuple[PollReply, int]:
+    async def poll(self, epoch: int, seen: int, wait_s: float) -> tuple[PollReply, int]:
         """Renew all leases, drop reports up to `seen` and wait for newer ones."""
         if not self._admit(epoch):
             reply = PollReply(self.name, self._epoch, (), self.clock_ms())
@@ -190,9 +188,13 @@
             if run.lease_until <= now:
                 self._end(run, AttemptState.STOPPED)
 
-    def set_leaving(self, leaving: bool) -> None:
-        """Announce that the VM leaves, or no longer does."""
-        self.faults.leaving = leaving
+    def set_faults(self, faults: Faults) -> None:
+        """Show these faults from now on."""
+        self.faults = faults
+        if faults.paused:
+            self.resumed.clear()
+        else:
+            self.resumed.set()
         self._changed.set()
 
     def _admit(self, epoch: int) -> bool:
@@ -271,8 +273,7 @@
         run_s = float(payload.get("run_ms", default_ms)) / 1000 * self.faults.slow
         if run_s > 0:
             await asyncio.sleep(run_s)
-        while self.faults.paused:
-            await asyncio.sleep(0.05)
+        await self.resumed.wait()
         if run.lease_until <= self._clock():
             self._end(run, AttemptState.STOPPED)
             return
@@ -338,6 +339,10 @@
                 self._seen.pop(attempt_id, None)
 
 
+def _drained(run: _Run, mode: StopMode) -> bool:
+    return mode is StopMode.DRAIN and not run.busy and not run.waiting
+
+
 def _ended_report(
     old: AttemptReport, state: AttemptState, elapsed_s: float, body: t.Any
 ) -> AttemptReport:
--- a/src/poplaryard/standin_worker_http.py
+++ b/src/poplaryard/standin_worker_http.py
@@ -21,11 +21,10 @@
 # Time for which a dropped reply is withheld; longer than any caller waits for it.
 HANG_S = 30.0
 EXPIRY_PERIOD_S = 0.25
-PAUSE_POLL_S = 0.05
 
 
 class WorkerHost:
-    """Serves many workers on one address.
+    """Serves many workers, each on an address of its own.
 
     Parameters
     ----------
@@ -39,12 +38,16 @@
         self._server: HttpServer | None = None
         self._expiry: asyncio.Task[None] | None = None
 
-    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
-        """Serve and return the address."""
-        self._server = HttpServer(self.app, host, port)
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> dict[str, str]:
+        """Serve each worker on a port of its own; return the addresses by name."""
+        self._server = HttpServer(self.app, host, port, len(self.vms))
         await self._server.start()
         self._expiry = asyncio.create_task(self._expire())
-        return f"{host}:{self._server.port}"
+        ports = self._server.ports
+        return {
+            name: f"{host}:{number}"
+            for name, number in zip(self.vms, ports, strict=True)
+        }
 
     async def stop(self) -> None:
         """Stop serving."""
@@ -118,8 +121,7 @@
         name = body.pop("vm", "")
         chosen = [self.vms[name]] if name else list(self.vms.values())
         for vm in chosen:
-            vm.faults = dataclasses.replace(vm.faults, **body)
-            vm.set_leaving(vm.faults.leaving)
+            vm.set_faults(dataclasses.replace(vm.faults, **body))
         return JSONResponse({"vms": len(chosen)})
 
     async def _record(self, request: Request) -> Response:
@@ -136,8 +138,8 @@
     async def _vm(self, name: str) -> WorkerVm | None:
         """Return a worker, after waiting while it is paused."""
         vm = self.vms.get(name)
-        while vm is not None and vm.faults.paused:
-            await asyncio.sleep(PAUSE_POLL_S)
+        if vm is not None:
+            await vm.resumed.wait()
         return vm
 
     async def _answer(self, vm: WorkerVm, body: t.Any) -> Response:
@@ -150,5 +152,3 @@
 
 def _no_such_vm(name: str) -> Response:
     return JSONResponse({"error": f"There is no worker {name!r} here."}, 404)
-
-
--- a/src/poplaryard/wire.py
+++ b/src/poplaryard/wire.py
@@ -60,7 +60,7 @@
 
 
 def decode_as(cls: type, found: t.Any, now: float) -> t.Any:
-    """Return an instance of `cls`; raises `PoplaryardError` if the object is invalid."""
+    """Return an instance of `cls`; raises `PoplaryardError` if it is invalid."""
     try:
         values = {
             slot.name: slot.decode(found[slot.name], now)
