--- /dev/null
+++ b/src/poplaryard/fencing.py
@@ -0,0 +1,45 @@
+"""Limits that let a worker refuse calls of an owner whose authority has ended."""
+
+import math
+
+__all__ = ["DRIFT", "TASK_LEASE_S", "lease_wait_s", "shortened", "valid_until_ms"]
+
+# Largest relative difference in rate between two monotonic clocks.
+DRIFT = 0.1
+
+# Time for which a worker lets a task run after the last renewal of its lease.
+TASK_LEASE_S = 4.0
+
+
+def shortened(seconds: float, drift: float = DRIFT) -> float:
+    """Return how much of a remotely granted time may be used on the own clock."""
+    return seconds * (1.0 - drift)
+
+
+def lease_wait_s(task_lease_s: float = TASK_LEASE_S, drift: float = DRIFT) -> float:
+    """Return the time on the own clock after which an unrenewed task has ended."""
+    return task_lease_s * (1.0 + drift)
+
+
+def valid_until_ms(
+    worker_clock_ms: int, received_at: float, authority_until: float
+) -> int:
+    """Return the end of an authority on the worker's monotonic clock.
+
+    Parameters
+    ----------
+    worker_clock_ms : int
+        Last clock reading of the worker in milliseconds.
+    received_at : float
+        Time on the owner's clock at which the reading was received, in seconds.
+    authority_until : float
+        End of the owner's authority on its own clock, in seconds.
+
+    Returns
+    -------
+    int
+        Milliseconds on the worker's clock, rounded down. It is early by the delay
+        of the reading, and by the drift that the two clocks may have had since then.
+    """
+    usable = shortened(authority_until - received_at)
+    return worker_clock_ms + math.floor(usable * 1000.0)
--- /dev/null
+++ b/src/poplaryard/outcome.py
@@ -0,0 +1,372 @@
+"""Ledger of one shard: what is known of each request and its attempts."""
+
+import enum
+import typing as t
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from .codes import Code, Outcome
+from .messages import Answer, AttemptReport, AttemptState, Work
+
+__all__ = ["Known", "Ledger", "Registered"]
+
+# Time for which answers to idempotent requests are kept. Running one again does no
+# harm, and at 500 requests/s ten minutes of answers would exceed the 64 MB limit.
+IDEMPOTENT_RETENTION_S = 30.0
+
+
+class Known(enum.Enum):
+    """What the ledger knows of a request when it is handed in."""
+
+    NEW = "new"
+    PENDING = "pending"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, slots=True)
+class Registered:
+    """Result of `Ledger.register`; `answer` is set if answered, `code` if refused."""
+
+    known: Known
+    answer: Answer | None = None
+    code: Code | None = None
+
+
+@dataclass(slots=True)
+class _Entry:
+    request_id: str
+    # Number of tasks; 0 until the request itself is seen after a take-over.
+    tasks: int = 0
+    digest: int | None = None
+    idempotent: bool = False
+    exclusive_key: str = ""
+    attempt_number: int | None = None
+    attempts: dict[str, int] = field(default_factory=dict)
+    # Attempts that have ended; a report of them that arrives late changes nothing.
+    closed: set[str] = field(default_factory=set)
+    # Tasks of non-idempotent work that may have run and must not be started again.
+    spent: set[int] = field(default_factory=set)
+    parts: dict[int, tuple[AttemptState, t.Any]] = field(default_factory=dict)
+    answer: Answer | None = None
+
+
+class Ledger:
+    """Maps each request id to its attempts and answer, at most once for each answer.
+
+    Parameters
+    ----------
+    retention_s : float
+        Time in seconds for which workers and the ledger remember an id.
+    skew_s : float
+        Largest difference of two wall clocks in seconds.
+    limit : int
+        Largest number of requests remembered.
+    """
+
+    def __init__(
+        self, retention_s: float = 600.0, skew_s: float = 5.0, limit: int = 100_000
+    ):
+        self._retention_s = retention_s
+        self._skew_s = skew_s
+        self._limit = limit
+        self._entries: dict[str, _Entry] = {}
+        self._by_attempt: dict[str, str] = {}
+        self._keys: dict[str, set[str]] = {}
+        self._kept: deque[tuple[float, str, Answer | None]] = deque()
+        self._kept_briefly: deque[tuple[float, str, Answer | None]] = deque()
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def register(
+        self,
+        now: float,
+        wall: float,
+        work: Work,
+        *,
+        attempt: int | None = None,
+        may_run_unknown: bool = True,
+    ) -> Registered:
+        """Record a request, or tell what is known of its id.
+
+        Parameters
+        ----------
+        attempt : int, optional
+            Number of the caller's attempt. A request answered "not run" is only taken
+            again under a higher number; without numbers, it is taken again unless it
+            was cancelled.
+        may_run_unknown : bool
+            Result of `Takeover.may_run_unknown` for this id.
+        """
+        self.expire(now)
+        entry = self._entries.get(work.request_id)
+        if entry is not None:
+            return self._known(now, entry, work, attempt, may_run_unknown)
+        code = self._refusal(wall, work, may_run_unknown)
+        if code is not None:
+            return Registered(Known.REFUSED, code=code)
+        self._entries[work.request_id] = entry = _Entry(work.request_id)
+        _describe(entry, work, attempt)
+        return Registered(Known.NEW)
+
+    def may_start(self, request_id: str, task: int = 0) -> bool:
+        """Tell whether an attempt of a task may be sent to a worker now."""
+        entry = self._entries.get(request_id)
+        if entry is None or entry.answer is not None or task in entry.parts:
+            return False
+        if task in entry.spent or task in entry.attempts.values():
+            return False
+        return not entry.exclusive_key or not self._keys.get(entry.exclusive_key)
+
+    def started(self, now: float, request_id: str, attempt_id: str, task: int) -> None:
+        """Record an attempt; call this before the start is sent."""
+        entry = self._entries[request_id]
+        self._open(entry, attempt_id, task)
+        if not entry.idempotent:
+            entry.spent.add(task)
+
+    def refused(self, now: float, attempt_id: str) -> None:
+        """Record that the worker refused an attempt, which has not run."""
+        entry, task = self._close(attempt_id)
+        if entry is not None:
+            entry.spent.discard(task)
+
+    def report(self, now: float, report: AttemptReport) -> Answer | None:
+        """Take a worker's report; return the whole answer if this completes it.
+
+        A checkpointed task, and a stopped task of an idempotent request, may be started
+        again; `end` answers the request instead.
+        """
+        entry = self._entries.get(report.request_id)
+        if entry is None or report.state is AttemptState.RUNNING:
+            return None
+        self._close(report.attempt_id)
+        entry.closed.add(report.attempt_id)
+        if report.state is AttemptState.CHECKPOINTED:
+            entry.spent.discard(report.task)
+            return None
+        if report.state is AttemptState.STOPPED and entry.idempotent:
+            return None
+        entry.parts.setdefault(report.task, (report.state, report.body))
+        return self._settle(now, entry)
+
+    def lost(self, now: float, attempt_id: str) -> Answer | None:
+        """Record that an attempt's worker is gone and its lease wait has ended.
+
+        A task of an idempotent request may be started again; a non-idempotent request
+        is answered "unknown outcome".
+        """
+        entry, _ = self._close(attempt_id)
+        return self._settle(now, entry) if entry else None
+
+    def not_run(self, now: float, request_id: str, code: Code) -> Answer | None:
+        """Answer a request that has no attempt in progress and will get none.
+
+        Returns None if it is answered already or may have run; in the latter case the
+        answer follows from the reports of its attempts.
+        """
+        entry = self._entries.get(request_id)
+        if entry is None or entry.answer is not None:
+            return None
+        if entry.attempts or entry.spent or entry.parts:
+            return None
+        return self._answer(now, entry, code)
+
+    def end(self, now: float, request_id: str, code: Code) -> Answer | None:
+        """Answer a request that may have run, with a code that says so."""
+        entry = self._entries.get(request_id)
+        if entry is None or entry.answer is not None:
+            return None
+        return self._answer(now, entry, code)
+
+    def adopt(self, now: float, report: AttemptReport) -> Answer | None:
+        """Take a report of an attempt that an earlier owner started."""
+        entry = self._entries.get(report.request_id)
+        if entry is None:
+            entry = _Entry(report.request_id, exclusive_key=report.exclusive_key)
+            self._entries[report.request_id] = entry
+        if report.state is not AttemptState.RUNNING:
+            return self.report(now, report)
+        if report.attempt_id not in entry.closed:
+            self._open(entry, report.attempt_id, report.task)
+            if not entry.idempotent:
+                entry.spent.add(report.task)
+        return None
+
+    def attempts(self, request_id: str) -> dict[str, int]:
+        """Return the attempts in progress of a request and the task of each."""
+        entry = self._entries.get(request_id)
+        return dict(entry.attempts) if entry else {}
+
+    def open_tasks(self, request_id: str) -> list[int]:
+        """Return the tasks of a request that wait for an attempt."""
+        entry = self._entries.get(request_id)
+        if entry is None or entry.answer is not None:
+            return []
+        taken = entry.spent | set(entry.attempts.values()) | entry.parts.keys()
+        return [task for task in range(entry.tasks) if task not in taken]
+
+    def holder(self, exclusive_key: str) -> str | None:
+        """Return a request that runs under an exclusive key, or None."""
+        return min(self._keys.get(exclusive_key, ()), default=None)
+
+    def answer(self, request_id: str) -> Answer | None:
+        """Return the answer of a request if it is known."""
+        entry = self._entries.get(request_id)
+        return entry.answer if entry else None
+
+    def expire(self, now: float) -> None:
+        """Forget answers whose retention time has ended."""
+        for kept in (self._kept, self._kept_briefly):
+            while kept and kept[0][0] <= now:
+                _, request_id, answer = kept.popleft()
+                self._forget(request_id, answer)
+
+    def _forget(self, request_id: str, answer: Answer | None) -> None:
+        entry = self._entries.get(request_id)
+        if entry is None or entry.answer is not answer or entry.attempts:
+            return
+        del self._entries[request_id]
+
+    def _refusal(self, wall: float, work: Work, may_run_unknown: bool) -> Code | None:
+        if len(self._entries) >= self._limit:
+            return Code.QUEUE_FULL
+        if work.idempotent:
+            return None
+        if work.issued_at <= 0:
+            return Code.INVALID
+        if work.issued_at > wall + self._skew_s:
+            return Code.ID_IN_FUTURE
+        # An id may be issued and checked by clocks that differ, and must be refused
+        # before the first worker can have forgotten it.
+        if wall - work.issued_at > self._retention_s - 2 * self._skew_s:
+            return Code.ID_EXPIRED
+        return None if may_run_unknown else Code.UNKNOWN_OUTCOME
+
+    def _known(
+        self,
+        now: float,
+        entry: _Entry,
+        work: Work,
+        attempt: int | None,
+        may_run_unknown: bool,
+    ) -> Registered:
+        if entry.digest is None:
+            _describe(entry, work, attempt)
+            if not work.idempotent and not may_run_unknown:
+                entry.spent.update(range(work.tasks))
+            self._settle(now, entry)
+        elif entry.digest != _digest(work):
+            return Registered(Known.REFUSED, code=Code.DUPLICATE_MISMATCH)
+        if entry.answer is None:
+            return Registered(Known.PENDING)
+        if _may_reopen(entry, attempt):
+            entry.answer = None
+            entry.attempt_number = attempt
+            return Registered(Known.NEW)
+        return Registered(Known.ANSWERED, answer=entry.answer)
+
+    def _open(self, entry: _Entry, attempt_id: str, task: int) -> None:
+        entry.attempts[attempt_id] = task
+        self._by_attempt[attempt_id] = entry.request_id
+        if entry.exclusive_key:
+            self._keys.setdefault(entry.exclusive_key, set()).add(entry.request_id)
+
+    def _close(self, attempt_id: str) -> tuple[_Entry | None, int]:
+        request_id = self._by_attempt.pop(attempt_id, None)
+        entry = self._entries.get(request_id) if request_id else None
+        if entry is None:
+            return None, 0
+        task = entry.attempts.pop(attempt_id)
+        entry.closed.add(attempt_id)
+        if not entry.attempts:
+            self._release(entry)
+        return entry, task
+
+    def _release(self, entry: _Entry) -> None:
+        holders = self._keys.get(entry.exclusive_key)
+        if holders is not None:
+            holders.discard(entry.request_id)
+            if not holders:
+                del self._keys[entry.exclusive_key]
+
+    def _settle(self, now: float, entry: _Entry) -> Answer | None:
+        """Answer a request that is whole, or that can no longer become whole."""
+        if entry.tasks == 0:
+            if not entry.attempts:
+                self._keep(now, entry, None)
+            return None
+        if len(entry.parts) == entry.tasks:
+            return self._whole(now, entry)
+        if entry.idempotent or entry.attempts or entry.answer is not None:
+            return None
+        if entry.spent <= entry.parts.keys():
+            return None
+        return self._answer(now, entry, Code.UNKNOWN_OUTCOME)
+
+    def _whole(self, now: float, entry: _Entry) -> Answer | None:
+        states = {state for state, _ in entry.parts.values()}
+        parts = tuple(entry.parts[task][1] for task in sorted(entry.parts))
+        code = _code(states)
+        if entry.answer is None:
+            return self._answer(now, entry, code, parts)
+        if not entry.answer.parts:
+            # Parts that arrive after "unknown outcome" correct what later askers get.
+            entry.answer = replace(
+                entry.answer, code=code, outcome=code.outcome, parts=parts
+            )
+            self._keep(now, entry, entry.answer)
+        return None
+
+    def _answer(
+        self, now: float, entry: _Entry, code: Code, parts: tuple[t.Any, ...] = ()
+    ) -> Answer:
+        answer = Answer(entry.request_id, code, code.outcome, parts, code.meaning)
+        entry.answer = answer
+        self._keep(now, entry, answer)
+        return answer
+
+    def _keep(self, now: float, entry: _Entry, answer: Answer | None) -> None:
+        if entry.idempotent and entry.tasks:
+            until = now + min(IDEMPOTENT_RETENTION_S, self._retention_s)
+            self._kept_briefly.append((until, entry.request_id, answer))
+        else:
+            until = now + self._retention_s + 2 * self._skew_s
+            self._kept.append((until, entry.request_id, answer))
+
+
+def _describe(entry: _Entry, work: Work, attempt: int | None) -> None:
+    entry.digest = _digest(work)
+    entry.tasks = work.tasks
+    entry.idempotent = work.idempotent
+    entry.attempt_number = attempt
+    entry.exclusive_key = entry.exclusive_key or work.exclusive_key
+    if work.idempotent:
+        entry.spent.clear()
+        stopped = [
+            task
+            for task, (state, _) in entry.parts.items()
+            if state is AttemptState.STOPPED
+        ]
+        for task in stopped:
+            del entry.parts[task]
+
+
+def _digest(work: Work) -> int:
+    body = repr((work.payload, work.need, work.tasks, work.idempotent))
+    return hash((work.kind, work.target, work.team, work.exclusive_key, body))
+
+
+def _may_reopen(entry: _Entry, attempt: int | None) -> bool:
+    if entry.answer is None or entry.answer.outcome is not Outcome.NOT_RUN:
+        return False
+    if attempt is None or entry.attempt_number is None:
+        return entry.answer.code is not Code.CANCELLED
+    return attempt > entry.attempt_number
+
+
+def _code(states: set[AttemptState]) -> Code:
+    if AttemptState.FAILED in states:
+        return Code.FAILED
+    return Code.STOPPED if AttemptState.STOPPED in states else Code.OK
--- /dev/null
+++ b/src/poplaryard/ownership_messages.py
@@ -0,0 +1,327 @@
+"""Messages of `ownership` and `membership`, from and to the tasks that do the I/O.
+
+Times named `sent_at` are readings of this process's own monotonic clock taken *before*
+the call was sent; authority is counted from them. A process id is
+``<name>#<incarnation>`` and is never used again after a restart.
+
+How the tasks carry them out, for the data centre ``<dc>``:
+
+====================  ==============================================================
+`GrantLease`          ``grant(ttl_s)``, then ``put_if("dc/<dc>/member/<process>",
+                      {"lease": id}, 0 or the key's version, lease=id)``; answer
+                      `LeaseGranted` when both succeeded, else `LeaseFailed`
+`RenewLease`          ``keep_alive(lease)``; answer `LeaseRenewed`, or `LeaseFailed`
+                      with `lapsed` if it returned False
+`RevokeLease`         ``revoke(lease)``; no answer
+`ReadRecord`          ``get("dc/<dc>/assignment")``, *then* ``scan("dc/<dc>/member/")``;
+                      answer `RecordSeen`; if the store is down, `RecordFailed`
+`WriteRecord`         ``put_if("dc/<dc>/assignment", record, version)``; answer
+                      `RecordWritten`, `RecordConflict` (`StoreConflict`),
+                      `RecordFailed` (`StoreDown`) or `RecordUnknown`
+                      (`StoreReplyLost` or a time-out)
+`WatchRecord`         start or stop ``watch("dc/<dc>/")``; each change is a `RecordSeen`
+`SendHeartbeat`       send to the peer; a refused connection is `ProvenDead`, any other
+                      failure is `PeerMissed`; the answer is its `HeartbeatReply`
+====================  ==============================================================
+
+Calls to the store time out after 1.5 s.
+"""
+
+import typing as t
+from dataclasses import dataclass
+
+from .record import Record
+
+__all__ = [
+    "GrantLease",
+    "Heartbeat",
+    "HeartbeatReply",
+    "LeaseFailed",
+    "LeaseGranted",
+    "LeaseRenewed",
+    "Leave",
+    "OwnershipMessage",
+    "PeerMissed",
+    "ProvenDead",
+    "ReadRecord",
+    "RecordConflict",
+    "RecordFailed",
+    "RecordSeen",
+    "RecordUnknown",
+    "RecordWritten",
+    "RenewLease",
+    "RevokeLease",
+    "SendHeartbeat",
+    "ShardReleased",
+    "ShardTaken",
+    "ShardsConfigured",
+    "WatchRecord",
+    "WriteRecord",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseGranted:
+    """A new lease holds the member key; `sent_at` is the time before the grant."""
+
+    lease: str
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRenewed:
+    """The store confirmed a renewal that was sent at `sent_at`."""
+
+    lease: str
+    sent_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseFailed:
+    """A grant (`lease` empty) or a renewal failed.
+
+    Attributes
+    ----------
+    lapsed : bool
+        Whether the store said that the lease has ended; False if it did not answer.
+    """
+
+    lease: str = ""
+    lapsed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RecordSeen:
+    """The assignment record as read, watched, or passed on by a peer.
+
+    Attributes
+    ----------
+    version : int
+        Store version of the record; 0 if it does not exist.
+    live : frozenset of str
+        Leases in the values of the member keys. They must be read after the record, or
+        in the same scan: a lease of the record that is missing here has ended for ever.
+    """
+
+    record: Record
+    version: int
+    live: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordWritten:
+    """The last `WriteRecord` succeeded and gave the record this version."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordConflict:
+    """The last `WriteRecord` found another version; nothing was written."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordFailed:
+    """The last `ReadRecord` or `WriteRecord` did not reach the store."""
+
+
+@dataclass(frozen=True, slots=True)
+class RecordUnknown:
+    """The last `WriteRecord` may or may not have taken effect, now or later."""
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sign of life to a peer, and request for its promise.
+
+    Attributes
+    ----------
+    sent_at : float
+        Time on the sender's clock; returned unchanged in the reply.
+    owner : bool
+        Whether the sender owns shards and asks for a promise.
+    record_serial : int
+        Serial number of the record that the sender has seen.
+    config_number : int
+        Number of the last ticket in force at the sender.
+    record : RecordSeen or None
+        The record, if the receiver was last heard with a lower serial number.
+    suspects : tuple of str
+        Processes that the sender suspects.
+    refuted : int
+        Number of suspicions that the sender has refuted.
+    """
+
+    sender: str
+    to: str
+    sent_at: float
+    owner: bool = False
+    record_serial: int = 0
+    config_number: int = 0
+    record: RecordSeen | None = None
+    suspects: tuple[str, ...] = ()
+    refuted: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatReply:
+    """Answer to a heartbeat.
+
+    Attributes
+    ----------
+    sent_at : float
+        Copied from the heartbeat.
+    promised : bool
+        Whether `sender` will not take over shards of `to` for 4 s.
+    """
+
+    sender: str
+    to: str
+    sent_at: float
+    promised: bool = False
+    record_serial: int = 0
+    config_number: int = 0
+    record: RecordSeen | None = None
+    suspects: tuple[str, ...] = ()
+    refuted: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMissed:
+    """A heartbeat to a peer got no answer in time."""
+
+    process: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProvenDead:
+    """A peer refused the connection at its address, or sent a leave message.
+
+    A process listens before it joins, and no longer acquires shards before it stops
+    listening; otherwise a refused connection would not prove that it takes no shards.
+    """
+
+    process: str
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The process is to stop: hand over all shards, then end the lease."""
+
+
+@dataclass(frozen=True, slots=True)
+class ShardsConfigured:
+    """Names of the data centre's shards and the ticket number that set them."""
+
+    shards: tuple[str, ...]
+    config_number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class GrantLease:
+    """Command: get a lease and bind the member key to it."""
+
+    ttl_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RenewLease:
+    """Command: renew the lease."""
+
+    lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class RevokeLease:
+    """Command: end the lease; the last command of a process that leaves."""
+
+    lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRecord:
+    """Command: read the record and the member keys."""
+
+
+@dataclass(frozen=True, slots=True)
+class WriteRecord:
+    """Command: write the record if its version is still `version`."""
+
+    record: Record
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchRecord:
+    """Command: start or stop the watch of the record and the member keys."""
+
+    on: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SendHeartbeat:
+    """Command: send a heartbeat to the process `to` at `address`."""
+
+    to: str
+    address: str
+    heartbeat: Heartbeat
+
+
+@dataclass(frozen=True, slots=True)
+class ShardTaken:
+    """Notice: this process owns a shard; arguments for its `Takeover`.
+
+    Attributes
+    ----------
+    previous : str
+        Old owner; empty if there was none or it released the shard.
+    known : bool
+        Whether all authority of the old owner ends within `wait_s`.
+    wait_s : float
+        Time after which everything the old owner started has ended.
+    first : bool
+        Whether the shard never had an owner.
+    handed_over : bool
+        Whether the shard was left to this process, whose peer sends the ledger.
+    """
+
+    shard: str
+    epoch: int
+    previous: str
+    known: bool
+    wait_s: float
+    first: bool = False
+    handed_over: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ShardReleased:
+    """Notice: this process no longer owns a shard and must send nothing more for it.
+
+    Attributes
+    ----------
+    successor : str
+        Member that takes the shard, if it was handed over; empty if it was lost.
+    """
+
+    shard: str
+    epoch: int
+    successor: str = ""
+
+
+OwnershipMessage: t.TypeAlias = (
+    LeaseGranted
+    | LeaseRenewed
+    | LeaseFailed
+    | RecordSeen
+    | RecordWritten
+    | RecordConflict
+    | RecordFailed
+    | RecordUnknown
+    | Heartbeat
+    | HeartbeatReply
+    | PeerMissed
+    | ProvenDead
+    | Leave
+    | ShardsConfigured
+)
--- /dev/null
+++ b/src/poplaryard/record.py
@@ -0,0 +1,95 @@
+"""Assignment record of a data centre: its members and the owner of each shard."""
+
+import typing as t
+from dataclasses import dataclass, field, replace
+
+__all__ = ["Member", "Record", "ShardOwner"]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """Entry process of a data centre.
+
+    Attributes
+    ----------
+    process : str
+        Process id with the incarnation number drawn at start, ``<name>#<number>``.
+    lease : str
+        Store lease that the process held when it last wrote itself into the record.
+    joined : int
+        Serial number of the record in which the process first appeared.
+    """
+
+    process: str
+    address: str
+    lease: str
+    joined: int
+
+
+@dataclass(frozen=True, slots=True)
+class ShardOwner:
+    """Owner of a shard.
+
+    Attributes
+    ----------
+    owner : str
+        Process id; empty if the shard was released.
+    successor : str
+        Member that may take a released shard at once; empty for any.
+    """
+
+    owner: str
+    epoch: int
+    successor: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Value of ``dc/<dc>/assignment``.
+
+    Attributes
+    ----------
+    serial : int
+        Raised by one with every write.
+    epoch : int
+        Highest epoch of any shard. Shards share one counter because a VM may move from
+        one shard to another, and its worker compares the epochs.
+    """
+
+    serial: int = 0
+    epoch: int = 0
+    members: t.Mapping[str, Member] = field(default_factory=dict)
+    shards: t.Mapping[str, ShardOwner] = field(default_factory=dict)
+
+    def with_member(self, process: str, address: str, lease: str) -> "Record":
+        """Return the next record, in which the process is a member with this lease."""
+        old = self.members.get(process)
+        joined = old.joined if old else self.serial + 1
+        member = Member(process, address, lease, joined)
+        members = {**self.members, process: member}
+        return replace(self, serial=self.serial + 1, members=members)
+
+    def without_members(self, gone: t.Iterable[str]) -> "Record":
+        """Return the same record without the named members; the serial stays."""
+        left = set(gone)
+        members = {k: v for k, v in self.members.items() if k not in left}
+        return replace(self, members=members)
+
+    def taken(self, shard: str, process: str) -> "Record":
+        """Return the next record, in which the process owns the shard."""
+        epoch = self.epoch + 1
+        shards = {**self.shards, shard: ShardOwner(process, epoch)}
+        return replace(self, serial=self.serial + 1, epoch=epoch, shards=shards)
+
+    def released(self, shards: t.Mapping[str, str]) -> "Record":
+        """Return the next record, with each shard left to its named successor."""
+        changed = {
+            shard: replace(self.shards[shard], owner="", successor=successor)
+            for shard, successor in shards.items()
+        }
+        return replace(self, serial=self.serial + 1, shards={**self.shards, **changed})
+
+    def owned_by(self, process: str) -> dict[str, int]:
+        """Return the shards that the process owns and the epoch of each."""
+        found = self.shards.items()
+        return {name: item.epoch for name, item in found if item.owner == process}
--- /dev/null
+++ b/src/poplaryard/takeover.py
@@ -0,0 +1,169 @@
+"""Take-over of one shard: claims its workers and says what may be served meanwhile."""
+
+import typing as t
+from dataclasses import dataclass
+
+from . import chart
+from .fencing import lease_wait_s
+from .messages import (
+    ClaimReply,
+    ClaimWorker,
+    Tick,
+    VmGone,
+    VmUpdate,
+)
+
+__all__ = ["EpochRefused", "Takeover"]
+
+# Interval between claims of a worker that has not answered.
+CLAIM_RETRY_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class EpochRefused:
+    """A worker has seen a higher epoch of the shard; this process is not its owner."""
+
+    shard: str
+    epoch: int
+
+
+class Takeover:
+    """Progress of a take-over, from the write that raised the epoch to the last claim.
+
+    Feed it `Tick`, `VmUpdate`, `VmGone` and `ClaimReply`; it returns `ClaimWorker`
+    commands, and `EpochRefused` when a worker refuses the epoch.
+
+    Parameters
+    ----------
+    now, wall : float
+        Time at which the write of the epoch was confirmed.
+    workers : iterable of str
+        Names of the shard's VMs.
+    known : bool
+        Whether the old owner knew this process as a member, so that its authority had
+        ended at `now`. False if this process joined later.
+    first : bool
+        Whether the shard never had an owner.
+    handed_over : bool
+        Whether the old owner handed over its whole ledger.
+    listed_since : float
+        Wall-clock time since which this process has known the shard's VMs without a
+        gap. A VM that left before then may have run ids issued before then.
+    """
+
+    state: str
+    trigger: t.Callable[[str], bool]
+
+    def __init__(
+        self,
+        shard: str,
+        epoch: int,
+        now: float,
+        wall: float,
+        workers: t.Iterable[str],
+        *,
+        known: bool,
+        first: bool = False,
+        handed_over: bool = False,
+        listed_since: float = 0.0,
+        skew_s: float = 5.0,
+        wait_s: float | None = None,
+    ):
+        self.shard = shard
+        self.epoch = epoch
+        self._known = known
+        self._first = first
+        self._handed_over = handed_over
+        self._skew_s = skew_s
+        self._wait_until = now + (lease_wait_s() if wait_s is None else wait_s)
+        self._wall_offset = wall - now
+        self._missing: dict[str, float] = dict.fromkeys(workers, 0.0)
+        self._claimed: set[str] = set()
+        # Ids issued before this wall-clock time may have run where no claim can tell.
+        self._fresh_from = listed_since + skew_s if listed_since else 0.0
+        self._taken_wall = wall
+        chart.attach("takeover", self)
+        self._step(now)
+
+    @property
+    def missing(self) -> frozenset[str]:
+        """Workers that have not been claimed yet; they count as full."""
+        return frozenset(self._missing)
+
+    def handle(self, now: float, message: t.Any) -> list[t.Any]:
+        """Take one message and return commands."""
+        if isinstance(message, Tick):
+            out = self._claims(now)
+        elif isinstance(message, ClaimReply):
+            out = self._claim_reply(message)
+        else:
+            out = self._vm_change(now, message)
+        self._step(now)
+        return out
+
+    def may_place(self, vm: str) -> bool:
+        """Tell whether new work may be placed on a worker."""
+        return vm in self._claimed and self.state != "superseded"
+
+    def serves_exclusive(self) -> bool:
+        """Tell whether exclusive and non-idempotent work may be started."""
+        return self.state in ("lapsed", "complete")
+
+    def may_run_unknown(self, issued_at: float) -> bool:
+        """Tell whether a non-idempotent id that no report names has never run.
+
+        If not, the answer is "unknown outcome".
+        """
+        if self._first or self._handed_over:
+            return True
+        if issued_at <= self._fresh_from:
+            return False
+        if self.state == "complete":
+            return True
+        return self.state == "lapsed" and issued_at > self._taken_wall + self._skew_s
+
+    def _claims(self, now: float) -> list[t.Any]:
+        due = [vm for vm, at in self._missing.items() if at <= now]
+        for vm in due:
+            self._missing[vm] = now + CLAIM_RETRY_S
+        return [ClaimWorker(vm, self.epoch) for vm in due]
+
+    def _claim_reply(self, reply: ClaimReply) -> list[t.Any]:
+        if reply.epoch != self.epoch and reply.accepted:
+            return []
+        if not reply.accepted:
+            return self._refused(reply)
+        if reply.vm in self._missing:
+            del self._missing[reply.vm]
+            self._claimed.add(reply.vm)
+        return []
+
+    def _refused(self, reply: ClaimReply) -> list[t.Any]:
+        if reply.epoch <= self.epoch:
+            return []
+        if self.state != "superseded":
+            self.trigger("refused")
+        return [EpochRefused(self.shard, self.epoch)]
+
+    def _vm_change(self, now: float, message: t.Any) -> list[t.Any]:
+        if isinstance(message, VmUpdate) and message.vm.name not in self._claimed:
+            self._missing.setdefault(message.vm.name, 0.0)
+            return self._claims(now)
+        if isinstance(message, VmGone):
+            self._gone(now, message.vm)
+        return []
+
+    def _gone(self, now: float, vm: str) -> None:
+        self._claimed.discard(vm)
+        if self._missing.pop(vm, None) is not None:
+            # What an unclaimed VM ran until it left cannot be asked any more.
+            wall = now + self._wall_offset
+            self._fresh_from = max(self._fresh_from, wall + self._skew_s)
+
+    def _step(self, now: float) -> None:
+        if self.state in ("complete", "superseded"):
+            return
+        if not self._missing:
+            self.trigger("all_claimed")
+        elif self.state == "claiming" and self._known and now >= self._wait_until:
+            self.trigger("old_owner_lapsed")
