--- a/src/poplaryard/ticket_objects.py
+++ b/src/poplaryard/ticket_objects.py
@@ -1,6 +1,5 @@
 """Models of the objects in a ticket, with units such as "8 cores" and "32 GB"."""
 
-import functools
 import re
 import typing as t
 
@@ -24,7 +23,6 @@
     "Name",
     "Removal",
     "Spec",
-    "object_of",
     "parse_object",
 ]
 
@@ -328,115 +326,3 @@
     """
     model: t.Any = KINDS[value["kind"]].model_validate(value)
     return model.spec()
-
-
-def _cores(need: Resources) -> dict[str, t.Any]:
-    return {
-        "cpu": f"{need.cpu_m}m",
-        "memory": f"{need.mem_mb} MB",
-        "gpus": need.gpus,
-    }
-
-
-@functools.singledispatch
-def object_of(spec: t.Any) -> dict[str, t.Any]:
-    """Return the stored form of an object, which `parse_object` reads back."""
-    raise TypeError(f"{type(spec).__name__} is no configuration object")
-
-
-@object_of.register
-def _(spec: ServiceSpec) -> dict[str, t.Any]:
-    return {
-        "kind": "service",
-        "name": spec.name,
-        "team": spec.team,
-        "replicas": spec.replicas,
-        **_cores(spec.need),
-        "slots": spec.slots,
-        "connections": spec.connections,
-        "group": spec.group,
-        "queue_limit": spec.queue_limit,
-        "drain": f"{spec.drain_s} s",
-    }
-
-
-@object_of.register
-def _(spec: BatchSpec) -> dict[str, t.Any]:
-    return {
-        "kind": "batch",
-        "name": spec.name,
-        "team": spec.team,
-        "tasks": spec.tasks,
-        **_cores(spec.need),
-        "gang": spec.gang,
-        "declared": f"{spec.declared_s} s",
-    }
-
-
-@object_of.register
-def _(spec: VmGroupSpec) -> dict[str, t.Any]:
-    # The most frequent size is the group's, so that a large group stays small.
-    sizes = [vm.capacity for vm in spec.vms]
-    common = max(set(sizes), key=sizes.count) if sizes else Resources()
-    return {
-        "kind": "vm_group",
-        "name": spec.name,
-        **_cores(common),
-        "vms": [_vm_of(vm, common) for vm in spec.vms],
-        "leaving": sorted(spec.leaving),
-        "reserved_cpu": f"{spec.reserved.cpu_m}m",
-        "reserved_memory": f"{spec.reserved.mem_mb} MB",
-        "reserved_gpus": spec.reserved.gpus,
-    }
-
-
-def _vm_of(vm: VmSpec, common: Resources) -> dict[str, t.Any]:
-    entry = {
-        "name": vm.name,
-        "data_centre": vm.data_centre,
-        "rack": vm.rack,
-        "address": vm.address,
-    }
-    return entry if vm.capacity == common else {**entry, **_cores(vm.capacity)}
-
-
-@object_of.register
-def _(spec: TeamSpec) -> dict[str, t.Any]:
-    found: dict[str, t.Any] = {
-        "kind": "team",
-        "name": spec.name,
-        "weight": spec.weight,
-    }
-    if spec.limit is not None:
-        found["limit_cpu"] = f"{spec.limit.cpu_m}m"
-        found["limit_memory"] = f"{spec.limit.mem_mb} MB"
-        found["limit_gpus"] = spec.limit.gpus
-    return found
-
-
-@object_of.register
-def _(spec: WorkKindSpec) -> dict[str, t.Any]:
-    return {
-        "kind": "work_kind",
-        "name": spec.name,
-        "target": spec.target,
-        "idempotent": spec.idempotent,
-        "exclusive": spec.exclusive,
-        "timeout": f"{spec.timeout_s} s",
-        "max_attempts": spec.max_attempts,
-    }
-
-
-@object_of.register
-def _(spec: Policy) -> dict[str, t.Any]:
-    return {
-        "kind": "policy",
-        "name": "policy",
-        "shards_per_data_centre": spec.shards_per_data_centre,
-        "headroom": spec.headroom,
-        "short": f"{spec.short_s} s",
-        "short_share": spec.short_share,
-        "queue_limit": spec.queue_limit,
-        "retry_budget": spec.retry_budget,
-        "urgent": f"{spec.urgent_s} s",
-    }
--- a/src/poplaryard/tickets.py
+++ b/src/poplaryard/tickets.py
@@ -12,7 +12,8 @@
 from .codes import Code
 from .configuration import Configuration, Policy
 from .exceptions import CallError
-from .ticket_objects import AnyObject, Removal, Spec, object_of, parse_object
+from .ticket_encoding import object_of
+from .ticket_objects import AnyObject, Removal, Spec, parse_object
 
 __all__ = [
     "FORMAT",
@@ -24,8 +25,11 @@
     "decode",
     "digest",
     "encode",
+    "lookup",
+    "object_of",
     "objects_of",
     "parse",
+    "size_of",
     "with_objects",
 ]
 
@@ -134,8 +138,17 @@
 
 def digest(value: t.Any) -> str:
     """Return 16 hexadecimal digits that identify a JSON value."""
+    return hashlib.sha256(_canonical(value)).hexdigest()[:16]
+
+
+def size_of(value: t.Any) -> int:
+    """Return the length of a JSON value in bytes."""
+    return len(_canonical(value))
+
+
+def _canonical(value: t.Any) -> bytes:
     text = json.dumps(value, sort_keys=True, separators=(",", ":"), allow_nan=False)
-    return hashlib.sha256(text.encode()).hexdigest()[:16]
+    return text.encode()
 
 
 def changes_of(ticket: Ticket) -> dict[str, dict[str, t.Any] | None]:
@@ -188,6 +201,15 @@
     return replace(config, **changed)
 
 
+def lookup(config: Configuration, key: str) -> Spec | None:
+    """Return the state of an object, or None if there is none."""
+    if key == POLICY_KEY:
+        return config.policy
+    kind, name = key.split("/", 1)
+    found: Spec | None = getattr(config, _FIELDS[kind]).get(name)
+    return found
+
+
 def objects_of(config: Configuration) -> t.Iterator[tuple[str, Spec]]:
     """Yield ``kind/name`` and the state of each object of a configuration."""
     for kind, field in _FIELDS.items():
--- /dev/null
+++ b/tests/fake_store.py
@@ -0,0 +1,114 @@
+"""In-memory store with the faults that the platform's store shows."""
+
+import asyncio
+import itertools
+
+from poplaryard.exceptions import StoreConflict, StoreDown, StoreReplyLost
+from poplaryard.store import Entry
+
+
+class FakeStore:
+    """Store protocol in memory.
+
+    ``faults`` maps (method, key prefix) to a list of "down", "lost" (applied, no
+    reply) or "dropped" (not applied, no reply), one used up per matching call.
+    """
+
+    def __init__(self):
+        self.entries = {}
+        self.deleted = {}
+        self.leases = set()
+        self.faults = {}
+        self.down = False
+        self.calls = {}
+        self.hooks = []
+        self._versions = itertools.count(1)
+        self._leases = itertools.count(1)
+        self._changed = asyncio.Condition()
+
+    def fail(self, method, prefix, *faults):
+        self.faults.setdefault((method, prefix), []).extend(faults)
+
+    async def _before(self, method, key):
+        self.calls[method] = self.calls.get(method, 0) + 1
+        for hook in list(self.hooks):
+            await hook(method, key)
+        if self.down:
+            raise StoreDown()
+        for (wanted, prefix), faults in self.faults.items():
+            if wanted == method and key.startswith(prefix) and faults:
+                fault = faults.pop(0)
+                if fault == "down":
+                    raise StoreDown()
+                if fault == "dropped":
+                    raise StoreReplyLost()
+                return fault == "lost"
+        # Yields so that concurrent filers interleave at every call.
+        await asyncio.sleep(0)
+        return False
+
+    async def get(self, key):
+        await self._before("get", key)
+        return self.entries.get(key)
+
+    async def scan(self, prefix):
+        await self._before("scan", prefix)
+        return [e for k, e in sorted(self.entries.items()) if k.startswith(prefix)]
+
+    async def put_if(self, key, value, version, lease=""):
+        lost = await self._before("put_if", key)
+        held = self.entries.get(key)
+        if (0 if held is None else held.version) != version:
+            if lost:
+                raise StoreReplyLost()
+            raise StoreConflict()
+        self.entries[key] = Entry(key, value, next(self._versions), lease)
+        await self._notify()
+        if lost:
+            raise StoreReplyLost()
+        return self.entries[key]
+
+    async def delete_if(self, key, version):
+        lost = await self._before("delete_if", key)
+        held = self.entries.get(key)
+        if held is None or held.version != version:
+            raise StoreConflict()
+        del self.entries[key]
+        self.deleted[key] = next(self._versions)
+        await self._notify()
+        if lost:
+            raise StoreReplyLost()
+
+    async def grant(self, ttl_s):
+        await self._before("grant", "")
+        lease = f"lease{next(self._leases)}"
+        self.leases.add(lease)
+        return lease
+
+    async def keep_alive(self, lease):
+        await self._before("keep_alive", lease)
+        return lease in self.leases
+
+    async def revoke(self, lease):
+        await self._before("revoke", lease)
+        self.leases.discard(lease)
+
+    async def watch(self, prefix, after, wait_s):
+        await self._before("watch", prefix)
+        async with self._changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait_for(lambda: self._since(prefix, after))
+            except TimeoutError:
+                return []
+        return self._since(prefix, after)
+
+    def _since(self, prefix, after):
+        entries = [*self.entries.values()]
+        entries += [Entry(key, None, at) for key, at in self.deleted.items()]
+        found = [e for e in entries if e.key.startswith(prefix) and e.version > after]
+        return sorted(found, key=lambda e: e.version)
+
+    async def _notify(self):
+        async with self._changed:
+            self._changed.notify_all()
