--- a/src/poplaryard/api.py
+++ b/src/poplaryard/api.py
@@ -6,7 +6,6 @@
 import hmac
 import json
 import math
-import time
 import typing as t
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -14,6 +13,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from .clock import SystemClock
 from .codes import Code
 from .exceptions import CallError, PoplaryardError
 from .messages import Answer, Priority, Work, WorkKind
@@ -21,6 +21,8 @@
 
 __all__ = ["ApiContext", "api_routes", "bearer_allowed", "error_response", "read_json"]
 
+_clock = SystemClock()
+
 TASKS_LIMIT = 4096
 WAIT_LIMIT_S = 60.0
 _PRIORITIES = {
@@ -80,19 +82,18 @@
 
 
 class ApiContext(t.Protocol):
-    """What the routes need from the application."""
-
-    @property
-    def body_limit(self) -> int:
-        """Largest request body in bytes."""
-
-    @property
-    def depth_limit(self) -> int:
-        """Deepest nesting of a request body."""
+    """What the routes need from the application.
+
+    Attributes
+    ----------
+    body_limit : int
+        Largest request body in bytes.
+    depth_limit : int
+        Deepest nesting of a request body.
+    """
 
-    @property
-    def default_timeout_s(self) -> float:
-        """Time given to requests without a deadline."""
+    body_limit: int
+    depth_limit: int
 
     def caller_allowed(self, request: Request) -> bool:
         """Tell whether a request carries a caller's key."""
@@ -100,8 +101,8 @@
     def refusal(self) -> Code | None:
         """Return why no requests are taken at the moment, or None."""
 
-    def defaults(self, work: Work) -> Work:
-        """Return work with the defaults of its class."""
+    def defaults(self, work: Work, timeout_s: float | None) -> tuple[Work, float]:
+        """Return work with the defaults of its class, and its time-out in seconds."""
 
     def submit(self, work: Work, digest: str) -> "asyncio.Future[Answer] | Answer":
         """Take a request; return its answer or a future of it."""
@@ -226,9 +227,11 @@
             priority=_PRIORITIES[found.priority],
             payload=found.payload,
         )
-        work = self._context.defaults(work)
-        timeout_s = found.timeout_s or self._context.default_timeout_s
-        return dataclasses.replace(work, deadline=time.monotonic() + timeout_s)
+        work, timeout_s = self._context.defaults(work, found.timeout_s)
+        if not work.idempotent and not work.issued_at:
+            detail = 'Work that is not idempotent needs its issue time in "issued_at".'
+            raise CallError(Code.INVALID, detail)
+        return dataclasses.replace(work, deadline=_clock.now() + timeout_s)
 
     async def _body(self, request: Request) -> bytes:
         return await read_body(request, self._context.body_limit)
--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -1,30 +1,54 @@
 """The application: settings, life-cycle hooks, tasks and routes of one process."""
 
 import asyncio
-import time
+import random
+import secrets
 import typing as t
 
 from starlette.applications import Starlette
 from starlette.exceptions import HTTPException
 from starlette.requests import Request
-from starlette.responses import Response
+from starlette.responses import JSONResponse, Response
+from starlette.routing import Route
 
-from . import routing
 from .api import api_routes, bearer_allowed, error_response
+from .centres import AskOwners, Centres, OwnerNotice, OwnersView
 from .client import HttpClient
+from .clock import Clock, SystemClock
 from .codes import Code
-from .configuration import Configuration
+from .config_io import PEER_MESSAGES, ConfigTask
+from .config_loader import Loader
+from .context import CallerContext
 from .dispatch import Dispatcher
-from .messages import Answer, AuditEvent, Authority, Work
-from .peers import PeerTable, peer_routes
+from .lookup import Finder, Lookup, LookupReply
+from .messages import AuditEvent, Authority, Configure
+from .ownership import Ownership
+from .ownership_io import OwnershipTask
+from .ownership_messages import (
+    Heartbeat,
+    HeartbeatReply,
+    ShardReleased,
+    ShardsConfigured,
+    ShardTaken,
+)
+from .peers import Envelope, PeerTable, peer_routes
+from .rollout import Members, Rollout
 from .server import HttpServer
 from .settings import Settings
+from .store import Store
+from .store_http import HttpStore
+from .takeover import EpochRefused
+from .vmlist import VmListTask
 from .workers_http import HttpWorkers
 
 __all__ = ["Application"]
 
 PEER_CONNECTIONS = 256
 WORKER_CONNECTIONS = 1024
+STORE_CONNECTIONS = 32
+# Time for which a process that stops still takes requests, until the platform's load
+# balancer has seen that it is no longer ready.
+NOT_READY_S = 1.0
 
 Hook: t.TypeAlias = t.Callable[[], t.Awaitable[None]]
 
@@ -37,30 +61,30 @@
     settings : Settings
     """
 
-    def __init__(self, settings: Settings, configuration: Configuration):
+    def __init__(self, settings: Settings, clock: Clock | None = None):
         self.settings = settings
-        self._bootstrap = configuration
-        host, port = settings.listen.rsplit(":", 1)
-        self._server = HttpServer(self._dispatch_http, host, int(port))
+        self.clock = clock or SystemClock()
+        self.process = f"{settings.process}#{secrets.token_hex(5)}"
+        self.state = "starting"
+        self._server = HttpServer(self._serve_asgi, *_host_and_port(settings.listen))
+        host = settings.listen.rpartition(":")[0]
         self.address = settings.advertise or f"{host}:{self._server.ports[0]}"
-        self.process = self.address
-        self._peer_client = HttpClient(PEER_CONNECTIONS, settings.keys.peer)
-        self._worker_client = HttpClient(WORKER_CONNECTIONS)
-        self.dispatcher = self._new_dispatcher()
-        self.peers = PeerTable(
-            self.process,
-            self.address,
-            self._peer_client,
-            self.dispatcher.undelivered,
-            settings.limits.peer_in_flight,
+        self._clients = (
+            HttpClient(PEER_CONNECTIONS, settings.keys.peer),
+            HttpClient(WORKER_CONNECTIONS),
+            HttpClient(STORE_CONNECTIONS),
         )
-        self.dispatcher.peers = self.peers
+        self._make_parts()
         self._asgi = self._new_starlette()
-        self._starts: list[Hook] = [self._start_shards]
-        self._stops: list[Hook] = [self._close_clients, self._stop_tasks]
+        self._starts: list[Hook] = []
+        self._stops: list[Hook] = []
+        self.on_start(self._start_tasks)
+        self.on_stop(self._close_clients)
+        self.on_stop(self._stop_tasks)
+        self.on_stop(self._hand_over)
 
     def on_start(self, hook: Hook) -> None:
-        """Add a call that runs before requests are taken."""
+        """Add a call that runs when the process listens; the first added runs first."""
         self._starts.append(hook)
 
     def on_stop(self, hook: Hook) -> None:
@@ -72,108 +96,280 @@
         await self._server.start()
         for hook in self._starts:
             await hook()
+        self.state = "running"
 
     async def stop(self) -> None:
-        """Finish the requests in progress, then run the stop hooks."""
-        await self._server.stop()
+        """Hand over, finish the requests in progress, and close everything."""
+        self.state = "stopping"
         for hook in reversed(self._stops):
             await hook()
+        self.state = "stopped"
 
-    # What the routes for callers need.
+    def left_over(self) -> str:
+        """Return what would be lost if the process ended now."""
+        open_requests = self.dispatcher.entry.open_requests
+        shards = len(self.dispatcher.shards)
+        return f"{open_requests} open requests and {shards} shards"
 
-    @property
-    def body_limit(self) -> int:
-        """Largest request body in bytes."""
-        return self.settings.limits.body_kb * 1024
-
-    @property
-    def depth_limit(self) -> int:
-        """Deepest nesting of a request body."""
-        return self.settings.limits.json_depth
+    def refusal(self) -> Code | None:
+        """Return why no requests are taken at the moment, or None."""
+        if self.state in ("draining", "stopped"):
+            return Code.SHUTTING_DOWN
+        return None if self.config_task.rollout.ready else Code.NOT_READY
 
-    @property
-    def default_timeout_s(self) -> float:
-        """Time given to requests without a deadline."""
-        return self.settings.limits.default_timeout_s
+    def ready(self) -> bool:
+        """Tell whether the load balancer may send requests."""
+        return self.state == "running" and self.config_task.rollout.ready
 
-    def caller_allowed(self, request: Request) -> bool:
-        """Tell whether a request carries a caller's key."""
-        return bearer_allowed(request, self.settings.keys.callers.values())
+    # Parts
 
-    def refusal(self) -> Code | None:
-        """Return why no requests are taken at the moment, or None."""
-        return None if self.dispatcher.config.number else Code.NOT_READY
+    def _make_parts(self) -> None:
+        peer_client, worker_client, store_client = self._clients
+        limits = self.settings.limits
+        self.store: Store = HttpStore(store_client, self.settings.platform)
+        self.peers = PeerTable(
+            self.process,
+            self.address,
+            peer_client,
+            self._receive,
+            self._undelivered,
+            limits.peer_in_flight,
+        )
+        self.dispatcher = Dispatcher(
+            self.process,
+            self.settings.data_centre,
+            HttpWorkers(worker_client),
+            self._owner_of,
+            self.peers.send,
+            self._shard_notice,
+            limits.requests_in_flight,
+        )
+        self.finder = Finder(
+            self.process,
+            self.peers,
+            self.dispatcher.owners_of,
+            self.dispatcher.look_up,
+        )
+        self.centres = Centres(
+            self.settings.peers,
+            self.peers,
+            self.clock,
+            self.dispatcher.entry.owners_changed,
+        )
+        self._make_tasks()
+
+    def _make_tasks(self) -> None:
+        data_centre = self.settings.data_centre
+        ownership = Ownership(self.process, self.address, random.Random())
+        self.ownership_task = OwnershipTask(
+            ownership,
+            data_centre,
+            self.store,
+            self.peers,
+            self.clock,
+            self._ownership_notice,
+            self._record_seen,
+        )
+        self.config_task = ConfigTask(
+            Rollout(self.process, data_centre),
+            Loader(self.store),
+            self.store,
+            self.peers,
+            self.clock,
+            self._apply,
+        )
+        self.vm_list = VmListTask(
+            t.cast(HttpStore, self.store),
+            data_centre,
+            lambda: bool(self.dispatcher.shards),
+            self.dispatcher.vm_leaving,
+            self.dispatcher.vm_gone,
+        )
+        self._notices: dict[str, OwnerNotice] = {}
+        self._members: Members | None = None
+        self._releases: set[asyncio.Task[None]] = set()
+
+    # Messages between the parts
+
+    def _owner_of(self, shard: str) -> str | Code:
+        if shard.rpartition("/")[0] != self.settings.data_centre:
+            return self.centres.owner_of(shard)
+        entry = self.ownership_task.ownership.record.shards.get(shard)
+        notice = self._notices.get(shard)
+        if notice is not None and (entry is None or notice.epoch > entry.epoch):
+            return notice.owner
+        return (entry.owner if entry else "") or Code.NOT_OWNER
+
+    def _receive(self, sender: str, envelope: Envelope) -> t.Sequence[t.Any] | None:
+        """Take a message from a peer; return what goes back with the reply."""
+        msg = envelope.message
+        if isinstance(msg, Heartbeat | HeartbeatReply):
+            self.config_task.peer_number(msg.sender, msg.config_number)
+            return self.ownership_task.handle(msg)
+        if isinstance(msg, PEER_MESSAGES):
+            self.config_task.handle(msg)
+        elif isinstance(msg, AskOwners):
+            return self._owners_view(msg)
+        elif isinstance(msg, OwnersView):
+            self.centres.receive(msg)
+        elif isinstance(msg, OwnerNotice):
+            self._owner_notice(msg)
+        elif isinstance(msg, Lookup):
+            return self.dispatcher.look_up(msg)
+        elif isinstance(msg, LookupReply):
+            self.finder.receive(msg)
+        else:
+            self.ownership_task.check_pause()
+            self.dispatcher.receive(sender, envelope)
+        return None
+
+    def _undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
+        self.centres.doubt(process)
+        self.dispatcher.undelivered(process, envelope, code)
+
+    def _owners_view(self, question: AskOwners) -> list[OwnersView]:
+        if question.data_centre != self.settings.data_centre:
+            return []
+        record = self.ownership_task.ownership.record
+        found = {shard: self._owner_of(shard) for shard in record.shards}
+        owners = {k: v for k, v in found.items() if not isinstance(v, Code)}
+        addresses = {name: item.address for name, item in record.members.items()}
+        return [OwnersView(question.data_centre, owners, addresses)]
+
+    def _owner_notice(self, notice: OwnerNotice) -> None:
+        known = self._notices.get(notice.shard)
+        if known is None or known.epoch < notice.epoch:
+            self._notices[notice.shard] = notice
+            self.dispatcher.entry.owners_changed()
+
+    def _shard_notice(self, notice: t.Any) -> None:
+        if isinstance(notice, EpochRefused):
+            self.ownership_task.handle(notice)
+        elif isinstance(notice, AuditEvent):
+            self._audit(notice)
+
+    def _ownership_notice(self, notice: t.Any) -> None:
+        if isinstance(notice, Authority):
+            self.dispatcher.authority(notice)
+        elif isinstance(notice, ShardTaken):
+            self._take(notice)
+        elif isinstance(notice, ShardReleased):
+            self._spawn(self.dispatcher.release(notice.shard))
+
+    def _take(self, taken: ShardTaken) -> None:
+        task = self.dispatcher.take(taken.shard)
+        task.post(t.cast(t.Any, taken))
+        notice = OwnerNotice(taken.shard, self.process, taken.epoch)
+        self._owner_notice(notice)
+        for name in self.ownership_task.live_members():
+            if name != self.process:
+                self.peers.send(name, Envelope(notice))
+
+    def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(call)
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    def _record_seen(self) -> None:
+        live = tuple(self.ownership_task.live_members())
+        ready = self.config_task.rollout.ready
+        remote = {
+            name: tuple(found)
+            for name, found in self.settings.peers.items()
+            if name != self.settings.data_centre
+        }
+        if not ready:
+            # The listed peers here serve a process that starts during a store outage.
+            remote[""] = tuple(self.settings.peers.get(self.settings.data_centre, ()))
+        members = Members(live or (self.process,), remote)
+        if members != self._members:
+            self._members = members
+            self.config_task.set_members(members)
+        self.dispatcher.entry.owners_changed()
+
+    def _apply(self, configure: Configure) -> None:
+        self.dispatcher.configure(configure.config)
+        shards = self.dispatcher.local_shards()
+        number = configure.config.number
+        self.ownership_task.handle(ShardsConfigured(shards, number))
+        if number:
+            self._record_seen()
 
-    def defaults(self, work: Work) -> Work:
-        """Return work with the defaults of its class."""
-        return work
+    def _audit(self, event: AuditEvent) -> None:
+        return
 
-    def submit(self, work: Work, digest: str) -> "asyncio.Future[Answer] | Answer":
-        """Take a request; return its answer or a future of it."""
-        return self.dispatcher.entry.submit(work, digest)
+    # Life cycle
 
-    async def find(self, request_id: str) -> "asyncio.Future[Answer] | Answer | None":
-        """Return a request's answer or a future of it; None if it is not known."""
-        entry = self.dispatcher.entry
-        return entry.answer_of(request_id) or entry.wait_for(request_id)
+    async def _start_tasks(self) -> None:
+        for addresses in self.settings.peers.values():
+            for address in addresses:
+                if address != self.address:
+                    self.peers.learn(address, address)
+        self._record_seen()
+        self.dispatcher.entry.start()
+        self.ownership_task.start()
+        self.config_task.start()
+        self.vm_list.start()
+
+    async def _hand_over(self) -> None:
+        """Leave the data centre's record, then wait for the open requests."""
+        until = self.clock.now() + self.settings.limits.shutdown_s
+        await asyncio.sleep(NOT_READY_S)
+        self.state = "draining"
+        await self.ownership_task.leave(until - self.clock.now())
+        await self.dispatcher.entry.drained(until - self.clock.now())
+        await self.peers.drain(max(0.0, until - self.clock.now()))
+        await self._server.stop()
 
-    async def cancel(self, request_id: str) -> bool:
-        """Cancel a request; False if it is not known."""
-        return self.dispatcher.entry.cancel(request_id)
+    async def _stop_tasks(self) -> None:
+        await self.vm_list.stop()
+        await self.config_task.stop()
+        await self.ownership_task.stop()
+        await self.centres.stop()
+        await self.dispatcher.entry.stop()
+        await self.dispatcher.close()
+        await self.peers.close()
 
-    async def explain(self, request_id: str) -> str:
-        """Return one sentence that says where a request stands."""
-        return self.dispatcher.explain(request_id)
+    async def _close_clients(self) -> None:
+        for client in self._clients:
+            await client.close()
 
-    def _peer_allowed(self, request: Request) -> bool:
-        return bearer_allowed(request, [self.settings.keys.peer])
+    # Routes
 
-    async def _dispatch_http(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
+    async def _serve_asgi(self, scope: t.Any, receive: t.Any, send: t.Any) -> None:
         await self._asgi(scope, receive, send)
 
-    def _new_dispatcher(self) -> Dispatcher:
-        return Dispatcher(
-            self.process,
-            self.settings.data_centre,
-            HttpWorkers(self._worker_client),
-            self._owner_of,
-            self._audit,
-            self.settings.limits.requests_in_flight,
-        )
-
     def _new_starlette(self) -> Starlette:
-        receive = self.dispatcher.receive
+        context = CallerContext(
+            self.settings, self.dispatcher, self.finder, self.refusal
+        )
         routes = [
-            *api_routes(self),
-            *peer_routes(self.peers, receive, self._peer_allowed),
+            *api_routes(context),
+            *peer_routes(self.peers, self._peer_allowed),
+            Route("/healthz", self._healthz, methods=["GET"]),
+            Route("/readyz", self._readyz, methods=["GET"]),
         ]
         handlers: t.Any = {HTTPException: _http_error, Exception: _internal_error}
         return Starlette(routes=routes, exception_handlers=handlers)
 
-    def _owner_of(self, shard: str) -> str:
-        members = sorted({self.address, *self.settings.peers})
-        return routing.ranked(shard, members)[0]
+    def _peer_allowed(self, request: Request) -> bool:
+        return bearer_allowed(request, [self.settings.keys.peer])
 
-    def _audit(self, event: AuditEvent) -> None:
-        return
+    async def _healthz(self, request: Request) -> Response:
+        return JSONResponse({"state": self.state, "process": self.process})
 
-    async def _start_shards(self) -> None:
-        for address in self.settings.peers:
-            self.peers.learn(address, address)
-        self.dispatcher.configure(self._bootstrap)
-        self.dispatcher.entry.start()
-        for shard in self.dispatcher.local_shards():
-            if self._owner_of(shard) == self.process:
-                self.dispatcher.take(Authority(shard, 1, time.monotonic() + 1e9))
+    async def _readyz(self, request: Request) -> Response:
+        body = {
+            "state": self.state,
+            "ticket": self.config_task.rollout.number,
+            "shards": sorted(self.dispatcher.shards),
+        }
+        return JSONResponse(body, 200 if self.ready() else 503)
 
-    async def _stop_tasks(self) -> None:
-        await self.dispatcher.entry.stop()
-        await self.dispatcher.close()
-        await self.peers.close()
 
-    async def _close_clients(self) -> None:
-        await self._peer_client.close()
-        await self._worker_client.close()
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
 
 
 async def _http_error(request: Request, exc: Exception) -> Response:
--- /dev/null
+++ b/src/poplaryard/config_io.py
@@ -0,0 +1,142 @@
+"""Task that carries out the commands of `Rollout`: store reads and messages."""
+
+import asyncio
+import typing as t
+
+from . import wire
+from .clock import Clock
+from .config_loader import Loader
+from .exceptions import PoplaryardError
+from .head import HEAD_KEY, Delta, Head
+from .messages import Configure, Tick
+from .peers import Envelope, PeerTable
+from .rollout import (
+    AskState,
+    CentreReport,
+    HeadSeen,
+    LoadConfig,
+    Loaded,
+    Members,
+    PeerDelta,
+    PeerNumber,
+    Rollout,
+    Send,
+    StoreFailed,
+    WatchHead,
+)
+from .store import Store
+
+__all__ = ["ConfigTask"]
+
+TICK_S = 0.25
+WATCH_WAIT_S = 20.0
+WATCH_RETRY_S = 1.0
+PEER_MESSAGES = (AskState, CentreReport, PeerDelta)
+
+wire.register(AskState, CentreReport, PeerDelta, Delta)
+
+
+class ConfigTask:
+    """Runs one `Rollout` object.
+
+    Parameters
+    ----------
+    loader : Loader
+        Shared with `Acceptance`, so that a ticket filed here is not read twice.
+    apply : callable
+        Takes each configuration that comes into force.
+    """
+
+    def __init__(
+        self,
+        rollout: Rollout,
+        loader: Loader,
+        store: Store,
+        peers: PeerTable,
+        clock: Clock,
+        apply: t.Callable[[Configure], None],
+    ):
+        self.rollout = rollout
+        self._loader = loader
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._apply = apply
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._watch: asyncio.Task[None] | None = None
+        self._loading = False
+
+    def start(self) -> None:
+        """Start the task."""
+        self._spawn(self._tick())
+
+    async def stop(self) -> None:
+        """End the task and its calls."""
+        tasks = [*self._tasks, *([self._watch] if self._watch else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def set_members(self, members: Members) -> None:
+        """Take the live members of the data centre and the peers of the others."""
+        self.handle(members)
+
+    def peer_number(self, process: str, number: int) -> None:
+        """Take the number in force at a peer, from its heartbeat."""
+        self.handle(PeerNumber(process, number))
+
+    def handle(self, msg: t.Any) -> None:
+        """Take one message and carry out what follows from it."""
+        for out in self.rollout.handle(self._clock.now(), msg):
+            if isinstance(out, Configure):
+                self._loader.adopt(self.rollout.state)
+                self._apply(out)
+            elif isinstance(out, Send):
+                self._peers.send(out.to, Envelope(out.msg))
+            elif isinstance(out, WatchHead):
+                self._switch_watch(out.on)
+            else:
+                self._load(out)
+
+    async def _tick(self) -> None:
+        while True:
+            self.handle(Tick())
+            await asyncio.sleep(TICK_S)
+
+    def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _switch_watch(self, on: bool) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+        self._watch = asyncio.create_task(self._watch_head()) if on else None
+
+    def _load(self, command: LoadConfig) -> None:
+        # Polls are left out while a load runs: a slow store would gather them.
+        if not self._loading or command.head is not None:
+            self._spawn(self._load_config(command))
+
+    async def _load_config(self, command: LoadConfig) -> None:
+        self._loading = True
+        try:
+            state = await self._loader.refresh(command.head)
+        except PoplaryardError:
+            self.handle(StoreFailed())
+        else:
+            self.handle(Loaded(state))
+        finally:
+            self._loading = False
+
+    async def _watch_head(self) -> None:
+        after = 0
+        while True:
+            try:
+                found = await self._store.watch(HEAD_KEY, after, WATCH_WAIT_S)
+                for entry in found:
+                    after = max(after, entry.version)
+                    if entry.value is not None:
+                        self.handle(HeadSeen(Head.from_json(entry.value)))
+            except PoplaryardError:
+                await asyncio.sleep(WATCH_RETRY_S)
--- /dev/null
+++ b/src/poplaryard/context.py
@@ -0,0 +1,92 @@
+"""What the routes for callers need from the application."""
+
+import asyncio
+import dataclasses
+import typing as t
+
+from starlette.requests import Request
+
+from .api import bearer_allowed
+from .codes import Code
+from .dispatch import Dispatcher
+from .lookup import Finder
+from .messages import Answer, Work
+from .settings import Settings
+
+__all__ = ["CallerContext"]
+
+
+class CallerContext:
+    """Implements `poplaryard.api.ApiContext`.
+
+    Parameters
+    ----------
+    refusal : callable
+        Returns why no requests are taken at the moment, or None.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        dispatcher: Dispatcher,
+        finder: Finder,
+        refusal: t.Callable[[], Code | None],
+    ):
+        self.body_limit = settings.limits.body_kb * 1024
+        self.depth_limit = settings.limits.json_depth
+        self.default_timeout_s = settings.limits.default_timeout_s
+        self.refusal = refusal
+        self._keys = tuple(settings.keys.callers.values())
+        self._dispatcher = dispatcher
+        self._finder = finder
+
+    def caller_allowed(self, request: Request) -> bool:
+        """Tell whether a request carries a caller's key."""
+        return bearer_allowed(request, self._keys)
+
+    def defaults(self, work: Work, timeout_s: float | None) -> tuple[Work, float]:
+        """Return work with the defaults of its class, and its time-out in seconds."""
+        spec = self._dispatcher.config.work_kinds.get(work.job_class)
+        if spec is None:
+            return work, timeout_s or self.default_timeout_s
+        work = dataclasses.replace(
+            work,
+            target=work.target or spec.target,
+            idempotent=work.idempotent and spec.idempotent,
+        )
+        return work, timeout_s or spec.timeout_s
+
+    def submit(self, work: Work, digest: str) -> "asyncio.Future[Answer] | Answer":
+        """Take a request; return its answer or a future of it."""
+        return self._dispatcher.entry.submit(work, digest)
+
+    async def find(self, request_id: str) -> "asyncio.Future[Answer] | Answer | None":
+        """Return a request's answer or a future of it; None if it is not known."""
+        entry = self._dispatcher.entry
+        found = entry.answer_of(request_id) or entry.wait_for(request_id)
+        if found is not None:
+            return found
+        watched = entry.watch(request_id)
+        known = await self._finder.explain(request_id, watch=True)
+        return watched if known is not None else None
+
+    async def cancel(self, request_id: str) -> bool:
+        """Cancel a request; False if it is not known."""
+        if self._dispatcher.entry.cancel(request_id):
+            return True
+        known = await self._finder.explain(request_id) is not None
+        if known:
+            self._dispatcher.cancel_everywhere(request_id)
+        return known
+
+    async def explain(self, request_id: str) -> str:
+        """Return one sentence that says where a request stands."""
+        known = await self._finder.explain(request_id)
+        if known is not None:
+            return known
+        answer = self._dispatcher.entry.answer_of(request_id)
+        if answer is not None:
+            return f"The request was answered: {answer.detail or answer.code.meaning}"
+        if self._dispatcher.entry.is_open(request_id):
+            return "The request waits until its shard has an owner that answers."
+        return "No request with this id is known here."
--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/dispatch.py
@@ -7,14 +7,16 @@
 from .codes import Code
 from .configuration import Configuration
 from .entry import Entry
-from .messages import Answer, AuditEvent, Authority, Cancel, Message, Submit, Work
-from .peers import Envelope, PeerTable
+from .lookup import Lookup, LookupReply
+from .messages import Answer, Authority, Cancel, Message, Submit, Work
+from .peers import Envelope
 from .shards import ShardTask
 from .workers import Workers
 
 __all__ = ["Dispatcher"]
 
-OwnerOf: t.TypeAlias = t.Callable[[str], str]
+OwnerOf: t.TypeAlias = t.Callable[[str], str | Code]
+Send: t.TypeAlias = t.Callable[[str, Envelope], None]
 
 
 class Dispatcher:
@@ -24,9 +26,11 @@
     ----------
     process, data_centre : str
     owner_of : callable
-        Returns the process id of a shard's owner; empty if it has none.
-    audit : callable
-        Takes audit events.
+        Returns the process id of a shard's owner, or why it has none.
+    send : callable
+        Takes the process id of a peer and an envelope for it.
+    notice : callable
+        Takes what the shards report besides answers: audit events, refused epochs.
     """
 
     def __init__(
@@ -35,7 +39,8 @@
         data_centre: str,
         workers: Workers,
         owner_of: OwnerOf,
-        audit: t.Callable[[AuditEvent], None],
+        send: Send,
+        notice: t.Callable[[t.Any], None],
         requests_limit: int,
     ):
         self.process = process
@@ -43,10 +48,10 @@
         self.config = Configuration()
         self.shards: dict[str, ShardTask] = {}
         self.entry = Entry(process, self, requests_limit)
-        self.peers: PeerTable | None = None
         self._workers = workers
         self._owner_of = owner_of
-        self._audit = audit
+        self._send_peer = send
+        self._notice = notice
         self._rng = random.Random()
         self._names: dict[str, list[str]] = {}
         self._cell: list[str] = []
@@ -61,18 +66,16 @@
         for task in self.shards.values():
             self._configure_shard(task)
 
-    def local_shards(self) -> list[str]:
+    def local_shards(self) -> tuple[str, ...]:
         """Return the names of the shards of this data centre."""
-        return self._names.get(self.data_centre, [])
+        return tuple(self._names.get(self.data_centre, ()))
 
-    def take(self, authority: Authority) -> ShardTask:
-        """Start to serve a shard."""
-        shard = authority.shard
+    def take(self, shard: str) -> ShardTask:
+        """Start to serve a shard; it places nothing until it is given authority."""
         task = ShardTask(
-            shard, self.process, self._workers, self.deliver, self._audit, self._rng
+            shard, self.process, self._workers, self.deliver, self._notice, self._rng
         )
         self.shards[shard] = task
-        task.post(authority)
         self._configure_shard(task)
         task.start()
         return task
@@ -88,11 +91,26 @@
         for shard in list(self.shards):
             await self.release(shard)
 
+    def authority(self, msg: Authority) -> None:
+        """Pass a new authority on to its shard."""
+        if msg.shard in self.shards:
+            self.shards[msg.shard].post(msg)
+
+    def vm_leaving(self, name: str, leaving: bool) -> None:
+        """Pass on what the platform's list says about a VM."""
+        for task in self.shards.values():
+            task.vm_leaving(name, leaving)
+
+    def vm_gone(self, name: str) -> None:
+        """Pass on that a VM is no longer listed."""
+        for task in self.shards.values():
+            task.vm_gone(name)
+
     def route(self, work: Work) -> tuple[str, str] | Code:
         """Return the shard and the owner of work, or why there is none."""
         shard = self._shard_of(work)
-        owner = self._owner_of(shard) if shard else ""
-        return (shard, owner) if owner else Code.NOT_OWNER
+        owner = self._owner_of(shard) if shard else Code.NOT_OWNER
+        return owner if isinstance(owner, Code) else (shard, owner)
 
     def submit(self, process: str, shard: str, msg: Submit, again: bool) -> None:
         """Send work to an owner."""
@@ -121,12 +139,26 @@
         if isinstance(envelope.message, Submit):
             self.entry.undelivered(process, envelope.message.work, code)
 
-    def explain(self, request_id: str) -> str:
-        """Return one sentence that says where a request stands."""
-        found = self.entry.work_of(request_id)
-        if found is None or found[1] not in self.shards:
-            return "No request with this id is known here."
-        return self.shards[found[1]].scheduler.explain(request_id)
+    def look_up(self, question: Lookup) -> list[LookupReply]:
+        """Return what the shards here know of a request."""
+        request_id, reply_to = question.request_id, question.reply_to
+        found = [task.look_up(request_id, reply_to) for task in self.shards.values()]
+        return [LookupReply(request_id, text) for text in found if text is not None]
+
+    def owners_of(self, request_id: str) -> set[str]:
+        """Return the owners that may know a request: all here, and its home."""
+        shards = {*self.local_shards()}
+        if self._cell:
+            shards.add(routing.home_shard(request_id, self._cell))
+        found = map(self._owner_of, shards)
+        return {owner for owner in found if not isinstance(owner, Code)}
+
+    def cancel_everywhere(self, request_id: str) -> None:
+        """Send a cancellation to all owners that may know a request."""
+        for shard in self.local_shards():
+            owner = self._owner_of(shard)
+            if not isinstance(owner, Code):
+                self.cancel(owner, shard, Cancel(request_id))
 
     def _shard_of(self, work: Work) -> str:
         key = routing.key_of(work)
@@ -140,8 +172,8 @@
     def _send(self, process: str, envelope: Envelope) -> None:
         if process == self.process:
             self.receive(process, envelope)
-        elif self.peers is not None:
-            self.peers.send(process, envelope)
+        else:
+            self._send_peer(process, envelope)
 
     def _receive_submit(self, envelope: Envelope, msg: Submit) -> None:
         shard = self.shards.get(envelope.shard)
--- a/src/poplaryard/entry.py
+++ b/src/poplaryard/entry.py
@@ -1,17 +1,19 @@
 """Requests that callers have open at this process, and where they are sent."""
 
 import asyncio
-import time
 import typing as t
 from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
+from .clock import SystemClock
 from .codes import Code, Outcome
 from .limits import RetryBudget
 from .messages import Answer, Cancel, Submit, Work
 
 __all__ = ["Entry", "Router"]
 
+_clock = SystemClock()
+
 # Time after the deadline in which the owner's own answer may still arrive.
 ANSWER_GRACE_S = 0.5
 # Interval after which an unanswered request is sent again with the same id: its owner
@@ -20,6 +22,8 @@
 RETRY_WAIT_S = 0.05
 CHECK_PERIOD_S = 0.25
 ANSWERS_KEPT = 20_000
+# Requests handed in elsewhere whose answers are awaited here; the oldest are dropped.
+WATCHED_LIMIT = 10_000
 
 # Codes after which the request may be sent to another owner.
 _REROUTED = frozenset(
@@ -85,6 +89,7 @@
         self._limit = limit
         self._open: dict[str, _Pending] = {}
         self._answers: OrderedDict[str, tuple[str, Answer]] = OrderedDict()
+        self._watched: OrderedDict[str, asyncio.Future[Answer]] = OrderedDict()
         self._budget = RetryBudget(floor_per_s=20.0, burst=100.0)
         self._timer: asyncio.Task[None] | None = None
 
@@ -98,11 +103,28 @@
             self._timer.cancel()
             await asyncio.gather(self._timer, return_exceptions=True)
 
+    async def drained(self, timeout_s: float) -> bool:
+        """Wait until all open requests are answered; False if that took too long."""
+        futures = [pending.fut for pending in self._open.values()]
+        if futures:
+            await asyncio.wait(futures, timeout=max(0.0, timeout_s))
+        return not self._open
+
     @property
     def open_requests(self) -> int:
         """Number of requests without an answer."""
         return len(self._open)
 
+    def watch(self, request_id: str) -> "asyncio.Future[Answer]":
+        """Return a future of the answer to a request handed in elsewhere."""
+        fut = self._watched.get(request_id)
+        if fut is None:
+            fut = asyncio.get_running_loop().create_future()
+            self._watched[request_id] = fut
+            if len(self._watched) > WATCHED_LIMIT:
+                self._watched.popitem(last=False)
+        return fut
+
     def answer_of(self, request_id: str) -> Answer | None:
         """Return the answer to a request if it was given here."""
         found = self._answers.get(request_id)
@@ -133,7 +155,7 @@
             return _refusal(work, Code.QUEUE_FULL, 1.0)
         pending = _Pending(work, digest, asyncio.get_running_loop().create_future())
         self._open[work.request_id] = pending
-        now = time.monotonic()
+        now = _clock.now()
         self._budget.first(now)
         self._send(pending, now)
         return pending.fut
@@ -156,6 +178,9 @@
 
     def on_answer(self, source: str, answer: Answer) -> None:
         """Take the answer that a process gave."""
+        watched = self._watched.pop(answer.request_id, None)
+        if watched is not None and not watched.done():
+            watched.set_result(answer)
         pending = self._open.get(answer.request_id)
         if pending is None:
             return
@@ -185,7 +210,7 @@
 
     def owners_changed(self) -> None:
         """Send every open request whose shard has a new owner to that owner."""
-        now = time.monotonic()
+        now = _clock.now()
         for pending in list(self._open.values()):
             found = self._router.route(pending.work)
             if not isinstance(found, Code) and found[1] != pending.owner:
@@ -200,11 +225,11 @@
         again = pending.owner in pending.unresolved
         pending.unresolved[pending.owner] += 1
         pending.sent_at, pending.retry_at = now, 0.0
-        msg = Submit(pending.work, self._process, time.time())
+        msg = Submit(pending.work, self._process, _clock.wall())
         self._router.submit(pending.owner, pending.shard, msg, again)
 
     def _retry_later(self, pending: _Pending, code: Code) -> None:
-        now = time.monotonic()
+        now = _clock.now()
         pending.last, pending.owner = code, ""
         if code in _REROUTED and now + RETRY_WAIT_S < pending.work.deadline:
             pending.retry_at = now + RETRY_WAIT_S
@@ -215,7 +240,7 @@
     def _retry(self, pending: _Pending) -> None:
         if pending.fut.done() or not pending.retry_at:
             return
-        now = time.monotonic()
+        now = _clock.now()
         if self._budget.take(now):
             self._send(pending, now)
         else:
@@ -240,7 +265,7 @@
     async def _watch(self) -> None:
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
-            now = time.monotonic()
+            now = _clock.now()
             for pending in list(self._open.values()):
                 self._check(pending, now)
 
--- a/src/poplaryard/links.py
+++ b/src/poplaryard/links.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import random
-import time
 import typing as t
 from collections import deque
 
+from .clock import SystemClock
 from .codes import Code
 from .exceptions import PoplaryardError
 from .messages import (
@@ -21,6 +21,8 @@
 
 __all__ = ["AuthorityCell", "WorkerLink"]
 
+_clock = SystemClock()
+
 START_BATCH = 64
 # Start calls open at once to one worker; a batch gathers while these are under way.
 START_CALLS = 4
@@ -46,7 +48,7 @@
 
     def valid(self) -> bool:
         """Tell whether the authority holds now."""
-        return time.monotonic() < self.value.until
+        return _clock.now() < self.value.until
 
     async def wait_valid(self) -> None:
         """Wait until the authority holds."""
--- a/src/poplaryard/peers.py
+++ b/src/poplaryard/peers.py
@@ -1,8 +1,8 @@
 """Messages between entry processes: batched calls out, one route in."""
 
 import asyncio
+import enum
 import json
-import time
 import typing as t
 from collections import deque
 from dataclasses import dataclass
@@ -13,10 +13,11 @@
 
 from . import wire
 from .client import HttpClient
+from .clock import SystemClock
 from .codes import Code
 from .exceptions import PoplaryardError
 
-__all__ = ["Envelope", "PeerTable", "peer_routes"]
+__all__ = ["CallResult", "Envelope", "PeerTable", "peer_routes"]
 
 BATCH_MESSAGES = 256
 BATCH_WAIT_S = 0.002
@@ -26,6 +27,21 @@
 # A batch of full requests: 256 messages of 256 KB would not be bounded.
 BATCH_BYTES_LIMIT = 8 * 1024 * 1024
 
+_clock = SystemClock()
+
+
+class CallResult(enum.Enum):
+    """What is known about a call to a peer.
+
+    `DEAD` means that its address refuses connections or belongs to another process,
+    which proves that the process has ended.
+    """
+
+    DELIVERED = "delivered"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+    DEAD = "dead"
+
 
 @dataclass(frozen=True, slots=True)
 class Envelope:
@@ -44,6 +60,7 @@
     again: bool = False
 
 
+Receive: t.TypeAlias = t.Callable[[str, Envelope], t.Sequence[t.Any] | None]
 Failed: t.TypeAlias = t.Callable[[str, Envelope, Code], None]
 
 
@@ -68,6 +85,9 @@
     ----------
     process, address : str
         Id and address of this process, sent with each batch.
+    receive : callable
+        Takes the sender's id and an envelope, and may return messages that go back
+        with the reply to the call.
     failed : callable
         Takes the peer's id, the envelope and the code of each message that was not
         delivered (`PEER_UNREACHABLE`) or may have been (`PEER_TIMEOUT`).
@@ -81,12 +101,14 @@
         process: str,
         address: str,
         client: HttpClient,
+        receive: Receive,
         failed: Failed,
         limit: int = 2048,
     ):
         self._process = process
         self._address = address
         self._client = client
+        self.receive = receive
         self._failed = failed
         self._limit = limit
         self._addresses: dict[str, str] = {}
@@ -147,40 +169,67 @@
         finally:
             outbox.calls -= 1
 
-    async def _send(self, process: str, batch: list[Envelope]) -> None:
-        url = f"http://{self._addresses[process]}/peer/v1/batch"
-        try:
-            reply = await self._client.post(url, self._encoded(batch), CALL_TIMEOUT_S)
-            code = Code.OK if reply.status == 200 else Code.PEER_UNREACHABLE
-        except PoplaryardError as exc:
-            code = exc.code
+    async def call(
+        self, process: str, batch: t.Sequence[Envelope], timeout_s: float
+    ) -> CallResult:
+        """Send messages at once, past those that wait, and take the replies."""
+        address = self._addresses.get(process, "")
+        url = f"http://{address}/peer/v1/batch"
         self.sent_batches += 1
         self.sent_messages += len(batch)
-        if code is not Code.OK:
-            for envelope in batch:
-                self._failed(process, envelope, code)
+        try:
+            reply = await self._client.post(
+                url, self._encoded(process, batch), timeout_s
+            )
+        except PoplaryardError as exc:
+            return _result_of(exc)
+        if reply.status == Code.STALE_EPOCH.status:
+            return CallResult.DEAD
+        if reply.status != 200:
+            return CallResult.NOT_SENT
+        self._take_replies(process, reply.body)
+        return CallResult.DELIVERED
+
+    async def _send(self, process: str, batch: list[Envelope]) -> None:
+        result = await self.call(process, batch, CALL_TIMEOUT_S)
+        if result is CallResult.DELIVERED:
+            return
+        lost = result is CallResult.UNKNOWN
+        code = Code.PEER_TIMEOUT if lost else Code.PEER_UNREACHABLE
+        for envelope in batch:
+            self._failed(process, envelope, code)
 
-    def _encoded(self, batch: list[Envelope]) -> dict[str, t.Any]:
-        now = time.monotonic()
+    def _encoded(self, process: str, batch: t.Sequence[Envelope]) -> dict[str, t.Any]:
+        now = _clock.now()
         return {
             "from": self._process,
             "address": self._address,
+            "to": process,
             "messages": [_encode(envelope, now) for envelope in batch],
         }
 
+    def _take_replies(self, process: str, body: t.Any) -> None:
+        now = _clock.now()
+        for item in body.get("messages", ()) if isinstance(body, dict) else ():
+            self.receive(process, _decode(item, now))
+
+    def is_me(self, process: str) -> bool:
+        """Tell whether a batch is for this process and not for one before it."""
+        return process in (self._process, self._address)
+
 
-Receive: t.TypeAlias = t.Callable[[str, Envelope], None]
+def _result_of(exc: PoplaryardError) -> CallResult:
+    if isinstance(exc.__cause__, ConnectionRefusedError):
+        return CallResult.DEAD
+    unsent = exc.code is Code.PEER_UNREACHABLE
+    return CallResult.NOT_SENT if unsent else CallResult.UNKNOWN
 
 
-def peer_routes(
-    peers: PeerTable, receive: Receive, allowed: t.Callable[[Request], bool]
-) -> list[Route]:
+def peer_routes(peers: PeerTable, allowed: t.Callable[[Request], bool]) -> list[Route]:
     """Return the route that takes batches.
 
     Parameters
     ----------
-    receive : callable
-        Takes the sender's process id and each envelope.
     allowed : callable
         Tells whether a request carries the peer key.
     """
@@ -189,27 +238,41 @@
         if not allowed(request):
             return Response(status_code=Code.UNAUTHENTICATED.status)
         try:
-            sender, address, envelopes = await _read(request)
+            found = await _read(request)
+            envelopes = _envelopes(found)
         except (PoplaryardError, ValueError, KeyError, TypeError):
             return Response(status_code=Code.MALFORMED.status)
-        peers.learn(sender, address)
-        for envelope in envelopes:
-            receive(sender, envelope)
-        return Response(b"{}", media_type="application/json")
+        if not peers.is_me(found["to"]):
+            return Response(status_code=Code.STALE_EPOCH.status)
+        peers.learn(found["from"], found["address"])
+        return _replies(peers, found["from"], envelopes)
 
     return [Route("/peer/v1/batch", batch, methods=["POST"])]
 
 
-async def _read(request: Request) -> tuple[str, str, list[Envelope]]:
+def _replies(peers: PeerTable, sender: str, envelopes: list[Envelope]) -> Response:
+    replies = [msg for item in envelopes for msg in peers.receive(sender, item) or ()]
+    now = _clock.now()
+    body = {"messages": [wire.encode(msg, now) for msg in replies]} if replies else {}
+    data = json.dumps(body, separators=(",", ":")).encode()
+    return Response(data, media_type="application/json")
+
+
+async def _read(request: Request) -> dict[str, t.Any]:
     data = bytearray()
     async for chunk in request.stream():
         data += chunk
         if len(data) > BATCH_BYTES_LIMIT:
             raise PoplaryardError(Code.TOO_LARGE)
     found = json.loads(data)
-    now = time.monotonic()
-    envelopes = [_decode(item, now) for item in found["messages"]]
-    return found["from"], found["address"], envelopes
+    if not all(isinstance(found[key], str) for key in ("from", "address", "to")):
+        raise PoplaryardError(Code.INVALID)
+    return found
+
+
+def _envelopes(found: dict[str, t.Any]) -> list[Envelope]:
+    now = _clock.now()
+    return [_decode(item, now) for item in found["messages"]]
 
 
 def _encode(envelope: Envelope, now: float) -> dict[str, t.Any]:
--- a/src/poplaryard/serve.py
+++ b/src/poplaryard/serve.py
@@ -1,41 +1,59 @@
-"""Commands that run a process until it is told to stop."""
+"""Command that runs one entry process until it is told to stop."""
 
 import asyncio
-import pathlib
+import os
 import signal
+import sys
+import typing as t
 
 import click
 
-from . import tickets
 from .app import Application
-from .configuration import Configuration
 from .settings import settings_or_exit
 
-__all__ = ["serve"]
+__all__ = ["Stop", "serve"]
+
+EXIT_FORCED = 1
+
+
+class Stop:
+    """Waits for SIGTERM or SIGINT; a second one ends the process at once.
+
+    Parameters
+    ----------
+    left_over : callable
+        Returns what is lost if the process ends now.
+    """
+
+    def __init__(self, left_over: t.Callable[[], str]):
+        self._left_over = left_over
+        self._asked = asyncio.Event()
+
+    async def wait(self) -> None:
+        """Return when the process is told to stop."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._signalled)
+        await self._asked.wait()
+
+    def _signalled(self) -> None:
+        if not self._asked.is_set():
+            self._asked.set()
+            return
+        click.echo(f"stopped at once, left: {self._left_over()}", err=True)
+        sys.stderr.flush()
+        os._exit(EXIT_FORCED)
 
 
 @click.command()
-@click.option("--config", "path", required=True, type=click.Path())
-@click.option("--ticket", type=click.Path(exists=True))
-def serve(path: str, ticket: str) -> None:
+@click.option("--config", "path", required=True, type=click.Path(), help="Settings.")
+def serve(path: str) -> None:
     """Run one entry process until SIGTERM."""
-    settings = settings_or_exit(path)
-    found = tickets.parse(pathlib.Path(ticket).read_bytes())
-    configuration = tickets.apply(Configuration(), 1, found)
-    asyncio.run(_serve(Application(settings, configuration)))
+    asyncio.run(_serve(Application(settings_or_exit(path))))
 
 
 async def _serve(app: Application) -> None:
     await app.start()
     click.echo(f"listening on {app.address}")
-    await stopped()
+    await Stop(app.left_over).wait()
     await app.stop()
-
-
-async def stopped() -> None:
-    """Return when the process is told to stop."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await stop.wait()
--- a/src/poplaryard/settings.py
+++ b/src/poplaryard/settings.py
@@ -85,8 +85,8 @@
         Address given to peers; that of `listen` if empty.
     platform : str
         Address of the platform's store.
-    peers : list of str
-        Addresses of entry processes of this and other data centres, asked at start.
+    peers : dict
+        Data centre to addresses of some of its entry processes.
     """
 
     process: Name
@@ -95,7 +95,7 @@
     listen: str
     advertise: str = ""
     platform: str
-    peers: list[str] = Field(default_factory=list, max_length=256)
+    peers: dict[Name, list[str]] = Field(default_factory=dict, max_length=64)
     keys: Keys
     limits: Limits = Field(default_factory=Limits)
     log_level: t.Literal["debug", "info", "warning", "error"] = "info"
@@ -112,8 +112,8 @@
 
     @field_validator("peers")
     @classmethod
-    def _addresses(cls, value: list[str]) -> list[str]:
-        return [_check_address(item) for item in value]
+    def _addresses(cls, value: dict[str, list[str]]) -> dict[str, list[str]]:
+        return {dc: [_check_address(a) for a in found] for dc, found in value.items()}
 
 
 def load_settings(path: str | pathlib.Path) -> Settings:
--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -3,10 +3,10 @@
 import asyncio
 import dataclasses
 import random
-import time
 import typing as t
-from collections import deque
+from collections import OrderedDict, deque
 
+from .clock import SystemClock
 from .codes import Code
 from .configuration import Configuration, VmSpec
 from .links import AuthorityCell, WorkerLink
@@ -14,9 +14,11 @@
     Answer,
     AuditEvent,
     Authority,
+    ClaimReply,
     ClaimWorker,
     Configure,
     Message,
+    PollReply,
     StartAttempt,
     StopAttempt,
     Submit,
@@ -25,17 +27,21 @@
     VmUpdate,
 )
 from .scheduler import ShardScheduler
+from .takeover import EpochRefused
 from .workers import Workers
 
 __all__ = ["ShardTask"]
 
 QUEUE_LIMIT = 20_000
+ANSWERS_KEPT = 20_000
 # Messages handled before other tasks of the loop run again.
 SLICE = 128
 BUSY_TICK_S = 0.1
 IDLE_TICK_S = 0.5
 _BUSY_AFTER_MESSAGE_S = 2.0
 
+_clock = SystemClock()
+
 Deliver: t.TypeAlias = t.Callable[[str, Message], None]
 
 
@@ -48,8 +54,8 @@
     workers : Workers
     deliver : callable
         Takes a process id and the answer that goes to it.
-    audit : callable
-        Takes audit events.
+    notice : callable
+        Takes audit events, and `EpochRefused` when a worker knows a higher epoch.
     """
 
     def __init__(
@@ -58,7 +64,7 @@
         process: str,
         workers: Workers,
         deliver: Deliver,
-        audit: t.Callable[[AuditEvent], None],
+        notice: t.Callable[[t.Any], None],
         rng: random.Random,
     ):
         self.shard = shard
@@ -66,13 +72,14 @@
         self._process = process
         self._workers = workers
         self._deliver = deliver
-        self._audit = audit
+        self._notice = notice
         self._inbox: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._authority = AuthorityCell(shard)
         self._links: dict[str, WorkerLink] = {}
         self._vms: dict[str, tuple[VmSpec, bool]] = {}
         self._waiting: dict[str, set[str]] = {}
+        self._answers: OrderedDict[str, Answer] = OrderedDict()
         self._tasks: list[asyncio.Task[None]] = []
         self._busy_until = 0.0
 
@@ -140,6 +147,25 @@
         if name in self._vms:
             self._update_vm(self._vms[name][0], leaving)
 
+    def vm_gone(self, name: str) -> None:
+        """Note that the platform no longer lists a VM."""
+        if self._vms.pop(name, None) is not None:
+            self.post(VmGone(name))
+
+    def look_up(self, request_id: str, reply_to: str) -> str | None:
+        """Return where a request stands, or None if it is not known here.
+
+        Its answer is sent to the process `reply_to`, at once or when there is one.
+        """
+        answer = self._answers.get(request_id)
+        if answer is None and request_id not in self._waiting:
+            return None
+        if answer is not None and reply_to:
+            self._deliver(reply_to, dataclasses.replace(answer, reply_to=reply_to))
+        elif reply_to:
+            self._waiting[request_id].add(reply_to)
+        return self.scheduler.explain(request_id)
+
     def _update_vm(self, vm: VmSpec, leaving: bool) -> None:
         if self._vms.get(vm.name) == (vm, leaving):
             return
@@ -157,12 +183,12 @@
 
     async def _tick(self) -> None:
         while True:
-            busy = self._waiting or time.monotonic() < self._busy_until
+            busy = self._waiting or _clock.now() < self._busy_until
             await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
             self.post(Tick())
 
     def _handle(self, msg: Message) -> None:
-        now = time.monotonic()
+        now = _clock.now()
         if isinstance(msg, Submit):
             self._busy_until = now + _BUSY_AFTER_MESSAGE_S
             self._waiting.setdefault(msg.work.request_id, set()).add(msg.reply_to)
@@ -170,9 +196,16 @@
             self._link(msg.vm)
         elif isinstance(msg, VmGone):
             self._unlink(msg.vm)
+        elif isinstance(msg, ClaimReply | PollReply):
+            self._check_epoch(msg)
         for out in self.scheduler.handle(now, msg):
             self._dispatch(out)
 
+    def _check_epoch(self, reply: ClaimReply | PollReply) -> None:
+        epoch = self.authority.epoch
+        if reply.epoch > epoch:
+            self._notice(EpochRefused(self.shard, epoch))
+
     def _dispatch(self, out: t.Any) -> None:
         if isinstance(out, StartAttempt):
             self._links[out.vm].start(out)
@@ -182,11 +215,14 @@
             self._links[out.vm].stop_attempt(out)
         elif isinstance(out, ClaimWorker):
             self._links[out.vm].claim(out)
-        elif isinstance(out, AuditEvent):
-            self._audit(out)
+        elif isinstance(out, AuditEvent | EpochRefused):
+            self._notice(out)
 
     def _answer(self, answer: Answer) -> None:
         """Send an answer to every process that has a caller waiting for it."""
+        self._answers[answer.request_id] = answer
+        if len(self._answers) > ANSWERS_KEPT:
+            self._answers.popitem(last=False)
         targets = self._waiting.pop(answer.request_id, set())
         for target in sorted(targets or {answer.reply_to}):
             if target:
--- a/src/poplaryard/standin_platform_http.py
+++ b/src/poplaryard/standin_platform_http.py
@@ -150,7 +150,9 @@
         return {"entries": [_json(entry) for entry in found]}
 
     async def _do_vms(self, body: t.Any) -> t.Any:
-        return {"vms": self.list_vms()}
+        wanted = body.get("data_centre")
+        listed = self.list_vms()
+        return {"vms": [vm for vm in listed if wanted in (None, vm["data_centre"])]}
 
     async def _fault(self, request: Request) -> Response:
         body = json.loads(await request.body())
--- a/src/poplaryard/standin_worker_http.py
+++ b/src/poplaryard/standin_worker_http.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import json
-import time
 import typing as t
 
 from starlette.applications import Starlette
@@ -12,12 +11,15 @@
 from starlette.routing import Route
 
 from . import wire
+from .clock import SystemClock
 from .messages import StartAttempt, StopAttempt
 from .server import HttpServer
 from .standin_worker import WorkerVm
 
 __all__ = ["WorkerHost"]
 
+_clock = SystemClock()
+
 # Time for which a dropped reply is withheld; longer than any caller waits for it.
 HANG_S = 30.0
 EXPIRY_PERIOD_S = 0.25
@@ -80,11 +82,11 @@
         if vm is None:
             return _no_such_vm(body["vm"])
         reply = vm.claim(int(body["epoch"]))
-        return await self._answer(vm, wire.encode(reply, time.monotonic()))
+        return await self._answer(vm, wire.encode(reply, _clock.now()))
 
     async def _start(self, request: Request) -> Response:
         body = await self._body(request)
-        now = time.monotonic()
+        now = _clock.now()
         starts = [wire.decode_as(StartAttempt, item, now) for item in body["starts"]]
         vm = await self._vm(starts[0].vm) if starts else None
         if vm is None:
@@ -94,7 +96,7 @@
 
     async def _stop(self, request: Request) -> Response:
         body = await self._body(request)
-        now = time.monotonic()
+        now = _clock.now()
         stops = [wire.decode_as(StopAttempt, item, now) for item in body["stops"]]
         vm = await self._vm(stops[0].vm) if stops else None
         if vm is None:
@@ -112,7 +114,7 @@
             int(body["epoch"]), int(body["seen"]), float(body["wait_s"])
         )
         await self._vm(vm.name)
-        found = wire.encode(reply, time.monotonic())
+        found = wire.encode(reply, _clock.now())
         return await self._answer(vm, {"reply": found, "number": number})
 
     async def _fault(self, request: Request) -> Response:
--- a/src/poplaryard/store_http.py
+++ b/src/poplaryard/store_http.py
@@ -11,10 +11,11 @@
     StoreReplyLost,
 )
 from .store import Entry
+from .vmlist import ListedVm
 
 __all__ = ["HttpStore"]
 
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 1.5
 _STATUS_CONFLICT = 409
 
 
@@ -71,9 +72,10 @@
         found = await self._call("watch", body, wait_s + CALL_TIMEOUT_S)
         return [_entry(item) for item in found["entries"]]
 
-    async def vms(self) -> list[dict[str, t.Any]]:
-        """Return the platform's list of live and leaving VMs, which lags."""
-        return list((await self._call("vms", {}))["vms"])
+    async def vms(self, data_centre: str) -> list[ListedVm]:
+        """Return the platform's list of live and leaving VMs of a data centre."""
+        found = (await self._call("vms", {"data_centre": data_centre}))["vms"]
+        return [ListedVm(item["name"], item["leaving"]) for item in found]
 
     async def _call(
         self, name: str, body: t.Any, timeout_s: float = CALL_TIMEOUT_S
--- a/src/poplaryard/wire.py
+++ b/src/poplaryard/wire.py
@@ -5,6 +5,7 @@
 clocks of two processes cannot be compared.
 """
 
+import collections.abc
 import enum
 import math
 import types
@@ -120,6 +121,8 @@
     origin = t.get_origin(hint)
     if origin in (tuple, frozenset):
         return _sequence_codecs(origin, t.get_args(hint)[0])
+    if origin is collections.abc.Mapping:
+        return _mapping_codecs(t.get_args(hint)[1])
     if origin is not None or not isinstance(hint, type):
         return None, None
     if hint is Resources:
@@ -168,6 +171,21 @@
     return encode_items, decode_items
 
 
+def _mapping_codecs(inner: t.Any) -> tuple[_Codec | None, _Codec | None]:
+    encoder, decoder = _codecs(inner)
+    if encoder is None:
+        return None, None
+
+    def encode_items(value: t.Any, now: float) -> dict[str, t.Any]:
+        return {key: encoder(item, now) for key, item in value.items()}
+
+    def decode_items(value: t.Any, now: float) -> dict[str, t.Any]:
+        items = value.items()
+        return {k: decoder(item, now) if decoder else item for k, item in items}
+
+    return encode_items, decode_items
+
+
 def _encode_resources(value: Resources, _: float) -> list[int]:
     return [value.cpu_m, value.mem_mb, value.gpus]
 
--- a/src/poplaryard/workers_http.py
+++ b/src/poplaryard/workers_http.py
@@ -1,10 +1,10 @@
 """HTTP adapter of the worker interface."""
 
-import time
 import typing as t
 
 from . import wire
 from .client import HttpClient
+from .clock import SystemClock
 from .codes import Code
 from .exceptions import PoplaryardError
 from .messages import (
@@ -17,6 +17,8 @@
 
 __all__ = ["HttpWorkers"]
 
+_clock = SystemClock()
+
 CALL_TIMEOUT_S = 1.5
 CLAIM_TIMEOUT_S = 3.0
 
@@ -31,20 +33,20 @@
         """Claim a worker under an epoch."""
         body = {"vm": vm, "epoch": epoch}
         found = await self._call(address, "claim", body, CLAIM_TIMEOUT_S)
-        return wire.decode_as(ClaimReply, found, time.monotonic())
+        return wire.decode_as(ClaimReply, found, _clock.now())
 
     async def start(
         self, address: str, starts: t.Sequence[StartAttempt]
     ) -> list[StartReply]:
         """Start attempts, each answered with its own code."""
-        now = time.monotonic()
+        now = _clock.now()
         body = {"starts": [wire.encode(start, now) for start in starts]}
         found = await self._call(address, "start", body, CALL_TIMEOUT_S)
         return [wire.decode_as(StartReply, item, now) for item in found["replies"]]
 
     async def stop(self, address: str, stops: t.Sequence[StopAttempt]) -> None:
         """Stop, drain, checkpoint or throttle attempts."""
-        now = time.monotonic()
+        now = _clock.now()
         body = {"stops": [wire.encode(stop, now) for stop in stops]}
         await self._call(address, "stop", body, CALL_TIMEOUT_S)
 
@@ -54,7 +56,7 @@
         """Renew the leases of all attempts and wait for changes after `seen`."""
         body = {"vm": vm, "epoch": epoch, "seen": seen, "wait_s": wait_s}
         found = await self._call(address, "poll", body, wait_s + CALL_TIMEOUT_S)
-        reply = wire.decode_as(PollReply, found["reply"], time.monotonic())
+        reply = wire.decode_as(PollReply, found["reply"], _clock.now())
         return reply, int(found["number"])
 
     async def _call(
