--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -11,6 +11,7 @@
 _COMMANDS: dict[str, str] = {
     "bench": "bench:bench",
     "check-config": "settings:check_config",
+    "load": "load:load",
     "serve": "serve:serve",
     "standin": "standin:standin",
 }
--- /dev/null
+++ b/src/poplaryard/load.py
@@ -0,0 +1,146 @@
+"""Load generator: sends requests at a given rate, whatever the answers do."""
+
+import asyncio
+import json
+import random
+import secrets
+import typing as t
+from collections import Counter
+
+import click
+from hdrh.histogram import HdrHistogram
+
+from .client import HttpClient
+from .clock import SystemClock
+from .codes import Code
+from .exceptions import PoplaryardError
+
+__all__ = ["LoadResult", "load", "run_load"]
+
+_clock = SystemClock()
+
+LARGEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+REQUEST_TIMEOUT_S = 30.0
+# Arrivals due within this time are sent in one step of the loop.
+STEP_S = 0.001
+
+
+class LoadResult:
+    """Latencies and codes of one run.
+
+    Latency is counted from the time at which a request was due, so that a generator
+    or server that falls behind cannot hide the wait.
+    """
+
+    def __init__(self) -> None:
+        self.latency = HdrHistogram(1, LARGEST_US, SIGNIFICANT_DIGITS)
+        self.codes: Counter[int] = Counter()
+        self.incomplete = 0
+
+    def record(self, due: float, code: int, whole: bool) -> None:
+        """Count one answer."""
+        elapsed_us = int((_clock.now() - due) * 1e6)
+        self.latency.record_value(min(max(elapsed_us, 1), LARGEST_US))
+        self.codes[code] += 1
+        self.incomplete += not whole
+
+    def summary(self, rate: float, duration_s: float) -> dict[str, t.Any]:
+        """Return the figures as JSON; times in milliseconds."""
+        quantiles = {"p50": 50.0, "p99": 99.0, "p99.9": 99.9, "max": 100.0}
+        done = sum(self.codes.values())
+        figures: dict[str, t.Any] = {
+            "rate": rate,
+            "done_per_s": round(done / duration_s, 1),
+            "codes": {str(code): count for code, count in sorted(self.codes.items())},
+            "incomplete": self.incomplete,
+        }
+        for name, value in quantiles.items():
+            found = self.latency.get_value_at_percentile(value) / 1000
+            figures[f"{name}_ms"] = round(found, 2)
+        return figures
+
+
+async def run_load(
+    targets: t.Sequence[str],
+    key: str,
+    *,
+    rate: float,
+    duration_s: float,
+    service: str = "booking",
+    run_ms: float = 5.0,
+    seed: int = 1,
+    connections: int = 1024,
+) -> LoadResult:
+    """Send requests with exponential gaps to the targets in turn.
+
+    Parameters
+    ----------
+    rate : float
+        Requests per second.
+    run_ms : float
+        Time for which an executor works on each request.
+    """
+    client = HttpClient(connections, key)
+    rng = random.Random(seed)
+    result = LoadResult()
+    prefix = secrets.token_hex(4)
+    tasks: set[asyncio.Task[None]] = set()
+    start = _clock.now()
+    due, number = start, 0
+    while due < start + duration_s:
+        now = _clock.now()
+        while due <= now + STEP_S and due < start + duration_s:
+            url = f"http://{targets[number % len(targets)]}/v1/requests"
+            body = _body(f"{prefix}-{number}", service, run_ms, number)
+            task = asyncio.create_task(_send(client, url, body, due, result))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            number += 1
+            due += rng.expovariate(rate)
+        await asyncio.sleep(max(0.0, due - _clock.now()))
+    if tasks:
+        await asyncio.wait(tasks)
+    await client.close()
+    return result
+
+
+def _body(
+    request_id: str, service: str, run_ms: float, number: int
+) -> dict[str, t.Any]:
+    payload = {"run_ms": run_ms, "echo": number}
+    return {"id": request_id, "target": service, "payload": payload}
+
+
+async def _send(
+    client: HttpClient, url: str, body: dict[str, t.Any], due: float, result: LoadResult
+) -> None:
+    try:
+        reply = await client.post(url, body, REQUEST_TIMEOUT_S)
+    except PoplaryardError as exc:
+        result.record(due, int(exc.code), True)
+        return
+    code = int(reply.body["code"])
+    result.record(due, code, code != Code.OK or _whole(body, reply.body))
+
+
+def _whole(body: dict[str, t.Any], found: dict[str, t.Any]) -> bool:
+    """Tell whether an answer is the whole answer to this very request."""
+    parts = found.get("parts") or [{}]
+    same_id = found.get("id") == body["id"]
+    return same_id and parts[0].get("echo") == body["payload"]["echo"]
+
+
+@click.command()
+@click.option("--target", "targets", multiple=True, required=True, help="Address.")
+@click.option("--key", required=True, help="Caller key.")
+@click.option("--rate", default=500.0, help="Requests per second.")
+@click.option("--duration", "duration_s", default=10.0, help="Seconds.")
+@click.option("--service", default="booking")
+@click.option("--run-ms", default=5.0, help="Work of each request in milliseconds.")
+@click.option("--seed", default=1)
+def load(targets: tuple[str, ...], key: str, **options: t.Any) -> None:
+    """Send requests at a fixed rate and print latencies as JSON."""
+    result = asyncio.run(run_load(targets, key, **options))
+    summary = result.summary(options["rate"], options["duration_s"])
+    click.echo(json.dumps(summary))
