--- /dev/null
+++ b/src/poplaryard/bench_stragglers.py
@@ -0,0 +1,105 @@
+"""Stragglers: short work on GPU VMs beside jobs that run 100 times longer."""
+
+import math
+import random
+import typing as t
+
+from .bench_baselines import BASELINES
+from .bench_driver import Cluster, Host, Job, run
+from .bench_figures import figures
+from .bench_subject import Subject
+from .configuration import Policy
+from .messages import Work, WorkKind
+from .resources import Resources
+
+__all__ = ["rows"]
+
+_SPAN_S = 600.0
+_HOSTS = 7
+_CAPACITY = Resources(128_000, 262_144, 8)
+_NEED = Resources(16_000, 32_768, 1)
+_SLOTS = 8 * _HOSTS
+_SHORT_S = 1.0
+_LONG_S = 100.0
+_LONG_SHARE = 0.01
+# Waits below the time of one hop to the worker count as that time in ratios.
+_FLOOR_S = 0.001
+_THRESHOLD_S = 8.0
+# Swing: for 5 s of each 60 s short work arrives at five times its usual rate.
+_SWING_EVERY_S = 60.0
+_SWING_S = 5.0
+_SWING_FACTOR = 5.0
+# Load, whether short work swings, whether long work can be checkpointed.
+_CASES = {
+    "load 0.7, rigid": (0.7, False, False),
+    "load 0.7": (0.7, False, True),
+    "load 0.9, rigid": (0.9, False, False),
+    "load 0.9": (0.9, False, True),
+    "swing, rigid": (0.7, True, False),
+    "swing": (0.7, True, True),
+}
+
+
+def rows(seed: int) -> list[dict[str, t.Any]]:
+    """Return the figures of short and long work for each load and strategy."""
+    strategies = {"poplaryard": _subject, **BASELINES}
+    found = []
+    for case in _CASES:
+        for name, make in strategies.items():
+            found += _compare(case, name, make, seed)
+    return found
+
+
+def _subject(cluster: Cluster, rng: random.Random) -> Subject:
+    return Subject(cluster, rng, Policy(short_s=_THRESHOLD_S))
+
+
+def _compare(case: str, name: str, make: t.Any, seed: int) -> list[dict[str, t.Any]]:
+    with_long = _jobs(random.Random(seed), *_CASES[case])
+    alone = [
+        job for job in _jobs(random.Random(seed), *_CASES[case]) if job.label == "short"
+    ]
+    cluster = run(alone, _hosts(), make, seed)
+    before = figures(alone, cluster, _SPAN_S, "short")
+    cluster = run(with_long, _hosts(), make, seed)
+    short = figures(with_long, cluster, _SPAN_S, "short")
+    long = figures(with_long, cluster, _SPAN_S, "long")
+    floored = [max(_FLOOR_S, row["wait_p99_s"]) for row in (short, before)]
+    ratio = round(floored[0] / floored[1], 3)
+    head = {"case": case, "strategy": name}
+    return [
+        {**head, "work": "short alone", **before},
+        {**head, "work": "short", **short, "p99_ratio": ratio},
+        {**head, "work": "long", **long},
+    ]
+
+
+def _hosts() -> list[Host]:
+    return [Host(f"vm{number:03d}", _CAPACITY) for number in range(_HOSTS)]
+
+
+def _jobs(rng: random.Random, load: float, swing: bool, checkpoints: bool) -> list[Job]:
+    mean_s = (1 - _LONG_SHARE) * _SHORT_S + _LONG_SHARE * _LONG_S
+    per_s = load * _SLOTS / mean_s
+    jobs: list[Job] = []
+    now = 0.0
+    while (now := now + rng.expovariate(per_s)) < _SPAN_S:
+        in_swing = swing and now % _SWING_EVERY_S < _SWING_S
+        for _ in range(int(_SWING_FACTOR) if in_swing else 1):
+            jobs.append(_job(rng, len(jobs), now, checkpoints))
+    return jobs
+
+
+def _job(rng: random.Random, number: int, now: float, checkpoints: bool) -> Job:
+    long = rng.random() < _LONG_SHARE
+    run_s = rng.uniform(0.5, 1.5) * (_LONG_S if long else _SHORT_S)
+    off = math.exp(rng.uniform(math.log(0.3), math.log(3.0)))
+    work = Work(
+        request_id=f"j{number}",
+        kind=WorkKind.BATCH,
+        team=f"team{number % 4}",
+        need=_NEED,
+        declared_s=run_s * off,
+        checkpointable=long and checkpoints,
+    )
+    return Job(work, run_s, now, "long" if long else "short")
--- a/src/poplaryard/lanes.py
+++ b/src/poplaryard/lanes.py
@@ -32,6 +32,7 @@
     long: bool
     place: str
     need: Resources
+    checkpointable: bool = False
 
 
 @dataclass(slots=True)
@@ -82,7 +83,13 @@
     """Return the lane of an entry by priority, length, place and need."""
     work = entry.work
     expected_s = entry.expected_s or work.declared_s
-    return Lane(work.priority, expected_s > short_s, place_of(work), unit_of(work))
+    return Lane(
+        work.priority,
+        expected_s > short_s,
+        place_of(work),
+        unit_of(work),
+        work.checkpointable,
+    )
 
 
 class LaneQueue:
--- a/src/poplaryard/queues.py
+++ b/src/poplaryard/queues.py
@@ -150,7 +150,8 @@
         """
         charge = unit_of(entry.work) if charge is None else charge
         lane = entry.lane or lane_of(entry, self._policy.short_s)
-        self._reserve(lane.place).started(now, attempt_id, charge, lane.long)
+        reserve = self._reserve(lane.place)
+        reserve.started(now, attempt_id, charge, lane.long, lane.checkpointable)
         self._places[attempt_id] = (lane.place, entry.work.team)
         self.touch(entry.work.team)
 
@@ -161,6 +162,14 @@
             self._reserve(place).ended(now, attempt_id)
             self.touch(team)
 
+    def to_yield(self, now: float) -> list[str]:
+        """Return the long attempts to checkpoint now to make room for short work."""
+        return [
+            attempt_id
+            for reserve in self._reserves.values()
+            for attempt_id in reserve.to_yield()
+        ]
+
     def touch(self, team: str) -> None:
         """Take up a changed share of a team."""
         for lane in self._team_lanes.get(team, ()):
@@ -187,7 +196,8 @@
     def _may_start(self, now: float, lane: Lane) -> bool:
         if not lane.long or lane.priority is Priority.URGENT:
             return True
-        return self._reserve(lane.place).long_allowed(now, lane.need)
+        reserve = self._reserve(lane.place)
+        return reserve.long_allowed(now, lane.need, lane.checkpointable)
 
     def _reserve(self, place: str) -> Reserve:
         if place not in self._reserves:
