Check the reserve before each start of long work

Cause: one answer covered all long entries of a candidate list, so 16 started at once and used up the slack; short p99 at load 0.9 stayed near 0.11 s whatever the slack. Change: WaitQueues.may_start, asked before each start.

--- a/src/poplaryard/bench_subject.py
+++ b/src/poplaryard/bench_subject.py
@@ -99,6 +99,9 @@
         work, lane = entry.work, t.cast(Lane, entry.lane)
         if lane in blocked or (lane, work.team) in blocked:
             return False
+        if not self.queues.may_start(now, entry):
+            blocked.add(lane)
+            return False
         if self._fair and not self.quotas.allowed(work.team, work.need):
             blocked.add((lane, work.team))
             return False
--- a/src/poplaryard/lanes.py
+++ b/src/poplaryard/lanes.py
@@ -51,6 +51,8 @@
         Expected run time of one task in seconds; 0 stands for the declared one.
     reason : str
         Why the work waits, as one sentence for `explain`.
+    lane, waiting
+        Lane and number of waiting tasks, both set by `WaitQueues.push`.
     """
 
     work: Work
@@ -62,6 +64,7 @@
     reason: str = ""
     reply_to: str = ""
     lane: Lane | None = field(default=None, repr=False)
+    waiting: int = 1
 
 
 def place_of(work: Work) -> str:
--- a/src/poplaryard/queues.py
+++ b/src/poplaryard/queues.py
@@ -90,6 +90,7 @@
             tier[lane] = LaneQueue(self._share)
         tier[lane].add(entry)
         self._entries[work.request_id] = entry
+        entry.waiting = work.tasks - entry.next_task
         self._count(now, entry, lane, 1)
         if work.deadline != math.inf:
             item = (work.deadline, entry.sequence, work.request_id)
@@ -111,8 +112,9 @@
     def candidates(self, now: float, limit: int) -> list[Pending]:
         """Return at most `limit` live entries in the order to try them.
 
-        The entries stay queued; the caller removes those that it places. If one does
-        not fit, no other entry with the same `lane` does.
+        The entries stay queued; the caller removes those that it places, and asks
+        `may_start` before each start. If one does not fit, no other entry with the
+        same `lane` does.
         """
         tiers = [key for key in sorted(self._tiers) if self._tiers[key]]
         found: list[Pending] = []
@@ -123,6 +125,14 @@
             found += itertools.islice(self._walk_tier(now, key, budget), budget)
         return found
 
+    def may_start(self, now: float, entry: Pending) -> bool:
+        """Tell whether one more task of an entry leaves the reserve free.
+
+        Each start uses up some of the reserve, so one answer holds for one start.
+        """
+        lane = entry.lane or lane_of(entry, self._policy.short_s)
+        return self._lane_may_start(now, lane)
+
     def expire(self, now: float) -> list[Pending]:
         """Remove and return the entries whose deadline has passed."""
         expired = []
@@ -186,14 +196,14 @@
         if len(tier) > budget:
             for lane in lanes:
                 tier.move_to_end(lane)
-        walks = [tier[lane].walk() for lane in lanes if self._may_start(now, lane)]
+        walks = [tier[lane].walk() for lane in lanes if self._lane_may_start(now, lane)]
         while walks:
             rounds = [(walk, _next_live(walk, now)) for walk in walks]
             live = [entry for _, entry in rounds if entry is not None]
             yield from sorted(live, key=lambda entry: entry.sequence)
             walks = [walk for walk, entry in rounds if entry is not None]
 
-    def _may_start(self, now: float, lane: Lane) -> bool:
+    def _lane_may_start(self, now: float, lane: Lane) -> bool:
         if not lane.long or lane.priority is Priority.URGENT:
             return True
         reserve = self._reserve(lane.place)
@@ -214,7 +224,7 @@
         if not lanes:
             del self._team_lanes[work.team]
         if not lane.long:
-            self._reserve(lane.place).waits(now, lane.need, step)
+            self._reserve(lane.place).waits(now, lane.need, step * entry.waiting)
 
 
 def _tier_of(lane: Lane) -> _Tier:
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -73,3 +73,22 @@
         self.assertEqual([], self.queues.candidates(2.0, 10))
         self.queues.ended(2.0, "a1")
         self.assertEqual(["r2"], ids(self.queues.candidates(2.0, 10)))
+
+    def test_each_start_is_checked_against_the_reserve(self):
+        """Guards against a batch of long work that was allowed as one."""
+        need = Resources(300, 0, 0)
+        first, second = (entry(n, declared_s=100.0, need=need) for n in (1, 2))
+        self.push(first, second)
+        self.assertEqual(["r1", "r2"], ids(self.queues.candidates(2.0, 10)))
+        self.queues.remove("r1")
+        self.queues.started(2.0, "a1", first)
+        self.assertFalse(self.queues.may_start(2.0, second))
+
+    def test_checkpointable_long_work_yields_to_short_work(self):
+        """Guards against short work that waits for a long job to end."""
+        long = entry(1, declared_s=9.0, checkpointable=True, need=Resources(800, 0, 0))
+        self.queues.started(1.0, "a1", long)
+        self.assertEqual([], self.queues.to_yield(1.0))
+        self.push(entry(2, need=Resources(200, 0, 0)))
+        self.assertEqual(["a1"], self.queues.to_yield(2.0))
+        self.assertEqual([], self.queues.to_yield(2.0))
