--- a/src/poplaryard/lanes.py
+++ b/src/poplaryard/lanes.py
@@ -32,6 +32,7 @@
     long: bool
     place: str
     need: Resources
+    checkpointable: bool = False
 
 
 @dataclass(slots=True)
@@ -50,6 +51,8 @@
         Expected run time of one task in seconds; 0 stands for the declared one.
     reason : str
         Why the work waits, as one sentence for `explain`.
+    lane, waiting
+        Lane and number of waiting tasks, both set by `WaitQueues.push`.
     """
 
     work: Work
@@ -61,6 +64,7 @@
     reason: str = ""
     reply_to: str = ""
     lane: Lane | None = field(default=None, repr=False)
+    waiting: int = 1
 
 
 def place_of(work: Work) -> str:
@@ -82,7 +86,13 @@
     """Return the lane of an entry by priority, length, place and need."""
     work = entry.work
     expected_s = entry.expected_s or work.declared_s
-    return Lane(work.priority, expected_s > short_s, place_of(work), unit_of(work))
+    return Lane(
+        work.priority,
+        expected_s > short_s,
+        place_of(work),
+        unit_of(work),
+        work.checkpointable,
+    )
 
 
 class LaneQueue:
--- a/src/poplaryard/queues.py
+++ b/src/poplaryard/queues.py
@@ -90,6 +90,7 @@
             tier[lane] = LaneQueue(self._share)
         tier[lane].add(entry)
         self._entries[work.request_id] = entry
+        entry.waiting = work.tasks - entry.next_task
         self._count(now, entry, lane, 1)
         if work.deadline != math.inf:
             item = (work.deadline, entry.sequence, work.request_id)
@@ -111,8 +112,9 @@
     def candidates(self, now: float, limit: int) -> list[Pending]:
         """Return at most `limit` live entries in the order to try them.
 
-        The entries stay queued; the caller removes those that it places. If one does
-        not fit, no other entry with the same `lane` does.
+        The entries stay queued; the caller removes those that it places, and asks
+        `may_start` before each start. If one does not fit, no other entry with the
+        same `lane` does.
         """
         tiers = [key for key in sorted(self._tiers) if self._tiers[key]]
         found: list[Pending] = []
@@ -123,6 +125,14 @@
             found += itertools.islice(self._walk_tier(now, key, budget), budget)
         return found
 
+    def may_start(self, now: float, entry: Pending) -> bool:
+        """Tell whether one more task of an entry leaves the reserve free.
+
+        Each start uses up some of the reserve, so one answer holds for one start.
+        """
+        lane = entry.lane or lane_of(entry, self._policy.short_s)
+        return self._lane_may_start(now, lane)
+
     def expire(self, now: float) -> list[Pending]:
         """Remove and return the entries whose deadline has passed."""
         expired = []
@@ -150,7 +160,8 @@
         """
         charge = unit_of(entry.work) if charge is None else charge
         lane = entry.lane or lane_of(entry, self._policy.short_s)
-        self._reserve(lane.place).started(now, attempt_id, charge, lane.long)
+        reserve = self._reserve(lane.place)
+        reserve.started(now, attempt_id, charge, lane.long, lane.checkpointable)
         self._places[attempt_id] = (lane.place, entry.work.team)
         self.touch(entry.work.team)
 
@@ -161,6 +172,14 @@
             self._reserve(place).ended(now, attempt_id)
             self.touch(team)
 
+    def to_yield(self, now: float) -> list[str]:
+        """Return the long attempts to checkpoint now to make room for short work."""
+        return [
+            attempt_id
+            for reserve in self._reserves.values()
+            for attempt_id in reserve.to_yield()
+        ]
+
     def touch(self, team: str) -> None:
         """Take up a changed share of a team."""
         for lane in self._team_lanes.get(team, ()):
@@ -177,17 +196,18 @@
         if len(tier) > budget:
             for lane in lanes:
                 tier.move_to_end(lane)
-        walks = [tier[lane].walk() for lane in lanes if self._may_start(now, lane)]
+        walks = [tier[lane].walk() for lane in lanes if self._lane_may_start(now, lane)]
         while walks:
             rounds = [(walk, _next_live(walk, now)) for walk in walks]
             live = [entry for _, entry in rounds if entry is not None]
             yield from sorted(live, key=lambda entry: entry.sequence)
             walks = [walk for walk, entry in rounds if entry is not None]
 
-    def _may_start(self, now: float, lane: Lane) -> bool:
+    def _lane_may_start(self, now: float, lane: Lane) -> bool:
         if not lane.long or lane.priority is Priority.URGENT:
             return True
-        return self._reserve(lane.place).long_allowed(now, lane.need)
+        reserve = self._reserve(lane.place)
+        return reserve.long_allowed(now, lane.need, lane.checkpointable)
 
     def _reserve(self, place: str) -> Reserve:
         if place not in self._reserves:
@@ -204,7 +224,7 @@
         if not lanes:
             del self._team_lanes[work.team]
         if not lane.long:
-            self._reserve(lane.place).waits(now, lane.need, step)
+            self._reserve(lane.place).waits(now, lane.need, step * entry.waiting)
 
 
 def _tier_of(lane: Lane) -> _Tier:
