--- a/src/poplaryard/outcome.py
+++ b/src/poplaryard/outcome.py
@@ -103,6 +103,7 @@
         entry = self._entries.get(work.request_id)
         if entry is not None:
             return self._known(now, entry, work, attempt, may_run_unknown)
+        self._make_room()
         code = self._refusal(wall, work, may_run_unknown)
         if code is not None:
             return Registered(Known.REFUSED, code=code)
@@ -223,6 +224,12 @@
                 _, request_id, answer = kept.popleft()
                 self._forget(request_id, answer)
 
+    def _make_room(self) -> None:
+        """Forget the oldest answers to idempotent requests if the ledger is full."""
+        while len(self._entries) >= self._limit and self._kept_briefly:
+            _, request_id, answer = self._kept_briefly.popleft()
+            self._forget(request_id, answer)
+
     def _forget(self, request_id: str, answer: Answer | None) -> None:
         entry = self._entries.get(request_id)
         if entry is None or entry.answer is not answer or entry.attempts:
