Add the stateful fuzzer with a small placement, worker, store and oracle

Cause: the promises must be attacked over the real decision objects. Change: fuzz command, oracle, fakes; lease chart without a granting state.

--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -8,7 +8,9 @@
 
 # Command name to "module:attribute". Importing lazily keeps `serve` small: the bench
 # and fuzz modules pull in libraries that the daemon does not need.
-_COMMANDS: dict[str, str] = {}
+_COMMANDS: dict[str, str] = {
+    "fuzz": "fuzz:main",
+}
 
 
 class _LazyGroup(click.Group):
--- a/src/poplaryard/fencing.py
+++ b/src/poplaryard/fencing.py
@@ -41,5 +41,7 @@
         Milliseconds on the worker's clock, rounded down. It is early by the delay
         of the reading, and by the drift that the two clocks may have had since then.
     """
+    if authority_until <= received_at:
+        return worker_clock_ms - 1
     usable = shortened(authority_until - received_at)
     return worker_clock_ms + math.floor(usable * 1000.0)
--- /dev/null
+++ b/src/poplaryard/fuzz.py
@@ -0,0 +1,344 @@
+"""Stateful fuzzer that tries to break the promises P1 to P6 and P8."""
+
+import random
+import time
+import typing as t
+
+import click
+
+from .fuzz_node import Ticket
+from .fuzz_world import MECHANISMS, World
+from .messages import AttemptState, Cancel, Work
+from .ownership_messages import Leave
+from .resources import Resources
+from .routing import key_of
+
+__all__ = ["Failure", "Fuzzer", "main", "run"]
+
+# Steps after which a new world is built, so that one unlucky state does not last.
+EPISODE_STEPS = 4000
+
+# Virtual time after which a healed world must serve all work again.
+RECOVERY_S = 60.0
+
+
+class Failure(Exception):
+    """Broken promise or error, with the episode's seed, step and last actions."""
+
+    def __init__(self, broken: Exception, seed: int, step: int, trace: list[str]):
+        super().__init__(repr(broken))
+        self.broken = broken
+        self.seed = seed
+        self.step = step
+        self.trace = trace
+
+
+class Fuzzer:
+    """One episode: a world, and the actions that the random source picks."""
+
+    def __init__(self, seed: int, without: frozenset[str] = frozenset()):
+        self.rng = random.Random(seed)
+        self.world = World(self.rng, without)
+        self._works: list[tuple[Work, int, str]] = []
+        self._names = list(ACTIONS)
+        storm = self.rng.choice((0.1, 0.5, 1.0, 2.0))
+        # Each episode favours other faults, so that rare pairs of them meet.
+        self._weights = [
+            weight if name in _PROGRESS else weight * storm * self.rng.choice((0, 1, 4))
+            for name, (_, weight) in ACTIONS.items()
+        ]
+
+    def step(self) -> None:
+        """Take one action."""
+        (name,) = self.rng.choices(self._names, self._weights)
+        action, _ = ACTIONS[name]
+        detail = action(self)
+        if detail is not None:
+            self.world.trace.append(f"{self.world.real:9.3f} {name} {detail}")
+
+    # Progress
+
+    def advance(self) -> str | None:
+        """Let a short time pass."""
+        self._pass(self.rng.expovariate(20.0))
+        return None
+
+    def jump(self) -> str:
+        """Let a long time pass in which nothing is delivered."""
+        seconds = self.rng.uniform(0.5, 8.0)
+        self._pass(seconds)
+        return f"{seconds:.3f}"
+
+    def _pass(self, seconds: float) -> None:
+        world = self.world
+        world.real += seconds
+        for worker in world.workers.values():
+            if not worker.gone:
+                worker.expire(world.real)
+        for node in list(world.nodes.values()):
+            if node.alive and not node.paused:
+                node.tick()
+
+    def deliver(self, again: bool = False) -> str | None:
+        """Deliver any undelivered message."""
+        pool = self.world.pool
+        if not pool:
+            return None
+        index = self.rng.randrange(len(pool))
+        item = pool[index]
+        self.world.deliver(index, again)
+        return f"{item.sender} -> {item.to}: {item.message}"
+
+    def repeat(self) -> str | None:
+        """Deliver a message and keep a copy of it, unless it is a store reply."""
+        return self.deliver(again=True)
+
+    def drop(self) -> str | None:
+        """Lose a message."""
+        pool = self.world.pool
+        if not pool:
+            return None
+        item = pool.pop(self.rng.randrange(len(pool)))
+        return f"{item.sender} -> {item.to}: {type(item.message).__name__}"
+
+    def finish(self) -> str | None:
+        """End a running attempt."""
+        world = self.world
+        running = [
+            (worker, attempt)
+            for worker in world.workers.values()
+            if not worker.gone
+            for attempt in worker.running()
+        ]
+        if not running:
+            return None
+        worker, attempt = self.rng.choice(running)
+        states = (AttemptState.SUCCEEDED, AttemptState.FAILED)
+        (state,) = self.rng.choices(states, (9, 1))
+        worker.finish(world.real, attempt, state)
+        return f"{attempt} {state}"
+
+    # Callers
+
+    def submit(self) -> str | None:
+        """Hand in new work, or hand in again work that is open or was not run."""
+        entry = self._node()
+        if entry is None:
+            return None
+        if self._works and self.rng.random() < 0.3:
+            index = self.rng.randrange(len(self._works))
+            work, attempt, _ = self._works[index]
+            attempt += self.rng.randrange(2)
+        else:
+            index, work, attempt = len(self._works), self._work(), 1
+            self._works.append((work, 1, ""))
+        token = self.world.submit(work, entry, attempt)
+        self._works[index] = work, attempt, token
+        return f"{token} {work.request_id} key={key_of(work)!r}"
+
+    def _work(self) -> Work:
+        rng, world = self.rng, self.world
+        idempotent = rng.random() < 0.5
+        issued = world.wall() + rng.choice((0.0, 0.0, 0.0, -3.0, 4.0, -500.0, 20.0))
+        size = rng.choice((500, 1000, 2000, 4000))
+        return Work(
+            f"r{world.next_id()}",
+            tasks=rng.choice((1, 1, 1, 2, 3)),
+            need=Resources(size, rng.choice((100, size)), 0),
+            idempotent=idempotent,
+            exclusive_key=rng.choice(("", "", "k1", "k2")),
+            issued_at=issued,
+        )
+
+    def cancel(self) -> str | None:
+        """Cancel work."""
+        if not self._works:
+            return None
+        work, _, token = self.rng.choice(self._works[-20:])
+        for node in self.world.nodes.values():
+            self.world.send("caller", node.name, Cancel(work.request_id))
+        return token
+
+    # Faults
+
+    def _node(self) -> t.Any:
+        nodes = [n for n in self.world.nodes.values() if n.alive and not n.left]
+        return self.rng.choice(nodes) if nodes else None
+
+    def pause(self) -> str | None:
+        """Pause a process, or wake a paused one."""
+        node = self._node()
+        if node is None:
+            return None
+        node.paused = not node.paused
+        return f"{node.name} {node.paused}"
+
+    def kill(self) -> str | None:
+        """End a process without notice, and often start its next incarnation."""
+        node = self._node()
+        if node is None:
+            return None
+        node.alive = False
+        node.paused = False
+        return f"{node.name} {self._restart(node.name, node.dc)}"
+
+    def _restart(self, name: str, dc: str) -> str:
+        if self.rng.random() < 0.2 and len(self.world.nodes) > 1:
+            return ""
+        base, _, number = name.partition("#")
+        again = f"{base}#{int(number) + 1}"
+        self.world.add_node(again, dc)
+        return again
+
+    def leave(self) -> str | None:
+        """Stop a process in a planned way and start another."""
+        node = self._node()
+        if node is None or node.paused:
+            return None
+        node.give(Leave())
+        base, _, number = node.name.partition("#")
+        self.world.add_node(f"{base}x#{number}", node.dc)
+        return node.name
+
+    def store(self) -> str:
+        """Take a store down or bring it back."""
+        dc = self.rng.choice(list(self.world.stores))
+        store = self.world.stores[dc]
+        store.down = not store.down
+        return f"{dc} {store.down}"
+
+    def cut(self) -> str | None:
+        """Cut two places off from each other."""
+        world = self.world
+        places = [*world.workers, *(n.partition("#")[0] for n in world.nodes)]
+        places += [f"store/{dc}" for dc in world.stores]
+        pair = frozenset(self.rng.sample(places, 2))
+        world.cuts.add(pair)
+        return f"{sorted(pair)}"
+
+    def isolate(self) -> str | None:
+        """Cut a process off from its store and, at times, from everything."""
+        node = self._node()
+        if node is None:
+            return None
+        name = node.name.partition("#")[0]
+        everything = self.rng.random() < 0.3
+        others = [f"store/{node.dc}"]
+        if everything:
+            others += [n.partition("#")[0] for n in self.world.nodes]
+        self.world.cuts |= {frozenset((name, other)) for other in others}
+        return f"{name} {others}"
+
+    def heal(self) -> str:
+        """Remove all cuts."""
+        self.world.cuts.clear()
+        return ""
+
+    def worker_leaves(self) -> str | None:
+        """Let a worker or the platform's list say that the VM is leaving."""
+        worker = self._worker()
+        if worker is None:
+            return None
+        if self.rng.random() < 0.5:
+            worker.leaving = True
+        else:
+            self.world.leave_worker(worker.name)
+        return worker.name
+
+    def worker_fails(self) -> str | None:
+        """Lose a VM; the list says so at once or later, and a new one comes."""
+        worker = self._worker()
+        if worker is None:
+            return None
+        worker.fail(self.world.real)
+        dc = worker.name.partition("-")[0]
+        self.world.unlist_worker(worker.name)
+        self.world.add_worker(f"{dc}-vm{self.world.next_id()}", dc)
+        return worker.name
+
+    def _worker(self) -> t.Any:
+        workers = [w for w in self.world.workers.values() if not w.gone]
+        return self.rng.choice(workers) if workers else None
+
+    def ticket(self) -> str:
+        """Accept a ticket and send it to all processes."""
+        world = self.world
+        number = world.accepted.number + 1
+        world.accepted = Ticket(number, f"content {number}")
+        world.oracle.ticket(number, world.accepted.content)
+        for node in world.nodes.values():
+            world.send("store", node.name, world.accepted)
+        return str(number)
+
+
+_PROGRESS = {"deliver", "advance", "finish", "submit"}
+
+ACTIONS: dict[str, tuple[t.Callable[[Fuzzer], str | None], float]] = {
+    "deliver": (Fuzzer.deliver, 70.0),
+    "advance": (Fuzzer.advance, 15.0),
+    "finish": (Fuzzer.finish, 3.0),
+    "submit": (Fuzzer.submit, 3.0),
+    "repeat": (Fuzzer.repeat, 2.0),
+    "drop": (Fuzzer.drop, 2.0),
+    "cancel": (Fuzzer.cancel, 0.3),
+    "jump": (Fuzzer.jump, 0.15),
+    "pause": (Fuzzer.pause, 0.15),
+    "kill": (Fuzzer.kill, 0.05),
+    "leave": (Fuzzer.leave, 0.05),
+    "store": (Fuzzer.store, 0.05),
+    "cut": (Fuzzer.cut, 0.1),
+    "isolate": (Fuzzer.isolate, 0.05),
+    "heal": (Fuzzer.heal, 0.05),
+    "worker_leaves": (Fuzzer.worker_leaves, 0.05),
+    "worker_fails": (Fuzzer.worker_fails, 0.05),
+    "ticket": (Fuzzer.ticket, 0.1),
+}
+
+
+def run(seed: int, steps: int, without: frozenset[str] = frozenset()) -> dict[str, int]:
+    """Run episodes; raise `Failure` when a promise is broken.
+
+    Returns
+    -------
+    dict
+        Number of episodes, of starts checked and of answers given.
+    """
+    done = starts = answers = episode = 0
+    while done < steps:
+        episode_seed = seed * 1_000_003 + episode
+        fuzzer = Fuzzer(episode_seed, without)
+        try:
+            for _ in range(min(EPISODE_STEPS, steps - done)):
+                done += 1
+                fuzzer.step()
+        except Exception as exc:
+            raise Failure(exc, episode_seed, done, list(fuzzer.world.trace)) from exc
+        episode += 1
+        starts += fuzzer.world.oracle.checks
+        answers += fuzzer.world.oracle.answers
+    return {"episodes": episode, "starts": starts, "answers": answers}
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of the random source.")
+@click.option("--steps", default=100_000, show_default=True, help="Number of steps.")
+@click.option(
+    "--without",
+    multiple=True,
+    type=click.Choice(sorted(MECHANISMS)),
+    help="Safety mechanism to take out.",
+)
+@click.option("--trace", default=60, show_default=True, help="Actions to print.")
+def main(seed: int, steps: int, without: tuple[str, ...], trace: int) -> None:
+    """Try to break the promises; print seed, trace and the broken promise."""
+    began = time.monotonic()
+    try:
+        counts = run(seed, steps, frozenset(without))
+    except Failure as exc:
+        for line in exc.trace[-trace:]:
+            click.echo(line)
+        click.echo(f"seed {seed}, episode {exc.seed}, step {exc.step}: {exc}")
+        raise SystemExit(1) from exc
+    seconds = time.monotonic() - began
+    click.echo(f"seed {seed}: {steps} steps, no broken promise, {counts}")
+    click.echo(f"{seconds:.1f} s")
--- /dev/null
+++ b/src/poplaryard/fuzz_node.py
@@ -0,0 +1,341 @@
+"""Entry process of the fuzzer: real decision objects and the I/O between them."""
+
+import random
+import typing as t
+from dataclasses import dataclass, field
+
+from .fencing import valid_until_ms
+from .fuzz_shard import FuzzShard
+from .fuzz_store import failure, time_out
+from .fuzz_worker import PollWorker
+from .messages import (
+    Answer,
+    Authority,
+    Cancel,
+    ClaimReply,
+    ClaimWorker,
+    PollReply,
+    StartAttempt,
+    StartReply,
+    StopAttempt,
+    Submit,
+    Tick,
+    VmGone,
+    VmUpdate,
+    Work,
+    WorkerUnreachable,
+)
+from .ownership import Ownership
+from .ownership_messages import (
+    GrantLease,
+    Heartbeat,
+    HeartbeatReply,
+    PeerMissed,
+    ProvenDead,
+    ReadRecord,
+    RenewLease,
+    RevokeLease,
+    SendHeartbeat,
+    ShardReleased,
+    ShardsConfigured,
+    ShardTaken,
+    WatchRecord,
+    WriteRecord,
+)
+from .takeover import EpochRefused, Takeover
+
+if t.TYPE_CHECKING:
+    from .fuzz_world import World
+
+__all__ = ["Node", "Ticket", "VmChanged"]
+
+STORE_TIMEOUT_S = 1.5
+PEER_TIMEOUT_S = 1.0
+POLL_S = 1.0
+POLLS_MISSED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Configuration passed on to a process."""
+
+    number: int
+    content: str
+
+
+@dataclass(frozen=True, slots=True)
+class VmChanged:
+    """The platform's list has changed for a VM; it is read on receipt."""
+
+    vm: str
+
+
+@dataclass(slots=True)
+class _Shard:
+    decisions: FuzzShard
+    epoch: int
+    authority: Authority | None = None
+    exclusive_until: float = float("-inf")
+    claimed: set[str] = field(default_factory=set)
+    polls_missed: dict[str, int] = field(default_factory=dict)
+    readings: dict[str, tuple[int, float]] = field(default_factory=dict)
+
+
+class Node:
+    """One incarnation of an entry process."""
+
+    def __init__(self, name: str, dc: str, world: "World", rng: random.Random):
+        self.name = name
+        self.dc = dc
+        self.rate = rng.uniform(0.955, 1.045)
+        self.offset = rng.uniform(0.0, 1000.0)
+        self.wall_error = rng.uniform(-2.0, 2.0)
+        self.alive = True
+        self.paused = False
+        self.watching = False
+        self.left = False
+        self.ticket = 0
+        self.world = world
+        self.ownership = Ownership(name, name, rng)
+        self.shards: dict[str, _Shard] = {}
+        self._store_calls: dict[int, tuple[float, t.Any]] = {}
+        self._beats: dict[tuple[str, float], float] = {}
+        # Ids that this process took in; once it has lost the shard, it cannot say of
+        # these that they did not run.
+        self._handled: set[str] = set()
+        self._poll_at = 0.0
+        self._listed_since = self.wall()
+        world.weaken(self)
+        self.give(ShardsConfigured(world.shards(dc), 1))
+
+    def now(self) -> float:
+        """Return the process's own monotonic clock."""
+        return self.offset + self.world.real * self.rate
+
+    def wall(self) -> float:
+        """Return the process's wall clock."""
+        return self.world.wall() + self.wall_error
+
+    def tick(self) -> None:
+        """Let time pass in every decision object."""
+        now = self.now()
+        for call_id, (sent_at, message) in list(self._store_calls.items()):
+            if now > sent_at + STORE_TIMEOUT_S:
+                del self._store_calls[call_id]
+                self.give(time_out(message))
+        for key, sent_at in list(self._beats.items()):
+            if now > sent_at + PEER_TIMEOUT_S:
+                del self._beats[key]
+                self.give(PeerMissed(key[0]))
+        self.give(Tick())
+        for name in list(self.shards):
+            self.give_shard(name, Tick())
+        if now >= self._poll_at:
+            self._poll_at = now + POLL_S
+            self._poll()
+
+    # Ownership
+
+    def give(self, message: t.Any) -> None:
+        """Hand a message to the ownership object and carry out what it returns."""
+        for out in self.ownership.handle(self.now(), message):
+            self._carry_out(out)
+
+    def _carry_out(self, out: t.Any) -> None:
+        if isinstance(out, Authority):
+            self._authority(out)
+        elif isinstance(out, SendHeartbeat):
+            self._beats[out.to, out.heartbeat.sent_at] = self.now()
+            self.world.send(self.name, out.to, out.heartbeat)
+        elif isinstance(out, HeartbeatReply):
+            self.world.send(self.name, out.to, out)
+        elif isinstance(out, ShardTaken):
+            self._taken(out)
+        elif isinstance(out, ShardReleased):
+            self.shards.pop(out.shard, None)
+        elif isinstance(out, WatchRecord):
+            self.watching = out.on
+        else:
+            self._store_call(out)
+
+    def _store_call(self, out: t.Any) -> None:
+        assert isinstance(
+            out, GrantLease | RenewLease | RevokeLease | ReadRecord | WriteRecord
+        )
+        if isinstance(out, RevokeLease):
+            self.left = True
+        else:
+            call_id = self.world.next_id()
+            self._store_calls[call_id] = self.now(), out
+            self.world.send_store(self, call_id, out)
+            return
+        self.world.send_store(self, 0, out)
+
+    def store_reply(self, call_id: int, reply: t.Any) -> None:
+        """Take a reply of the store; None if it refused the connection."""
+        found = self._store_calls.pop(call_id, None)
+        if found is not None:
+            self.give(failure(found[1]) if reply is None else reply)
+
+    def _taken(self, out: ShardTaken) -> None:
+        vms = self.world.listed(out.shard)
+        takeover = Takeover(
+            out.shard,
+            out.epoch,
+            self.now(),
+            self.wall(),
+            [vm.name for vm, _ in vms],
+            known=out.known,
+            first=out.first,
+            wait_s=0.0 if self.world.lacks("lease_wait") else out.wait_s,
+            listed_since=self._listed_since,
+        )
+        self.world.weaken_takeover(takeover)
+        shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
+        self.shards[out.shard] = _Shard(shard, out.epoch)
+        for vm, leaving in vms:
+            self.give_shard(out.shard, VmUpdate(vm, leaving))
+        self.give_shard(out.shard, Tick())
+
+    def _authority(self, out: Authority) -> None:
+        shard = self.shards.get(out.shard)
+        if shard is None:
+            return
+        shard.authority = out
+        if out.exclusive:
+            shard.exclusive_until = out.until
+        self.give_shard(out.shard, out)
+
+    # Shards
+
+    def give_shard(self, name: str, message: t.Any) -> None:
+        """Hand a message to a shard's decisions and carry out what they return."""
+        shard = self.shards.get(name)
+        if shard is None:
+            return
+        for out in shard.decisions.handle(self.now(), message):
+            self._carry_out_shard(name, out)
+
+    def _carry_out_shard(self, name: str, out: t.Any) -> None:
+        if isinstance(out, StartAttempt):
+            request = out.work.request_id
+            self.world.oracle.start_sent(self.name, out.vm, out.attempt_id, request)
+            self.world.send(self.name, out.vm, out)
+        elif isinstance(out, ClaimWorker | StopAttempt):
+            self.world.send(self.name, out.vm, out)
+        elif isinstance(out, Answer):
+            self.answer(out)
+        elif isinstance(out, EpochRefused):
+            self.give(out)
+
+    def answer(self, out: Answer) -> None:
+        """Send an answer to the entry process named in its token."""
+        self.world.oracle.said(self.name, out)
+        entry = out.reply_to.partition("!")[0]
+        self.world.send(self.name, entry, out)
+
+    def _poll(self) -> None:
+        now = self.now()
+        for shard in self.shards.values():
+            if shard.authority is None or shard.authority.until <= now:
+                continue
+            for vm in shard.claimed:
+                self._poll_vm(shard, vm)
+            self._note_missed(shard)
+
+    def _poll_vm(self, shard: _Shard, vm: str) -> None:
+        assert shard.authority is not None
+        clock_ms, received_at = shard.readings[vm]
+        until = valid_until_ms(clock_ms, received_at, shard.authority.until)
+        exclusive = valid_until_ms(clock_ms, received_at, shard.exclusive_until)
+        shard.polls_missed[vm] = shard.polls_missed.get(vm, 0) + 1
+        self.world.send(self.name, vm, PollWorker(vm, shard.epoch, until, exclusive))
+
+    def _note_missed(self, shard: _Shard) -> None:
+        for vm in sorted(shard.claimed):
+            if shard.polls_missed[vm] > POLLS_MISSED:
+                shard.claimed.discard(vm)
+                shard.polls_missed[vm] = 0
+                self.give_shard(shard.decisions.shard, WorkerUnreachable(vm))
+
+    # Messages from others
+
+    def deliver(self, sender: str, message: t.Any) -> None:
+        """Take a message that arrived."""
+        if isinstance(message, Heartbeat | HeartbeatReply):
+            self._peer_message(sender, message)
+        elif isinstance(message, Submit | Cancel):
+            self._from_entry(message)
+        elif isinstance(message, Answer):
+            self.world.answered(self, message)
+        elif isinstance(message, VmChanged):
+            self._vm_message(self.world.entry(message.vm))
+        elif isinstance(message, Ticket):
+            self._apply(message)
+        elif isinstance(message, ProvenDead):
+            self.give(message)
+        else:
+            self._from_worker(message)
+
+    def _peer_message(self, sender: str, message: Heartbeat | HeartbeatReply) -> None:
+        if isinstance(message, HeartbeatReply):
+            self._beats.pop((message.sender, message.sent_at), None)
+        self.give(message)
+
+    def _from_entry(self, message: Submit | Cancel) -> None:
+        if isinstance(message, Cancel):
+            for name in list(self.shards):
+                self.give_shard(name, message)
+            return
+        target = self.world.shard_for(message.work, self)
+        request = message.work.request_id
+        if target not in self.shards:
+            self.answer(self.world.not_owner(message, request in self._handled))
+            return
+        self._handled.add(request)
+        self.world.oracle.reached(self.name, message.reply_to, request)
+        self.give_shard(target, message)
+
+    def _vm_message(self, message: VmUpdate | VmGone) -> None:
+        vm = message.vm if isinstance(message, VmGone) else message.vm.name
+        shard = self.world.shard_of(vm)
+        if shard not in self.shards:
+            return
+        if isinstance(message, VmGone):
+            self.shards[shard].claimed.discard(vm)
+        elif message.leaving:
+            self.world.oracle.told_leaving(self.name, vm)
+        self.give_shard(shard, message)
+
+    def _apply(self, message: Ticket) -> None:
+        if message.number > self.ticket or self.world.lacks("ticket_order"):
+            self.ticket = message.number
+            self.world.oracle.in_force(self.name, message.number, message.content)
+
+    def _from_worker(self, message: ClaimReply | PollReply | StartReply) -> None:
+        name = self.world.shard_of(message.vm)
+        shard = self.shards.get(name)
+        if shard is None:
+            return
+        if isinstance(message, ClaimReply | PollReply):
+            if message.epoch > shard.epoch:
+                self.give(EpochRefused(name, shard.epoch))
+                return
+            self._note_reply(shard, message)
+        self.give_shard(name, message)
+
+    def _note_reply(self, shard: _Shard, message: ClaimReply | PollReply) -> None:
+        if message.epoch != shard.epoch:
+            return
+        last = shard.readings.get(message.vm, (-1, 0.0))
+        if message.clock_ms > last[0]:
+            shard.readings[message.vm] = message.clock_ms, self.now()
+            shard.polls_missed[message.vm] = 0
+            if isinstance(message, ClaimReply):
+                shard.claimed.add(message.vm)
+        if isinstance(message, PollReply) and message.leaving:
+            self.world.oracle.told_leaving(self.name, message.vm)
+
+    def entry_for(self, work: Work) -> str:
+        """Return the process to which this entry forwards a request."""
+        return self.ownership.owner_of(self.world.shard_for(work, self))
--- /dev/null
+++ b/src/poplaryard/fuzz_store.py
@@ -0,0 +1,87 @@
+"""Smallest store with leases and compare-and-swap, for `fuzz`."""
+
+import random
+import typing as t
+
+from .ownership_messages import (
+    GrantLease,
+    LeaseFailed,
+    LeaseGranted,
+    LeaseRenewed,
+    ReadRecord,
+    RecordConflict,
+    RecordFailed,
+    RecordSeen,
+    RecordUnknown,
+    RecordWritten,
+    RenewLease,
+    RevokeLease,
+    WriteRecord,
+)
+from .record import Record
+
+__all__ = ["FakeStore", "failure", "time_out"]
+
+
+class FakeStore:
+    """Assignment record of one data centre and its leases, on a drifting clock."""
+
+    def __init__(self, rng: random.Random):
+        self.rate = rng.uniform(0.955, 1.045)
+        self.down = False
+        self.record = Record()
+        self.version = 0
+        self.calls = 0
+        self._leases: dict[str, float] = {}
+
+    def live(self, real: float) -> frozenset[str]:
+        """Return the leases that have not ended."""
+        now = real * self.rate
+        ended = [k for k, until in self._leases.items() if until <= now]
+        for lease in ended:
+            del self._leases[lease]
+        return frozenset(self._leases)
+
+    def seen(self, real: float) -> RecordSeen:
+        """Return the record as a watch reports it."""
+        return RecordSeen(self.record, self.version, self.live(real))
+
+    def handle(self, real: float, message: t.Any, sent_at: float) -> t.Any:
+        """Carry out a call; `sent_at` is the caller's own time of sending."""
+        self.calls += 1
+        live = self.live(real)
+        until = real * self.rate
+        if isinstance(message, GrantLease):
+            lease = f"lease{self.calls}"
+            self._leases[lease] = until + message.ttl_s
+            return LeaseGranted(lease, sent_at)
+        if isinstance(message, RenewLease):
+            if message.lease not in live:
+                return LeaseFailed(message.lease, lapsed=True)
+            self._leases[message.lease] = until + 6.0
+            return LeaseRenewed(message.lease, sent_at)
+        if isinstance(message, RevokeLease):
+            self._leases.pop(message.lease, None)
+            return None
+        if isinstance(message, ReadRecord):
+            return self.seen(real)
+        return self._write(message)
+
+    def _write(self, message: WriteRecord) -> t.Any:
+        if message.version != self.version:
+            return RecordConflict()
+        self.version += 1
+        self.record = message.record
+        return RecordWritten(self.version)
+
+
+def failure(message: t.Any) -> t.Any:
+    """Return what a task reports for a call that did not reach the store."""
+    if isinstance(message, RenewLease):
+        return LeaseFailed(message.lease)
+    return LeaseFailed() if isinstance(message, GrantLease) else RecordFailed()
+
+
+def time_out(message: t.Any) -> t.Any:
+    """Return what a task reports for a call whose reply did not come."""
+    return RecordUnknown() if isinstance(message, WriteRecord) else failure(message)
--- /dev/null
+++ b/src/poplaryard/fuzz_worker.py
@@ -0,0 +1,212 @@
+"""Smallest worker that keeps the guarantees G1 to G5 of the design page."""
+
+import random
+import typing as t
+from dataclasses import dataclass, replace
+
+from .codes import Code
+from .fencing import TASK_LEASE_S
+from .messages import (
+    AttemptReport,
+    AttemptState,
+    ClaimReply,
+    ClaimWorker,
+    PollReply,
+    StartAttempt,
+    StartReply,
+    StopAttempt,
+    StopMode,
+)
+from .oracle import Oracle
+from .resources import Resources
+
+__all__ = ["FakeWorker", "PollWorker"]
+
+REMEMBERED_S = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class PollWorker:
+    """Renewal of the leases of all attempts.
+
+    Attributes
+    ----------
+    valid_until_ms : int
+        Last moment on the worker's clock at which it renews.
+    exclusive_until_ms : int
+        The same for attempts under an exclusive key.
+    """
+
+    vm: str
+    epoch: int
+    valid_until_ms: int
+    exclusive_until_ms: int
+
+
+@dataclass(slots=True)
+class _Attempt:
+    start: StartAttempt
+    need: Resources
+    lease_until: float
+    state: AttemptState = AttemptState.RUNNING
+    body: t.Any = None
+    ended_at: float = 0.0
+
+
+class FakeWorker:
+    """Worker on a drifting clock; it does not check its own capacity.
+
+    Parameters
+    ----------
+    without : frozenset of str
+        Guarantees that are taken out.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        capacity: Resources,
+        rng: random.Random,
+        oracle: Oracle,
+        without: frozenset[str],
+    ):
+        self.name = name
+        self.capacity = capacity
+        self.rate = rng.uniform(0.955, 1.045)
+        self.offset = rng.uniform(0, 1000)
+        self.leaving = False
+        self.gone = False
+        self._epoch = 0
+        self._oracle = oracle
+        self._without = without
+        self._attempts: dict[str, _Attempt] = {}
+        oracle.vm(name, capacity)
+
+    def clock(self, real: float) -> float:
+        """Return the worker's own clock."""
+        return self.offset + real * self.rate
+
+    def handle(self, real: float, message: t.Any) -> list[t.Any]:
+        """Take a call and return the replies."""
+        self.expire(real)
+        if isinstance(message, ClaimWorker):
+            return [self._claim(real, message)]
+        if isinstance(message, StartAttempt):
+            return [self._start(real, message)]
+        if isinstance(message, StopAttempt):
+            self._stop(real, message)
+            return []
+        return [self._poll(real, message)]
+
+    def running(self) -> list[str]:
+        """Return the ids of the attempts that run."""
+        found = self._attempts.items()
+        return [k for k, item in found if item.state is AttemptState.RUNNING]
+
+    def finish(self, real: float, attempt_id: str, state: AttemptState) -> None:
+        """End an attempt."""
+        item = self._attempts[attempt_id]
+        item.state = state
+        item.ended_at = self.clock(real)
+        work = item.start.work
+        item.body = f"{work.request_id}/{item.start.task}"
+        again = state is AttemptState.CHECKPOINTED
+        self._oracle.ended(self.name, work, item.start.task, item.need, again)
+
+    def expire(self, real: float) -> None:
+        """Stop attempts whose lease has ended (G4)."""
+        now = self.clock(real)
+        for attempt_id in self.running():
+            if self._attempts[attempt_id].lease_until <= now:
+                self.finish(real, attempt_id, AttemptState.STOPPED)
+        old = [
+            k
+            for k, item in self._attempts.items()
+            if item.ended_at and item.ended_at + REMEMBERED_S <= now
+        ]
+        for attempt_id in old:
+            del self._attempts[attempt_id]
+
+    def fail(self, real: float) -> None:
+        """Lose the VM with everything on it."""
+        for attempt_id in self.running():
+            self.finish(real, attempt_id, AttemptState.STOPPED)
+        self.gone = True
+
+    def _fenced(self, epoch: int) -> bool:
+        return epoch < self._epoch and "epoch" not in self._without
+
+    def _claim(self, real: float, message: ClaimWorker) -> ClaimReply:
+        if self._fenced(message.epoch):
+            return ClaimReply(self.name, self._epoch, False)
+        self._epoch = max(self._epoch, message.epoch)
+        clock_ms = int(self.clock(real) * 1000)
+        return ClaimReply(self.name, message.epoch, True, self._reports(), clock_ms)
+
+    def _reports(self) -> tuple[AttemptReport, ...]:
+        return tuple(map(_report, self._attempts.values()))
+
+    def _start(self, real: float, message: StartAttempt) -> StartReply:
+        code = self._refusal(real, message)
+        if code is None:
+            self._begin(real, message)
+        return StartReply(self.name, message.attempt_id, code or Code.OK)
+
+    def _refusal(self, real: float, message: StartAttempt) -> Code | None:
+        if self._fenced(message.epoch):
+            return Code.STALE_EPOCH
+        late = self.clock(real) * 1000 > message.valid_until_ms
+        if late and "valid_until" not in self._without:
+            return Code.START_EXPIRED
+        if message.attempt_id in self._attempts and "attempt_id" not in self._without:
+            return Code.ATTEMPT_REPEATED
+        return None
+
+    def _begin(self, real: float, message: StartAttempt) -> None:
+        until = self.clock(real) + TASK_LEASE_S
+        item = _Attempt(message, message.work.need, until)
+        self._attempts[message.attempt_id] = item
+        work = message.work
+        attempt = message.attempt_id
+        self._oracle.began(self.name, work, message.task, item.need, attempt)
+
+    def _stop(self, real: float, message: StopAttempt) -> None:
+        if self._fenced(message.epoch) or message.attempt_id not in self.running():
+            return
+        kept = message.mode is StopMode.CHECKPOINT
+        state = AttemptState.CHECKPOINTED if kept else AttemptState.STOPPED
+        self.finish(real, message.attempt_id, state)
+
+    def _poll(self, real: float, message: PollWorker) -> PollReply:
+        clock = self.clock(real)
+        if not self._fenced(message.epoch):
+            self._epoch = max(self._epoch, message.epoch)
+            self._renew(clock, message)
+        return PollReply(
+            self.name, self._epoch, self._reports(), int(clock * 1000), self.leaving
+        )
+
+    def _renew(self, clock: float, message: PollWorker) -> None:
+        for attempt_id in self.running():
+            item = self._attempts[attempt_id]
+            until_ms = message.valid_until_ms
+            if (
+                item.start.work.exclusive_key
+                and "exclusive_renewal" not in self._without
+            ):
+                until_ms = min(until_ms, message.exclusive_until_ms)
+            if clock * 1000 <= until_ms or "renewal_limit" in self._without:
+                item.lease_until = clock + TASK_LEASE_S
+
+
+def _report(item: _Attempt) -> AttemptReport:
+    work = item.start.work
+    found = AttemptReport(
+        item.start.attempt_id,
+        work.request_id,
+        item.state,
+        task=item.start.task,
+        need=work.need,
+        exclusive_key=work.exclusive_key,
+    )
+    return found if item.body is None else replace(found, body=item.body)
--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -172,8 +172,6 @@
         self._awaiting_lease = True
         if self._lease:
             return [RenewLease(self._lease)]
-        if self.state == "absent":
-            self.trigger("ask")
         return [GrantLease(LEASE_TTL_S)]
 
     def _lease_granted(self, now: float, message: LeaseGranted) -> list[t.Any]:
@@ -205,8 +203,6 @@
             self._lease = ""
             self._lease_until = float("-inf")
             self._lease_call_at = now + self._jitter()
-        elif self.state == "granting":
-            self.trigger("grant_failed")
         return self._authorities(now)
 
     def _jitter(self) -> float:
@@ -243,18 +239,14 @@
         return out
 
     def _note_state(self, now: float, full: float) -> None:
-        if self.state in ("absent", "granting", "left") and not self._owned:
-            if self.state == "granting" and self._lease:
-                self.trigger("confirm")
+        if self.state == "left":
             return
-        if self._leased_until() > now:
+        if self._lease_until > now and (not self._owned or self._leased_until() > now):
             event = "confirm"
-        elif full > now:
-            event = "promise"
-        elif self._owned:
-            event = "limit"
+        elif not self._owned:
+            event = "lapse"
         else:
-            event = "lapse" if not self._lease else "confirm"
+            event = "promise" if full > now else "limit"
         if self.state != _STATE_AFTER[event]:
             self.trigger(event)
 
