--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -14,6 +14,7 @@
     "load": "load:load",
     "serve": "serve:serve",
     "standin": "standin:standin",
+    "fuzz": "fuzz:main",
 }
 
 
