--- a/src/poplaryard/acceptance.py
+++ b/src/poplaryard/acceptance.py
@@ -19,6 +19,7 @@
     object_key,
     ticket_key,
 )
+from .retention import RetentionLease
 from .store import Entry, Store
 from .tickets import Ticket
 
@@ -29,6 +30,9 @@
 _WRITE_TRIES = 3
 # Mean pause before a retry; spreads the filers of a burst of 20 tickets/s.
 _PAUSE_S = 0.01
+# How long the text of a ticket and the answer to its uid are kept.
+RETENTION_S = 30 * 86_400.0
+_LEASE_SPAN_S = 3600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +102,7 @@
         self._rng = random.Random(seed)
         # Filers of one process would only take the head from each other.
         self._turn = asyncio.Lock()
+        self._lease = RetentionLease(store, clock, RETENTION_S, _LEASE_SPAN_S)
         self.loader = Loader(store)
 
     async def file(self, ticket: Ticket) -> FileResult:
@@ -168,8 +173,9 @@
             if filing.record is not None and filing.record.value == value:
                 return None
             version = 0 if filing.record is None else filing.record.version
+            lease = await self._lease.current()
             try:
-                filing.record = await self._store.put_if(key, value, version)
+                filing.record = await self._store.put_if(key, value, version, lease)
                 return None
             except (StoreConflict, StoreReplyLost):
                 filing.record = await self._store.get(key)
@@ -236,6 +242,7 @@
             await self._put_once(
                 history_key(block[0].number),
                 {"format": tickets.FORMAT, "tickets": [e.to_json() for e in block]},
+                await self._lease.current(),
             )
             head = head.without_block()
         number = head.number + 1
@@ -251,11 +258,11 @@
         entry = Accepted.of(number, filing.ticket, filing.digest, at)
         return head.followed_by(entry, refs)
 
-    async def _put_once(self, key: str, value: t.Any) -> None:
+    async def _put_once(self, key: str, value: t.Any, lease: str = "") -> None:
         """Write a value whose key determines it; one that exists is the same."""
         for _ in range(_WRITE_TRIES):
             try:
-                await self._store.put_if(key, value, 0)
+                await self._store.put_if(key, value, 0, lease)
                 return
             except StoreConflict:
                 return
--- a/src/poplaryard/audit.py
+++ b/src/poplaryard/audit.py
@@ -8,6 +8,7 @@
 from .clock import Clock
 from .exceptions import StoreConflict, StoreDown, StoreReplyLost
 from .messages import AuditEvent
+from .retention import RetentionLease
 from .store import Store
 
 __all__ = ["AuditFilter", "AuditLog", "AuditWriter"]
@@ -137,8 +138,7 @@
         self._data_centre = data_centre
         self._prefix = f"audit/{data_centre}/{process}"
         self._next = 1
-        self._lease = ""
-        self._lease_until = 0.0
+        self._lease = RetentionLease(store, clock, RETENTION_S, LEASE_SPAN_S)
         self.failures = 0
 
     async def flush_if_due(self, *, force: bool = False) -> bool:
@@ -148,34 +148,32 @@
             return False
         group = self._log.group(now)
         try:
-            await self._write(now, group)
+            await self._write(group)
         except (StoreDown, StoreReplyLost):
             self.failures += 1
             return False
         self._log.flushed_group(self._clock.now(), group)
         return True
 
-    async def _write(self, now: float, group: list[AuditEvent]) -> None:
-        if now >= self._lease_until:
-            self._lease = await self._store.grant(RETENTION_S)
-            self._lease_until = now + LEASE_SPAN_S
+    async def _write(self, group: list[AuditEvent]) -> None:
+        lease = await self._lease.current()
         value = {
             "format": 1,
             "lost": self._log.lost,
             "events": [_brief(event) for event in group],
         }
         try:
-            await self._store.put_if(self._key(), value, 0, self._lease)
+            await self._store.put_if(self._key(), value, 0, lease)
         except StoreConflict:
-            await self._resolve(value)
+            await self._resolve(value, lease)
         self._next += 1
 
-    async def _resolve(self, value: dict[str, t.Any]) -> None:
+    async def _resolve(self, value: dict[str, t.Any], lease: str) -> None:
         """Handle a key that an earlier write with a lost reply has taken."""
         held = await self._store.get(self._key())
         if held is not None and held.value != value:
             # The earlier write took effect with fewer events; write the whole again.
-            await self._store.put_if(self._key(), value, held.version, self._lease)
+            await self._store.put_if(self._key(), value, held.version, lease)
 
     def _key(self) -> str:
         return f"{self._prefix}/{self._next:08d}"
--- /dev/null
+++ b/src/poplaryard/retention.py
@@ -0,0 +1,40 @@
+"""Store leases that end the life of old records without further writes."""
+
+from .clock import Clock
+from .store import Store
+
+__all__ = ["RetentionLease"]
+
+
+class RetentionLease:
+    """Lease for records that the store deletes after a retention time.
+
+    Parameters
+    ----------
+    keep_s : float
+        Least time for which a record is kept, in seconds.
+    span_s : float
+        Time for which new records share one lease, in seconds.
+    """
+
+    def __init__(self, store: Store, clock: Clock, keep_s: float, span_s: float):
+        self._store = store
+        self._clock = clock
+        self._keep_s = keep_s
+        self._span_s = span_s
+        self._lease = ""
+        self._until = float("-inf")
+
+    async def current(self) -> str:
+        """Return the lease for a record written now.
+
+        Raises
+        ------
+        StoreDown, StoreReplyLost
+            If a new lease is needed and the store does not answer.
+        """
+        now = self._clock.now()
+        if now >= self._until:
+            self._lease = await self._store.grant(self._keep_s + self._span_s)
+            self._until = now + self._span_s
+        return self._lease
--- a/src/poplaryard/tickets.py
+++ b/src/poplaryard/tickets.py
@@ -64,10 +64,12 @@
     author: t.Annotated[str, Field(min_length=1, max_length=80)]
     note: t.Annotated[str, Field(max_length=400)] = ""
     based_on: t.Annotated[int, Field(strict=True, ge=0)] | None = None
-    objects: t.Annotated[tuple[AnyObject, ...], Field(min_length=1, max_length=1000)]
+    objects: t.Annotated[tuple[AnyObject, ...], Field(max_length=1000)]
 
     @pydantic.model_validator(mode="after")
     def _check(self) -> t.Self:
+        if not self.objects:
+            raise ValueError("names no object")
         keys = self.keys()
         twice = sorted({key for key in keys if keys.count(key) > 1})
         if twice:
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -2,10 +2,40 @@
 
 import asyncio
 import itertools
+import random
 
+from poplaryard import tickets
 from poplaryard.exceptions import StoreConflict, StoreDown, StoreReplyLost
 from poplaryard.store import Entry
 
+_READS = {"get", "scan", "grant", "keep_alive", "watch"}
+
+
+def service(name="booking", replicas=2, **fields):
+    fields = {"team": "booking", "cpu": "8 cores", "memory": "8 GB", **fields}
+    return {"kind": "service", "name": name, "replicas": replicas, **fields}
+
+
+def vm_group(name="booking", vms=2, first=0, data_centre="dc1", **fields):
+    listed = [
+        {
+            "name": f"{data_centre}-vm{number:05d}",
+            "data_centre": data_centre,
+            "rack": f"{data_centre}-r{number // 5}",
+            "address": f"10.{number // 250 // 250}.{number // 250 % 250}"
+            f".{number % 250}:7000",
+        }
+        for number in range(first, first + vms)
+    ]
+    fields = {"cpu": "16 cores", "memory": "32 GB", "vms": listed, **fields}
+    return {"kind": "vm_group", "name": name, **fields}
+
+
+def ticket(uid, *objects, author="Anna", **fields):
+    objects = objects or (service(),)
+    value = {"format": 1, "uid": uid, "author": author, "objects": list(objects)}
+    return tickets.parse({**value, **fields})
+
 
 class FakeStore:
     """Store protocol in memory.
@@ -14,11 +44,13 @@
     reply) or "dropped" (not applied, no reply), one used up per matching call.
     """
 
-    def __init__(self):
+    def __init__(self, seed=0):
+        self._rng = random.Random(seed)
         self.entries = {}
         self.deleted = {}
         self.leases = set()
         self.faults = {}
+        self.call_faults = {}
         self.down = False
         self.calls = {}
         self.hooks = []
@@ -29,7 +61,12 @@
     def fail(self, method, prefix, *faults):
         self.faults.setdefault((method, prefix), []).extend(faults)
 
+    def fail_call(self, position, fault):
+        """Let the call that comes after `position` further calls fail."""
+        self.call_faults[sum(self.calls.values()) + position] = fault
+
     async def _before(self, method, key):
+        fault = self.call_faults.pop(sum(self.calls.values()), None)
         self.calls[method] = self.calls.get(method, 0) + 1
         for hook in list(self.hooks):
             await hook(method, key)
@@ -38,14 +75,15 @@
         for (wanted, prefix), faults in self.faults.items():
             if wanted == method and key.startswith(prefix) and faults:
                 fault = faults.pop(0)
-                if fault == "down":
-                    raise StoreDown()
-                if fault == "dropped":
-                    raise StoreReplyLost()
-                return fault == "lost"
-        # Yields so that concurrent filers interleave at every call.
-        await asyncio.sleep(0)
-        return False
+                break
+        if fault == "down":
+            raise StoreDown()
+        if fault == "dropped" or (fault == "lost" and method in _READS):
+            raise StoreReplyLost()
+        # Yields so that concurrent filers interleave differently for each seed.
+        for _ in range(self._rng.randint(1, 4)):
+            await asyncio.sleep(0)
+        return fault == "lost"
 
     async def get(self, key):
         await self._before("get", key)
--- /dev/null
+++ b/tests/test_acceptance.py
@@ -0,0 +1,218 @@
+import asyncio
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from poplaryard import tickets
+from poplaryard.acceptance import Acceptance, load
+from poplaryard.clock import VirtualClock
+from poplaryard.codes import Code
+from poplaryard.compaction import Compactor
+from poplaryard.config_loader import read_head
+from poplaryard.configuration import Configuration
+
+from .fake_store import FakeStore, service, ticket, vm_group
+
+
+def filers(store, count=2):
+    return [Acceptance(store, VirtualClock(), seed) for seed in range(count)]
+
+
+class AcceptanceTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.store = FakeStore()
+        self.one, self.two = filers(self.store)
+
+    def file(self, *args, filer=None, **fields):
+        return asyncio.run((filer or self.one).file(ticket(*args, **fields)))
+
+    def config(self):
+        return asyncio.run(load(self.store))
+
+    def test_two_filers_of_one_object_make_one_winner(self):
+        """Guards against a silent merge of two operators' changes."""
+
+        async def both():
+            first = self.one.file(ticket("uid-a", service(replicas=3), author="Anna"))
+            second = self.two.file(ticket("uid-b", service(replicas=4), author="Bo"))
+            return await asyncio.gather(first, second)
+
+        results = asyncio.run(both())
+        codes = sorted(result.code for result in results)
+        self.assertEqual([Code.TICKET_ACCEPTED, Code.TICKET_CONFLICT], codes)
+        winner, loser = sorted(results, key=lambda result: result.code)
+        self.assertIn(f"Ticket 1 of {winner.accepted.author}", loser.detail)
+        self.assertIn("replicas is now", loser.detail)
+        self.assertIn("based_on 1", loser.detail)
+        self.assertEqual(1, self.config().number)
+
+    def test_waiting_in_one_process_is_also_a_race(self):
+        """Guards against the second of two queued filers overwriting the first."""
+
+        async def both():
+            first = self.one.file(ticket("uid-a", service(replicas=3)))
+            second = self.one.file(ticket("uid-b", service(replicas=4)))
+            return await asyncio.gather(first, second)
+
+        codes = [result.code for result in asyncio.run(both())]
+        self.assertEqual([Code.TICKET_ACCEPTED, Code.TICKET_CONFLICT], codes)
+
+    def test_filers_of_different_objects_both_win(self):
+        """Guards against needless conflicts in a burst."""
+
+        async def both():
+            names = [f"svc-{number}" for number in range(8)]
+            filer = (self.one, self.two)
+            tasks = [
+                filer[n % 2].file(ticket(f"uid-{name}", service(name)))
+                for n, name in enumerate(names)
+            ]
+            return await asyncio.gather(*tasks)
+
+        results = asyncio.run(both())
+        self.assertEqual(list(range(1, 9)), sorted(r.number for r in results))
+        self.assertEqual(8, len(self.config().services))
+
+    def test_same_uid_at_two_processes_is_accepted_once(self):
+        """Guards against a client's retry at another entry VM applying twice."""
+
+        async def both():
+            same = ticket("uid-a")
+            return await asyncio.gather(self.one.file(same), self.two.file(same))
+
+        results = asyncio.run(both())
+        self.assertEqual([1, 1], [result.number for result in results])
+
+    def test_uid_is_answered_after_it_left_the_head(self):
+        """Guards against a late retry of an old ticket undoing newer ones."""
+        self.file("uid-first", service(replicas=1))
+        for number in range(300):
+            self.file(f"uid-{number}", service(replicas=number))
+        again = self.file("uid-first", service(replicas=1), filer=self.two)
+        self.assertEqual((Code.TICKET_ACCEPTED, 1), (again.code, again.number))
+        self.assertEqual(299, self.config().services["booking"].replicas)
+        other = self.file("uid-first", service(replicas=7), filer=self.two)
+        self.assertEqual(Code.TICKET_REUSED, other.code)
+
+    def test_outage_at_any_call_leaves_nothing_and_says_so(self):
+        """Guards against a ticket that is half in force after an outage."""
+        for position in range(12):
+            for fault in ("down", "lost", "dropped"):
+                self._check_fault(position, fault)
+
+    def _check_fault(self, position, fault):
+        store = FakeStore()
+        one, two = filers(store)
+        asyncio.run(one.file(ticket("uid-0", service("other"))))
+        store.fail_call(position, fault)
+        wanted = ticket("uid-a", service(replicas=5))
+        result = asyncio.run(one.file(wanted))
+        store.call_faults = {}
+        number = asyncio.run(load(store)).number
+        if result.code is Code.TICKET_NOT_ACCEPTED:
+            self.assertEqual(1, number, (position, fault))
+        else:
+            self.assertEqual((2, 2), (result.number, number), (position, fault))
+        again = asyncio.run(two.file(wanted))
+        self.assertEqual((Code.TICKET_ACCEPTED, 2), (again.code, again.number))
+
+    def test_outage_after_the_swap_was_sent_is_unknown(self):
+        """Guards against "not accepted" for a ticket that is in force."""
+        for fault, number in (("lost", 1), ("dropped", 0)):
+            store = FakeStore()
+            one, two = filers(store)
+            store.fail("put_if", "config/head", fault)
+            store.hooks.append(_down_after_swap(store))
+            result = asyncio.run(one.file(ticket("uid-a")))
+            self.assertEqual(Code.TICKET_UNKNOWN, result.code)
+            store.down, store.hooks = False, []
+            self.assertEqual(number, asyncio.run(load(store)).number)
+            self.assertEqual(1, asyncio.run(two.file(ticket("uid-a"))).number)
+
+    def test_loser_cannot_replace_the_winners_value(self):
+        """Guards against the loser's value standing under the winner's number."""
+
+        async def overtake(method, key):
+            if (method, key) == ("put_if", "config/head"):
+                self.store.hooks.clear()
+                other = ticket("uid-b", service(replicas=4))
+                self.assertTrue((await self.two.file(other)).ok)
+
+        self.store.hooks.append(overtake)
+        result = self.file("uid-a", service(replicas=3))
+        self.assertEqual(Code.TICKET_CONFLICT, result.code)
+        self.assertEqual(4, self.config().services["booking"].replicas)
+
+    def test_stale_and_future_bases_are_refused(self):
+        """Guards against an edit of an old state undoing a newer one."""
+        self.file("uid-1", service(replicas=1))
+        self.file("uid-2", service("other"))
+        self.file("uid-3", {"kind": "service", "name": "booking", "remove": True})
+        stale = self.file("uid-4", service(replicas=9), based_on=2)
+        self.assertEqual(Code.TICKET_CONFLICT, stale.code)
+        self.assertIn("removed service/booking", stale.detail)
+        self.assertTrue(self.file("uid-5", service("other", 3), based_on=2).ok)
+        future = self.file("uid-6", based_on=99)
+        self.assertEqual(Code.TICKET_INVALID, future.code)
+
+    def test_vm_in_two_groups_is_refused(self):
+        """Guards against one VM being given twice the work that it can hold."""
+        self.assertTrue(self.file("uid-1", vm_group("first", 3)).ok)
+        result = self.file("uid-2", vm_group("second", 3, first=2))
+        self.assertEqual(Code.TICKET_INVALID, result.code)
+        self.assertIn('"first" and in "second"', result.detail)
+
+    def test_too_large_ticket_is_refused(self):
+        """Guards against a value that the store would refuse in the middle."""
+        result = self.file("uid-1", vm_group(vms=12_000))
+        self.assertEqual(Code.TICKET_TOO_LARGE, result.code)
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        seed=st.integers(0, 10**6),
+        names=st.lists(st.sampled_from("abc"), min_size=2, max_size=12),
+        faults=st.lists(
+            st.tuples(st.integers(0, 60), st.sampled_from(["down", "lost", "dropped"])),
+            max_size=6,
+        ),
+    )
+    def test_configuration_is_that_of_the_accepted_tickets(self, seed, names, faults):
+        """Guards against lost, doubled or merged tickets under races and faults."""
+        store = FakeStore(seed)
+        for position, fault in faults:
+            store.fail_call(position, fault)
+        asyncio.run(self._race(store, names))
+
+    async def _race(self, store, names):
+        group = filers(store, 3)
+        filed = [
+            ticket(f"uid-{n}", service(name, n, team=f"t{n}"))
+            for n, name in enumerate(names)
+        ]
+        compact = Compactor(store, group[0].loader)
+        tasks = [group[n % 3].file(item) for n, item in enumerate(filed)]
+        await asyncio.gather(*tasks)
+        store.faults, store.call_faults = {}, {}
+        results = [await group[0].file(item) for item in filed]
+        await compact.run()
+        accepted = sorted(
+            (result.number, n) for n, result in enumerate(results) if result.ok
+        )
+        head, _entry = await read_head(store)
+        self.assertEqual(list(range(1, head.number + 1)), [n for n, _ in accepted])
+        expected = Configuration()
+        for number, index in accepted:
+            expected = tickets.apply(expected, number, filed[index])
+        self.assertEqual(expected, await load(store))
+
+
+def _down_after_swap(store):
+    async def hook(method, key):
+        if method == "get" and store.calls.get("swap"):
+            store.down = True
+        if (method, key) == ("put_if", "config/head"):
+            store.calls["swap"] = 1
+
+    return hook
