--- a/src/poplaryard/acceptance.py
+++ b/src/poplaryard/acceptance.py
@@ -45,12 +45,15 @@
         Number of the accepted ticket; 0 if it is not known to be accepted.
     detail : str
         Plain sentences for the operator.
+    head : Head or None
+        Head that holds the accepted ticket, for the rollout.
     """
 
     code: Code
     number: int = 0
     detail: str = ""
     accepted: Accepted | None = None
+    head: Head | None = None
 
     @property
     def ok(self) -> bool:
@@ -139,7 +142,7 @@
             await self._validate(filing, head)
             found = await self._claim_uid(filing, head)
         if found is not None:
-            return _first_answer(filing, found)
+            return _first_answer(filing, found, head)
         version = 0 if entry is None else entry.version
         if version != filing.sent_version:
             # The head has moved on without this ticket: no swap sent can still apply.
@@ -285,7 +288,7 @@
             # The next round reads back; the same swap can take effect only once.
             filing.uncertain, filing.sent_version = True, version
             return None
-        return _accepted(following.tickets[-1])
+        return _accepted(following.tickets[-1], following)
 
 
 def _record(filing: _Filing, head: Head, at: float) -> dict[str, t.Any]:
@@ -319,15 +322,15 @@
 )
 
 
-def _first_answer(filing: _Filing, found: Accepted) -> FileResult:
+def _first_answer(filing: _Filing, found: Accepted, head: Head) -> FileResult:
     if found.digest != filing.digest:
         return FileResult(Code.TICKET_REUSED, 0, _REUSED)
-    return _accepted(found)
+    return _accepted(found, head)
 
 
-def _accepted(entry: Accepted) -> FileResult:
+def _accepted(entry: Accepted, head: Head) -> FileResult:
     detail = f"The ticket is accepted as number {entry.number}."
-    return FileResult(Code.TICKET_ACCEPTED, entry.number, detail, entry)
+    return FileResult(Code.TICKET_ACCEPTED, entry.number, detail, entry, head)
 
 
 def _no_answer(filing: _Filing) -> FileResult:
--- a/src/poplaryard/rollout.py
+++ b/src/poplaryard/rollout.py
@@ -123,7 +123,7 @@
     """Command: send a message to a peer."""
 
     to: str
-    msg: PeerDelta | AskState | CentreReport
+    msg: PeerDelta | AskState | PeerNumber | CentreReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +167,8 @@
         Last number confirmed by each live local process.
     reports : dict
         Last report of each other data centre with the time of its receipt.
+    unreadable : int
+        Changes from peers that this version could not read.
     """
 
     def __init__(self, process: str, data_centre: str):
@@ -176,6 +178,7 @@
         self.ready = False
         self.confirmed: dict[str, int] = {}
         self.reports: dict[str, tuple[float, CentreReport]] = {}
+        self.unreadable = 0
         self.store_ok = True
         self.store_number = 0
         self.in_force_since = 0.0
@@ -251,10 +254,10 @@
         if head.number <= self.number:
             return []
         if self._watching and self.process != self.watchers[0]:
-            if self._pending is None or self._pending[1].number < head.number:
-                due = now if self._pending is None else self._pending[0]
-                due = due if self._pending else now + SECOND_DELAY_S
-                self._pending = (due, head)
+            due = now + SECOND_DELAY_S
+            if self._pending is not None:
+                due = self._pending[0]
+            self._pending = (due, head)
             return []
         return [LoadConfig(head)]
 
@@ -333,10 +336,17 @@
             self._heard_watcher = now
         if number <= self.number:
             return []
-        state = self.state.after(msg.delta)
+        try:
+            state = self.state.after(msg.delta)
+        except (ValueError, KeyError, TypeError):
+            # A peer of a newer version may send kinds that are unknown here.
+            self.unreadable += 1
+            return []
         if state is None:
             return self._ask(now, msg.process)
-        return [self._adopt(now, state)]
+        # Confirming at once tells the watcher a second earlier than the heartbeat.
+        confirm = Send(msg.process, PeerNumber(self.process, number))
+        return [self._adopt(now, state), confirm]
 
     def _on_ask(self, msg: AskState) -> list[_Out]:
         if not self.ready or msg.base >= self.number:
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,394 @@
+import asyncio
+import random
+
+import testtools
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from poplaryard.acceptance import Acceptance
+from poplaryard.clock import SystemClock, VirtualClock
+from poplaryard.head import ConfigState, Delta, Head
+from poplaryard.messages import Configure, Tick
+from poplaryard.rollout import (
+    AskState,
+    HeadSeen,
+    LoadConfig,
+    Loaded,
+    Members,
+    PeerDelta,
+    PeerNumber,
+    Rollout,
+    Send,
+    StoreFailed,
+    WatchHead,
+)
+from poplaryard.rollout_task import RolloutTask
+
+from .fake_store import FakeStore, service, ticket
+
+
+def next_state(state, name, replicas):
+    """Return the state after a ticket that sets a service, or removes it at 0."""
+    number = state.number + 1
+    value = service(name, replicas) if replicas else None
+    ref = f"{number}-{replicas}" if replicas else f"{number}-"
+    return state.after(
+        Delta(state.number or 0, number, {f"service/{name}": (ref, value)})
+    )
+
+
+def head_of(state):
+    return Head(number=state.number, objects=state.refs, removed=state.removed)
+
+
+class World:
+    """Processes of two data centres, a store, and a network that keeps messages."""
+
+    def __init__(self, sizes=(4, 2)):
+        self.now = 0.0
+        self.states = [ConfigState()]
+        self.store_up = True
+        self.network = []
+        self.cut = set()
+        self.watching = set()
+        self.seen = {}
+        self.names = {
+            f"dc{dc}": [f"dc{dc}-p{n}" for n in range(size)]
+            for dc, size in enumerate(sizes, start=1)
+        }
+        self.live = {name for names in self.names.values() for name in names}
+        self.rollouts = {name: self._new(name) for name in sorted(self.live)}
+        self.members()
+
+    def _new(self, name):
+        self.seen[name] = 0
+        return Rollout(name, name.split("-")[0])
+
+    def members(self):
+        for name, rollout in self.rollouts.items():
+            local = [p for p in self.names[rollout.data_centre] if p in self.live]
+            remote = {dc: tuple(p) for dc, p in self.names.items()}
+            if name in self.live:
+                self.give(name, Members(tuple(local), remote))
+
+    def restart(self, name):
+        self.watching.discard(name)
+        self.live.add(name)
+        self.rollouts[name] = self._new(name)
+        self.members()
+
+    def give(self, name, msg):
+        for out in self.rollouts[name].handle(self.now, msg):
+            match out:
+                case Send():
+                    self.network.append((name, out.to, out.msg))
+                case WatchHead():
+                    (self.watching.add if out.on else self.watching.discard)(name)
+                case LoadConfig():
+                    self.network.append(("store", name, None))
+                case Configure():
+                    assert out.config.number == self.rollouts[name].number
+
+    def accept(self, name, replicas, event=True):
+        self.states.append(next_state(self.states[-1], name, replicas))
+        for watcher in sorted(self.watching & self.live):
+            if event:
+                msg = HeadSeen(head_of(self.states[-1]))
+                self.network.append(("watch", watcher, msg))
+
+    def deliver(self, index):
+        source, to, msg = self.network.pop(index % len(self.network))
+        if to not in self.live or {source, to} & self.cut:
+            return
+        if msg is None:
+            answer = Loaded(self.states[-1]) if self.store_up else StoreFailed()
+            self.give(to, answer)
+        else:
+            self.give(to, msg)
+
+    def heartbeat(self):
+        for name in sorted(self.live):
+            for peer in self.names[self.rollouts[name].data_centre]:
+                if peer != name:
+                    msg = PeerNumber(name, self.rollouts[name].number)
+                    self.network.append((name, peer, msg))
+
+    def tick(self, seconds=0.1):
+        self.now += seconds
+        for name in sorted(self.live):
+            self.give(name, Tick())
+
+    def settle(self, seconds=3.0):
+        """Run without further faults, in order, for some seconds."""
+        for step in range(round(seconds * 10)):
+            if step % 10 == 0:
+                self.heartbeat()
+            self.tick()
+            for _ in range(len(self.network)):
+                self.deliver(0)
+
+    def check(self):
+        for name, rollout in self.rollouts.items():
+            assert rollout.number >= self.seen[name], f"{name} went back"
+            self.seen[name] = rollout.number
+            expected = self.states[rollout.number]
+            assert rollout.state.config == expected.config, name
+            assert rollout.state.refs == expected.refs, name
+
+    def numbers(self):
+        return {name: self.rollouts[name].number for name in sorted(self.live)}
+
+
+class RolloutMachine(RuleBasedStateMachine):
+    """Guards against a number that falls and a content that was never accepted."""
+
+    @initialize()
+    def start(self):
+        self.world = World()
+
+    @rule(name=st.sampled_from("abc"), replicas=st.integers(0, 3), event=st.booleans())
+    def accept(self, name, replicas, event):
+        self.world.accept(name, replicas, event)
+
+    @precondition(lambda self: self.world.network)
+    @rule(index=st.integers(0, 1000), copies=st.integers(0, 2))
+    def deliver(self, index, copies):
+        """Delivers out of order; 0 copies lose the message, 2 replay it."""
+        network = self.world.network
+        item = network[index % len(network)]
+        if copies == 0:
+            network.remove(item)
+            return
+        self.world.deliver(index)
+        if copies == 2:
+            network.append(item)
+
+    @rule(up=st.booleans())
+    def store(self, up):
+        self.world.store_up = up
+
+    @rule(name=st.sampled_from(["dc1-p0", "dc1-p1", "dc1-p3", "dc2-p0"]))
+    def restart(self, name):
+        self.world.restart(name)
+
+    @rule(name=st.sampled_from(["dc1-p0", "dc1-p1"]))
+    def die(self, name):
+        self.world.live.discard(name)
+        self.world.watching.discard(name)
+        self.world.members()
+
+    @rule(name=st.sampled_from(["dc1-p0", "dc1-p2", "dc2-p1"]))
+    def cut_off(self, name):
+        self.world.cut ^= {name}
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.5]))
+    def tick(self, seconds):
+        self.world.heartbeat()
+        self.world.tick(seconds)
+
+    @rule()
+    def settle(self):
+        """All live processes hold the last ticket within 3 s once faults end."""
+        world = self.world
+        world.store_up, world.cut = True, set()
+        world.settle(3.0)
+        last = world.states[-1].number
+        assert set(world.numbers().values()) == {last}, (last, world.numbers())
+
+    @invariant()
+    def never_back(self):
+        if hasattr(self, "world"):
+            self.world.check()
+
+
+RolloutMachine.TestCase.settings = settings(
+    max_examples=100, stateful_step_count=40, deadline=None, derandomize=True
+)
+RolloutMachineTest = RolloutMachine.TestCase
+
+
+class RolloutTest(testtools.TestCase):
+    def world(self, tickets=3):
+        world = World()
+        for number in range(1, tickets + 1):
+            world.accept("a", number)
+        world.settle()
+        return world
+
+    def assertAll(self, world, number, names=None):
+        numbers = world.numbers()
+        for name in names or numbers:
+            self.assertEqual(number, numbers[name], name)
+
+    def test_two_lowest_live_members_watch(self):
+        """Guards against a data centre without a watcher after a failure."""
+        world = self.world()
+        self.assertEqual({"dc1-p0", "dc1-p1", "dc2-p0", "dc2-p1"}, world.watching)
+        world.live.discard("dc1-p0")
+        world.watching.discard("dc1-p0")
+        world.members()
+        self.assertLessEqual({"dc1-p1", "dc1-p2"}, world.watching)
+
+    def test_push_brings_a_ticket_without_a_heartbeat(self):
+        """Guards against waiting for a heartbeat while a turnstile needs the change."""
+        world = self.world()
+        world.accept("b", 1)
+        for _ in range(20):
+            if world.network:
+                world.deliver(0)
+        self.assertAll(world, 4, world.names["dc1"])
+
+    def test_missed_watch_events_are_made_up(self):
+        """Guards against a watch that silently lost its event."""
+        world = self.world()
+        world.accept("b", 1, event=False)
+        world.settle()
+        self.assertAll(world, 4)
+
+    def test_late_and_repeated_events_change_nothing(self):
+        """Guards against an old head or delta taking a process back."""
+        world = self.world()
+        old = world.states[1]
+        for name in sorted(world.live):
+            for msg in (
+                HeadSeen(head_of(old)),
+                Loaded(old),
+                PeerDelta("dc1-p0", old.delta(0)),
+            ):
+                world.give(name, msg)
+        self.assertAll(world, 3)
+
+    def test_starting_process_is_not_ready_before_it_holds_a_configuration(self):
+        """Guards against serving with an empty configuration."""
+        world = self.world()
+        world.store_up = False
+        world.restart("dc1-p3")
+        self.assertFalse(world.rollouts["dc1-p3"].ready)
+        world.settle()
+        self.assertTrue(world.rollouts["dc1-p3"].ready)
+        self.assertAll(world, 3)
+
+    def test_restarted_data_centre_asks_the_others_in_an_outage(self):
+        """Guards against a data centre that stays down as long as the store."""
+        world = self.world()
+        world.store_up = False
+        for name in world.names["dc1"]:
+            world.restart(name)
+        world.settle()
+        self.assertAll(world, 3)
+
+    def test_nobody_answers(self):
+        """Guards against a process that calls itself ready without a configuration."""
+        world = World()
+        world.store_up = False
+        world.settle()
+        self.assertFalse(any(r.ready for r in world.rollouts.values()))
+
+    def test_empty_store_makes_ready(self):
+        """Guards against a new installation that never takes its first ticket."""
+        world = World()
+        world.settle()
+        self.assertTrue(all(r.ready for r in world.rollouts.values()))
+
+    def test_peer_cut_off_from_its_data_centre_reads_the_store(self):
+        """Guards against a cut-off process that keeps an old configuration."""
+        world = self.world()
+        world.accept("b", 1)
+        lonely = world.rollouts["dc1-p3"]
+        for _ in range(30):
+            world.now += 0.1
+            for out in lonely.handle(world.now, Tick()):
+                if out == LoadConfig():
+                    lonely.handle(world.now, Loaded(world.states[-1]))
+        self.assertEqual(4, lonely.number)
+
+    def test_data_centre_without_store_learns_from_another(self):
+        """Guards against one data centre staying behind while it is cut off."""
+        world = self.world()
+        world.states.append(next_state(world.states[-1], "b", 1))
+        world.store_up = False
+        world.give("dc2-p0", Loaded(world.states[-1]))
+        world.settle()
+        self.assertAll(world, 4)
+
+    def test_confirmations_name_those_behind(self):
+        """Guards against a change reported as in force before it is."""
+        world = self.world()
+        watcher = world.rollouts["dc1-p0"]
+        self.assertEqual([], watcher.behind(3))
+        world.cut = {"dc1-p3"}
+        world.accept("b", 1)
+        world.settle(2.0)
+        self.assertEqual(["dc1-p3"], watcher.behind(4))
+        _at, report = world.rollouts["dc2-p1"].reports["dc1"]
+        self.assertEqual((4, ("dc1-p3",)), (report.number, report.behind))
+
+    def test_deltas_bring_any_holder_to_the_same_state(self):
+        """Guards against a delta that misses a removal or revives an object."""
+        rng = random.Random(5)
+        states = [ConfigState()]
+        for _ in range(60):
+            states.append(next_state(states[-1], rng.choice("abcd"), rng.randrange(3)))
+        for base in range(0, 60, 3):
+            for held in range(base, 60, 4):
+                for number in range(held + 1, 60, 5):
+                    after = states[held].after(states[number].delta(base))
+                    self.assertEqual(states[number], after)
+
+    def test_gap_is_refused(self):
+        """Guards against a state with a hole where a lost delta was."""
+        world = self.world()
+        rollout = Rollout("x", "dc1")
+        delta = world.states[3].delta(2)
+        out = rollout.handle(0.0, PeerDelta("dc1-p0", delta))
+        self.assertEqual([Send("dc1-p0", AskState("x", 0))], out)
+        self.assertEqual(0, rollout.number)
+
+    def test_unreadable_change_is_counted(self):
+        """Guards against a newer peer's object kind ending the process."""
+        rollout = self.world().rollouts["dc1-p3"]
+        delta = Delta(3, 4, {"moon/x": ("4-0", {"kind": "moon", "name": "x"})})
+        self.assertEqual([], rollout.handle(0.0, PeerDelta("dc1-p0", delta)))
+        self.assertEqual((3, 1), (rollout.number, rollout.unreadable))
+
+    def test_too_old_base_gets_the_whole_state(self):
+        """Guards against a removal that was forgotten before a peer heard of it."""
+        state = self.world().states[3]
+        short = ConfigState(state.config, state.refs, {}, horizon=2)
+        self.assertEqual(0, short.delta(1).base)
+        self.assertEqual(2, short.delta(2).base)
+
+
+class RolloutTaskTest(testtools.TestCase):
+    def test_accepted_ticket_comes_into_force(self):
+        """Guards against a watch, load or push that is decided but not carried out."""
+        asyncio.run(self._run())
+
+    async def _run(self):
+        store, tasks, got = FakeStore(), {}, asyncio.Queue()
+
+        def send(out):
+            tasks[out.to].handle(out.msg)
+
+        for name in ("p0", "p1", "p2"):
+            tasks[name] = RolloutTask(
+                Rollout(name, "dc1"), store, SystemClock(), send, got.put_nowait
+            )
+        running = [asyncio.create_task(task.run()) for task in tasks.values()]
+        for task in tasks.values():
+            task.handle(Members(tuple(tasks)))
+        filer = Acceptance(store, VirtualClock())
+        self.assertTrue((await filer.file(ticket("uid-1"))).ok)
+        async with asyncio.timeout(20):
+            while any(task.rollout.number < 1 for task in tasks.values()):
+                await got.get()
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running, return_exceptions=True)
