Build the shard scheduler on the ledger, wait queues, quotas and ejection

Change: Ledger registers requests and gives answers; Takeover, if set by `take_over`, says when exclusive work is served, otherwise every VM must have been claimed. Work waits in WaitQueues behind Admission and Quotas; gangs have a queue of their own, as their lanes would block batch work. Failing VMs are ejected and return by share of ticks. An exclusive key of a lost attempt stays taken for two leases, since a paused worker can read one last renewal. Conclusion: the cost of this path is not measured yet.

--- a/src/poplaryard/attempts.py
+++ b/src/poplaryard/attempts.py
@@ -1,18 +1,18 @@
 """Attempts of one shard, and what a worker's claim reply says about them."""
 
 import typing as t
+from dataclasses import replace
 
+from .fencing import lease_wait_s
 from .fleet import Fleet, Vm
 from .jobs import Attempt
-from .messages import ClaimReply
-from .resources import Resources
+from .messages import ClaimReply, Work
+from .quota import Quotas
+from .resources import ZERO, Resources
 from .services import ReplicaPool
 
 __all__ = ["AttemptTable", "Fate", "fate", "lost_after"]
 
-# Task lease of 4 s and 10% for the difference in rate of two clocks.
-LEASE_WAIT_S = 4.4
-
 
 class Fate(t.NamedTuple):
     """Attempts that a claimed worker does not report."""
@@ -47,10 +47,14 @@
 def lost_after(attempt: Attempt, lost_at: float) -> float:
     """Return the time at which an attempt on an unreachable worker has ended.
 
-    Its lease was renewed at `lost_at` at the latest, or began with a late start.
+    Its lease was renewed at `lost_at`, or began with a late start. A renewal that was
+    sent before `lost_at` and read by a paused worker just before the lease ended would
+    extend it once more; only an exclusive key must wait for that too, as idempotent
+    work may run twice and other work is not run again.
     """
     begun = lost_at if attempt.confirmed else max(lost_at, attempt.latest_start)
-    return begun + LEASE_WAIT_S
+    leases = 2 if attempt.work.exclusive_key else 1
+    return begun + leases * lease_wait_s()
 
 
 class AttemptTable:
@@ -66,7 +70,8 @@
         Attempts that may be preempted by VM.
     """
 
-    def __init__(self, fleet: Fleet, pools: dict[str, ReplicaPool]):
+    def __init__(self, fleet: Fleet, pools: dict[str, ReplicaPool], quotas: Quotas):
+        self._quotas = quotas
         self._fleet = fleet
         self._pools = pools
         self._attempts: dict[str, Attempt] = {}
@@ -92,6 +97,9 @@
         """Charge an attempt to its VM, and to its executor if it has one."""
         self._attempts[attempt.attempt_id] = attempt
         self._fleet.charge(vm, attempt.attempt_id, amount)
+        attempt.charged = amount
+        if amount != ZERO:
+            self._quotas.charge(attempt.work.team, amount)
         if attempt.work.exclusive_key:
             _count(self.keys, attempt.work.exclusive_key, 1)
         if attempt.preemptible:
@@ -104,6 +112,14 @@
         elif attempt.executor:
             pool.take(attempt.executor)
 
+    def describe(self, attempt: Attempt, work: Work) -> None:
+        """Take the whole request of an attempt that an earlier owner started."""
+        if attempt.preemptible:
+            _count(self.preemptible, attempt.vm, -1)
+        attempt.work = replace(work, exclusive_key=attempt.work.exclusive_key)
+        if attempt.preemptible:
+            _count(self.preemptible, attempt.vm, 1)
+
     def confirm(self, now: float, attempt: Attempt) -> bool:
         """Note that the worker started an attempt; return False if that was known."""
         if attempt.confirmed:
@@ -120,6 +136,8 @@
         if attempt is None:
             return None
         self._fleet.release(attempt.vm, attempt_id)
+        if attempt.charged != ZERO:
+            self._quotas.release(attempt.work.team, attempt.charged)
         if attempt.work.exclusive_key:
             _count(self.keys, attempt.work.exclusive_key, -1)
             if attempt.work.exclusive_key not in self.keys:
--- a/src/poplaryard/backlog.py
+++ b/src/poplaryard/backlog.py
@@ -1,17 +1,23 @@
 """Waiting work of one shard and the passes that start it."""
 
+import bisect
 import heapq
 import itertools
 import typing as t
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
+from .admission import Admission
 from .codes import Code
 from .estimate import Estimator
-from .gangs import Gangs
+from .gangs import QUANTILE, Gangs
 from .jobs import Attempt, Job
+from .lanes import Lane, Pending, lane_of
 from .messages import Priority, WorkKind
+from .parking import Parking
 from .placement import BatchTask, Choice, RequestTask, Task, choose
 from .preemption import Preemptor
+from .queues import WaitQueues
+from .reasons import Reasons
 from .resources import ZERO, Resources
 from .results import Results
 from .state import ShardState, Start
@@ -19,19 +25,17 @@
 __all__ = ["Backlog"]
 
 # Jobs tried in one pass, so that a deep queue does not delay the next message.
-PASS_LIMIT = 64
+PASS_LIMIT = 32
+
+# Gangs tried in one pass.
+GANG_LIMIT = 8
 
 # Largest number of jobs for which other work is being preempted.
 PREEMPTING = 256
 
-# Work that needs sole ownership waits this long for it before it is answered.
-EXCLUSIVE_WAIT_S = 1.0
-
 # Queued work is handed back this long after the authority has lapsed.
 HAND_BACK_S = 1.0
 
-_Lane: t.TypeAlias = tuple[int, str, str, Resources]
-
 
 class Backlog:
     """Queues jobs and starts their tasks where they fit."""
@@ -42,28 +46,68 @@
         self._estimator = estimator
         self.gangs = Gangs(state, estimator)
         self.preemptor = Preemptor(state)
-        self._lanes: dict[_Lane, OrderedDict[str, Job]] = {}
-        self._blocked: set[_Lane] = set()
+        self.reasons = Reasons(state)
+        self._queues = WaitQueues(state.config.policy, self._state.quotas.share)
+        self._admission = Admission(state.config.policy)
+        self._parking = Parking()
+        self._sequence = itertools.count()
+        self._gang_queue: list[tuple[int, int, str]] = []
+        self._blocked: set[t.Hashable] = set()
+        self._retry_pass = False
         self._delayed: list[tuple[float, str]] = []
-        self._urgent: dict[str, Job] = {}
-        self._keyed: dict[str, deque[Job]] = {}
-        self._paused: deque[Job] = deque()
+        self._urgent: OrderedDict[str, Job] = OrderedDict()
+        state.on_end = self._ended
+        state.on_close = self._closed
+
+    def configure(self) -> None:
+        """Take the policy, the teams and the capacity in force."""
+        config, fleet = self._state.config, self._state.fleet
+        slots = {
+            name: Resources(cpu_m=pool.slots * pool.wanted)
+            for name, pool in self._state.pools.items()
+        }
+        capacity = {**fleet.totals_by_group(), **slots, "": fleet.total}
+        self._queues.configure(config.policy, capacity)
+        self._admission.configure(config.policy)
+        self._state.quotas.configure(config.teams, fleet.total)
 
     def submit(self, now: float, job: Job) -> None:
-        """Queue a new job, or refuse it if it can never be placed."""
-        job.reason = self._never(job)
-        if job.reason:
-            self._results.answer(job, Code.UNPLACEABLE)
-        elif not self._backfilled(now, job):
+        """Queue a new job, or refuse it."""
+        detail = self.reasons.never(job, self.gangs)
+        if detail:
+            self._results.refuse(now, job, Code.UNPLACEABLE, detail)
+            return
+        detail = self.reasons.beyond_quota(job)
+        if detail:
+            self._results.refuse(now, job, Code.QUOTA_EXCEEDED, detail)
+            return
+        depth, team_depth = self._queues.depth(job.work), 0
+        if depth:
+            team_depth = self._queues.team_depth(job.work)
+        pool = self._state.pools.get(job.work.target)
+        limit = pool.spec.queue_limit if pool else None
+        verdict = self._admission.admit(now, job.work, depth, team_depth, limit)
+        if verdict.code is Code.ACCEPTED:
             self.requeue(now, job)
+        else:
+            after_s = verdict.retry_after_s
+            self._results.refuse(now, job, verdict.code, retry_after_s=after_s)
 
     def requeue(self, now: float, job: Job) -> None:
-        """Queue a job that has a task to start."""
+        """Queue a job that has a task to start, or start it if nothing waits."""
         if job.retry_at > now:
             heapq.heappush(self._delayed, (job.retry_at, job.request_id))
             return
-        lane = self._lane(job)
-        self._lanes.setdefault(lane, OrderedDict())[job.request_id] = job
+        if job.entry is None:
+            job.entry = self._entry_of(job)
+        if job.work.kind is WorkKind.GANG:
+            item = -int(job.work.priority), job.entry.sequence, job.request_id
+            if item not in self._gang_queue:
+                bisect.insort(self._gang_queue, item)
+                self._blocked.discard("gangs")
+            return
+        if not self._started_at_once(now, job):
+            self._push(now, job)
 
     def waiting(self) -> int:
         """Return the number of jobs with a task to start."""
@@ -73,22 +117,32 @@
         """Start what fits."""
         while self._delayed and self._delayed[0][0] <= now:
             job = self._state.jobs.get(heapq.heappop(self._delayed)[1])
-            if job is not None:
+            if job is not None and job.pending:
+                job.retry_at = now
                 self.requeue(now, job)
         if now >= self._state.authority.until:
             return
         if self._state.room_freed:
             self._state.room_freed = False
             self._blocked.clear()
+            self._retry_pass = True
             self._unpark(now)
             self._start_held(now)
-        self._pass(now)
+        if self._gang_queue:
+            self._pass_gangs(now)
+        if self._retry_pass and len(self._queues):
+            self._pass(now)
 
     def tick(self, now: float) -> None:
         """Go on with preemption and try all waiting work again."""
         self.preemptor.tick(now)
+        self._queues.expire(now)
         self._hand_back(now)
-        self._refuse_paused(now)
+        for job in self._parking.overdue(now):
+            if not job.may_have_run:
+                self._results.refuse(now, job, Code.EXCLUSIVE_PAUSED, retry_after_s=1.0)
+        for attempt_id in self._queues.to_yield(now):
+            self.preemptor.checkpoint(now, attempt_id)
         self._state.room_freed = True
 
     def _hand_back(self, now: float) -> None:
@@ -97,44 +151,71 @@
             return
         for job in list(self._state.jobs.values()):
             if job.pending and not job.may_have_run and not job.cancelled:
-                self._results.answer(job, Code.NOT_OWNER)
+                self._results.refuse(now, job, Code.NOT_OWNER, retry_after_s=0.1)
 
-    def _lane(self, job: Job) -> _Lane:
-        """Return what a job competes for: if one does not fit, none behind it does."""
-        work = job.work
-        place = work.target if work.kind is WorkKind.REQUEST else work.group
-        return -int(work.priority), work.kind, place, work.need
+    def _entry_of(self, job: Job) -> Pending:
+        expected_s = self._estimator.run_time_s(job.work)
+        sequence = next(self._sequence)
+        return Pending(job.work, job.arrived, sequence, expected_s=expected_s)
 
-    def _backfilled(self, now: float, job: Job) -> bool:
-        """Start a short job ahead of a blocked lane if it ends before a gang starts."""
-        if not self.gangs.active or job.work.kind is not WorkKind.BATCH:
+    def _push(self, now: float, job: Job) -> None:
+        entry = t.cast(Pending, job.entry)
+        if job.request_id in self._queues:
+            return
+        entry.next_task = job.work.tasks - len(job.pending)
+        self._queues.push(now, entry)
+        self._state.quotas.waits(job.work.team)
+        if entry.lane not in self._blocked:
+            self._retry_pass = True
+
+    def _remove(self, now: float, job: Job) -> None:
+        if self._queues.remove(job.request_id, now) is not None:
+            self._state.quotas.left(job.work.team)
+
+    def _started_at_once(self, now: float, job: Job) -> bool:
+        """Start a job past an empty queue, or as backfill before a gang."""
+        if now >= self._state.authority.until:
+            return False
+        entry = t.cast(Pending, job.entry)
+        lane = lane_of(entry, self._state.config.policy.short_s)
+        if self._queues.depth(job.work) and not (
+            lane in self._blocked and self.gangs.active
+        ):
             return False
-        return self._lane(job) in self._blocked and self._place(now, job)
+        if self._place(now, job, entry):
+            return True
+        self._block(job, lane)
+        return False
 
     def _pass(self, now: float) -> None:
-        budget = PASS_LIMIT
-        for lane in sorted(self._lanes.keys() - self._blocked, key=_lane_order):
-            budget -= self._pass_lane(now, lane, budget)
-            if not self._lanes[lane]:
-                del self._lanes[lane]
-            if budget <= 0:
-                return
-
-    def _pass_lane(self, now: float, lane: _Lane, budget: int) -> int:
-        """Start what fits of one lane; return how many jobs were tried."""
-        queue = self._lanes[lane]
-        tried = list(itertools.islice(queue.items(), budget))
-        placed = False
-        for count, (request_id, job) in enumerate(tried, 1):
-            if self._place(now, job):
-                placed = True
-                del queue[request_id]
-            elif not self._waits_alone(job):
-                self._blocked.add(lane)
-                return count
-        if not placed:
+        self._retry_pass = False
+        for entry in self._queues.candidates(now, PASS_LIMIT):
+            # What starts may have others of its lane behind it, which come next time.
+            self._retry_pass |= self._try(now, entry)
+
+    def _try(self, now: float, entry: Pending) -> bool:
+        """Place one queued job; block its lane if it shows that the lane is stuck."""
+        lane, team = t.cast(Lane, entry.lane), entry.work.team
+        if lane in self._blocked or (lane, team) in self._blocked:
+            return False
+        job = self._state.jobs.get(entry.work.request_id)
+        if job is None or not job.pending:
+            self._queues.remove(entry.work.request_id, now)
+            return True
+        before = len(job.pending)
+        if self._place(now, job, entry):
+            self._remove(now, job)
+            return True
+        self._block(job, lane)
+        return len(job.pending) < before
+
+    def _block(self, job: Job, lane: Lane) -> None:
+        """Note what cannot start either, now that a job could not."""
+        team = job.work.team
+        if not self._state.quotas.allowed(team, self._charge(job)):
+            self._blocked.add((lane, team))
+        elif not self._waits_alone(job):
             self._blocked.add(lane)
-        return len(tried)
 
     def _waits_alone(self, job: Job) -> bool:
         """Tell whether a job waits for something that those behind it do not."""
@@ -143,84 +224,80 @@
         is_batch = job.work.kind is WorkKind.BATCH
         return is_batch and (self.gangs.active or self._charge(job) != job.work.need)
 
-    def _place(self, now: float, job: Job) -> bool:
-        """Start what fits of a job; return True if it need not wait any more."""
-        if not job.pending or self._state.jobs.get(job.request_id) is not job:
-            return True
-        if self._parked(job):
-            return True
-        if job.work.kind is WorkKind.GANG:
-            return self._place_gang(now, job)
+    def _place(self, now: float, job: Job, entry: Pending) -> bool:
+        """Start what fits of a job; return True if it waits in the queue no more."""
         while job.pending:
-            if job.work.exclusive_key and self._parked(job):
+            if self._parked(now, job):
                 return True
-            if not self._place_task(now, job, job.pending[0]):
+            task = job.pending[0]
+            may_start = self._results.ledger.may_start(job.request_id, task)
+            if may_start and not self._place_task(now, job, task, entry):
                 return False
             job.pending.popleft()
         return True
 
-    def _parked(self, job: Job) -> bool:
+    def _parked(self, now: float, job: Job) -> bool:
         """Set a job aside that must wait for sole ownership or for its key."""
-        work = job.work
-        key = work.exclusive_key
-        if (key or not work.idempotent) and not self._state.authority.exclusive:
+        work, key = job.work, job.work.exclusive_key
+        if work.idempotent and not key:
+            return False
+        if not self._state.serves_exclusive():
             job.reason = "It waits until this process is certain to be the only owner."
-            self._paused.append(job)
-        elif key and key in self._state.attempts.keys:
-            job.reason = f"Other work runs under its exclusive key in {self._shard}."
-            self._keyed.setdefault(key, deque()).append(job)
-        else:
+            self._parking.wait_for_ownership(now, job)
+            return True
+        if key and key in self._state.attempts.keys:
+            job.reason = self.reasons.key_taken()
+            self._parking.wait_for_key(job)
+            return True
+        if work.idempotent or job.may_have_run:
             return False
-        return True
+        if not self._state.may_run_unknown(work.issued_at):
+            self._results.give_up(now, job, Code.UNKNOWN_OUTCOME)
+            return True
+        return False
 
     def _unpark(self, now: float) -> None:
         """Queue jobs again that need not wait any more, one for each free key."""
         freed, self._state.attempts.freed_keys = self._state.attempts.freed_keys, []
         for key in freed:
-            jobs = self._keyed.get(key)
-            while jobs and not jobs[0].pending:
-                jobs.popleft()
-            if jobs:
-                self.requeue(now, jobs.popleft())
-            else:
-                self._keyed.pop(key, None)
-        if self._state.authority.exclusive:
-            while self._paused:
-                self.requeue(now, self._paused.popleft())
-
-    def _refuse_paused(self, now: float) -> None:
-        """Answer work that has waited too long for sole ownership."""
-        while self._paused and now >= self._paused[0].arrived + EXCLUSIVE_WAIT_S:
-            job = self._paused.popleft()
-            if job.pending and not job.may_have_run:
-                self._results.answer(job, Code.EXCLUSIVE_PAUSED)
-
-    def _place_task(self, now: float, job: Job, task: int) -> bool:
-        work = job.work
+            job = self._parking.key_freed(key)
+            if job is not None:
+                self.requeue(now, job)
+        if self._state.serves_exclusive():
+            for job in self._parking.owned():
+                self.requeue(now, job)
+
+    def _place_task(self, now: float, job: Job, task: int, entry: Pending) -> bool:
         if task in job.held:
             return False
         charge = self._charge(job)
+        if not self._state.quotas.allowed(job.work.team, charge):
+            job.reason = self.reasons.over_quota(job)
+            return False
+        if not self._queues.may_start(now, entry):
+            job.reason = self.reasons.kept_for_short(job)
+            return False
         choice = self._choose(now, job, charge)
         if choice is None:
-            self._note_wait(job, charge)
-            if work.priority is Priority.URGENT:
+            job.reason = self.reasons.no_room(job, charge)
+            if job.work.priority is Priority.URGENT:
                 self._preempt(now, job, task, charge)
             return False
         return self._start(now, job, task, choice, charge)
 
     def _choose(self, now: float, job: Job, charge: Resources) -> Choice | None:
-        work = job.work
+        work, fleet, rng = job.work, self._state.fleet, self._state.rng
         task: Task
         if work.kind is WorkKind.REQUEST:
             task = RequestTask(pool=self._state.pools.get(work.target))
-            return choose(task, self._state.fleet, self._state.rng)
+            return choose(task, fleet, rng)
         if not self._within_headroom(job, charge):
             return None
         task = BatchTask(charge, work.group)
-        choice = choose(task, self._state.fleet, self._state.rng)
-        if choice is not None:
+        choice = choose(task, fleet, rng)
+        if choice is not None or not self.gangs.active:
             return choice
-        run_time_s = self._estimator.run_time_s(work, 0.9)
+        run_time_s = self._estimator.run_time_s(work, QUANTILE)
         vm = self.gangs.backfill(now, charge, work.group, run_time_s)
         return Choice(vm) if vm else None
 
@@ -232,28 +309,35 @@
         after = self._state.fleet.used + charge
         return after.dominant_share(self._state.fleet.total) <= 1.0 - headroom
 
+    def _pass_gangs(self, now: float) -> None:
+        if "gangs" in self._blocked:
+            return
+        self._blocked.add("gangs")
+        for item in self._gang_queue[:GANG_LIMIT]:
+            job = self._state.jobs.get(item[2])
+            if job is None or not job.pending or self._place_gang(now, job):
+                self._gang_queue.remove(item)
+
     def _place_gang(self, now: float, job: Job) -> bool:
+        """Start a gang whole; return True if it waits in the queue no more."""
+        if job.held:
+            return False
+        if self._parked(now, job):
+            return True
         charge = self._charge(job)
-        if job.held or not self.gangs.hold_all(job, charge):
-            self._wait_as_gang(now, job, charge)
+        whole = charge.times(len(job.pending))
+        if not self._state.quotas.allowed(job.work.team, whole):
+            job.reason = self.reasons.over_quota(job)
             return False
-        self._start_all_held(now, job)
-        return True
-
-    def _wait_as_gang(self, now: float, job: Job, charge: Resources) -> None:
-        if not job.held and self.gangs.reserve(now, job, charge):
-            job.reason = (
-                f"Room for all {len(job.pending)} tasks is reserved in {self._shard} "
-                "and becomes free as other tasks end."
-            )
-            if job.work.priority is Priority.URGENT:
-                for name in sorted(set(job.held.values())):
-                    self.preemptor.clear(now, self._state.fleet.vms[name])
-        elif not job.held:
-            job.reason = (
-                f"{self._shard} has no room for all {len(job.pending)} tasks at once, "
-                "and another gang holds the reservation."
-            )
+        if self.gangs.hold_all(job, charge):
+            self._start_all_held(now, job)
+            return True
+        reserved = self.gangs.reserve(now, job, charge)
+        job.reason = self.reasons.gang_waits(job, reserved)
+        if reserved and job.work.priority is Priority.URGENT:
+            for name in sorted(set(job.held.values())):
+                self.preemptor.clear(now, self._state.fleet.vms[name])
+        return False
 
     def _preempt(self, now: float, job: Job, task: int, charge: Resources) -> None:
         if job.work.kind is WorkKind.REQUEST or len(self._urgent) >= PREEMPTING:
@@ -285,59 +369,34 @@
         amount = self._state.unhold(job, task)
         if self._start(now, job, task, Choice(vm), amount):
             job.pending.remove(task)
+            if not job.pending:
+                self._remove(now, job)
 
     def _start(
         self, now: float, job: Job, task: int, choice: Choice, charge: Resources
     ) -> bool:
         start = Start(choice.vm, job.work, task, charge, choice.executor)
-        attempt: Attempt | None = self._state.start(now, start)
+        attempt = self._state.start(now, start)
         if attempt is None:
             return False
+        self._results.ledger.started(now, job.request_id, attempt.attempt_id, task)
+        entry = t.cast(Pending, job.entry)
+        is_request = job.work.kind is WorkKind.REQUEST
+        held = None if is_request else charge
+        self._queues.started(now, attempt.attempt_id, entry, held)
+        self._admission.started(now, job.work)
+        self._results.budget.first(now)
         job.attempts.add(attempt.attempt_id)
         return True
 
+    def _ended(self, now: float, attempt: Attempt) -> None:
+        self._queues.ended(now, attempt.attempt_id)
+
+    def _closed(self, now: float, job: Job) -> None:
+        self._remove(now, job)
+
     def _charge(self, job: Job) -> Resources:
         if job.work.kind is WorkKind.REQUEST:
             return ZERO
         limit = self._state.fleet.roomiest(job.work.need, job.work.group)
         return self._estimator.charge(job.work, limit or ZERO)
-
-    def _never(self, job: Job) -> str:
-        """Say why a job can never be placed here; empty if it can."""
-        work, fleet = job.work, self._state.fleet
-        if work.kind is WorkKind.REQUEST or not fleet.vms:
-            return ""
-        where = f"VM of group {work.group}" if work.group else "VM"
-        if fleet.roomiest(work.need, work.group) is None:
-            return (
-                f"No {where} in {self._shard} is large enough for {_text(work.need)}."
-            )
-        if work.kind is WorkKind.GANG:
-            widest = self.gangs.widest(work.need, work.group)
-            if widest < work.tasks:
-                return (
-                    f"{self._shard} can run at most {widest} of the {work.tasks} tasks "
-                    "of the gang at once."
-                )
-        return ""
-
-    def _note_wait(self, job: Job, charge: Resources) -> None:
-        work = job.work
-        if work.kind is WorkKind.REQUEST:
-            job.reason = f"All executors of {work.target} in {self._shard} are busy."
-        else:
-            job.reason = f"No VM in {self._shard} has {_text(charge)} free now."
-
-    @property
-    def _shard(self) -> str:
-        return f"shard {self._state.shard}"
-
-
-def _lane_order(lane: _Lane) -> tuple[int, str, str]:
-    return lane[:3]
-
-
-def _text(need: Resources) -> str:
-    """Return an amount as words."""
-    text = f"{need.cpu_m / 1000:g} cores and {need.mem_mb} MB"
-    return f"{text} and {need.gpus} GPUs" if need.gpus else text
--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -6,6 +6,7 @@
 from .attempts import fate, lost_after
 from .codes import Code, Outcome
 from .fleet import Vm
+from .health import Health
 from .jobs import Attempt
 from .messages import (
     AttemptReport,
@@ -45,10 +46,12 @@
         self,
         state: ShardState,
         results: Results,
+        health: Health,
         leaves: t.Callable[[float, Vm], None],
     ):
         self._state = state
         self._results = results
+        self._health = health
         self._leaves = leaves
         self._unclaimed: dict[str, Vm] = {}
         self._doubtful: dict[str, Vm] = {}
@@ -64,6 +67,7 @@
         state.room_freed = True
         if risen:
             state.owned_since = now
+            state.unseen = set(state.fleet.vms)
             for vm in state.fleet.vms.values():
                 self._claim(now, vm)
 
@@ -71,10 +75,13 @@
         """Add a VM or take over its changes."""
         known = msg.vm.name in self._state.fleet.vms
         vm = self._state.fleet.update(msg.vm)
+        self._health.add(vm)
         back = vm.name in self._gone
         self._gone.discard(vm.name)
         vm.listed_leaving = msg.leaving
         if back or not known:
+            if self._state.unseen or not self._state.authority.epoch:
+                self._state.unseen.add(vm.name)
             self._claim(now, vm)
         self._note_leaving(now, vm)
 
@@ -179,6 +186,7 @@
         state = self._state
         vm.claimed = True
         vm.lost_at = float("inf")
+        state.unseen.discard(vm.name)
         vm.clock_ms, vm.clock_at = msg.clock_ms, now
         self._unclaimed.pop(vm.name, None)
         self._doubtful.pop(vm.name, None)
@@ -214,9 +222,7 @@
             report.attempt_id, work, report.task, vm.name, report.executor, now
         )
         self._state.attempts.add(vm, attempt, report.need)
-        job = self._state.jobs.get(report.request_id)
-        if job is not None:
-            job.attempts.add(report.attempt_id)
+        self._results.adopted(now, attempt, report)
 
     def _report(self, now: float, vm: Vm, report: AttemptReport) -> None:
         attempt = self._state.attempts.get(report.attempt_id)
@@ -225,7 +231,10 @@
             self._confirm(now, attempt)
             self._results.progress(vm, attempt, report)
         elif attempt is not None:
+            self._health.record(now, vm, report)
             self._results.reported(now, attempt, report)
+        elif not running:
+            self._results.found(now, report)
         elif running and vm.claimed:
             # Only a claim reply is complete enough to charge an unknown attempt.
             self._claim(now, vm)
@@ -248,8 +257,11 @@
                 self._results.lost(now, attempt)
         if vm.name not in self._gone:
             if now >= vm.claim_sent_at + CLAIM_AGAIN_S:
+                vm.lost_at = min(vm.lost_at, now)
                 self._claim(now, vm)
         elif not vm.charges:
             self._state.fleet.remove(vm.name)
+            self._state.unseen.discard(vm.name)
+            self._health.forget(vm.name)
             del self._unclaimed[vm.name]
             self._gone.discard(vm.name)
--- a/src/poplaryard/fleet.py
+++ b/src/poplaryard/fleet.py
@@ -209,6 +209,13 @@
                 found[shape] = found.get(shape, 0) + count
         return found
 
+    def totals_by_group(self) -> dict[str, Resources]:
+        """Return the capacity of each VM group."""
+        totals: dict[str, Resources] = {}
+        for (group, shape), count in self._shapes.items():
+            totals[group] = totals.get(group, ZERO) + shape.times(count)
+        return totals
+
     def roomiest(self, need: Resources, group: str = "") -> Resources | None:
         """Return the largest shape that holds `need`, or None if none does."""
         fitting = [shape for shape in self.shapes(group) if need.fits_in(shape)]
--- a/src/poplaryard/jobs.py
+++ b/src/poplaryard/jobs.py
@@ -1,10 +1,11 @@
 """Jobs and attempts as one shard's scheduler tracks them."""
 
-import typing as t
 from collections import deque
 from dataclasses import dataclass, field
 
+from .lanes import Pending
 from .messages import Priority, StopMode, Work, WorkKind
+from .resources import ZERO, Resources
 
 __all__ = ["Attempt", "Job"]
 
@@ -31,6 +32,8 @@
         How it was last asked to end.
     preempted : bool
         Whether it is stopped so that other work can start.
+    charged : Resources
+        Amount charged at its start.
     """
 
     attempt_id: str
@@ -45,6 +48,7 @@
     stop_sent_at: float = float("-inf")
     stop_mode: StopMode | None = None
     preempted: bool = False
+    charged: Resources = ZERO
 
     @property
     def is_replica(self) -> bool:
@@ -73,8 +77,6 @@
     ----------
     pending : deque of int
         Tasks that have no attempt at the moment.
-    parts : dict of int to object
-        Results by task.
     attempts : set of str
         Attempts in progress.
     failures : int
@@ -89,13 +91,14 @@
         VM on which room is held, by task.
     reason : str
         Why it waits, as one sentence.
+    entry : Pending or None
+        Its entry in the wait queues.
     """
 
     work: Work
     reply_to: str
     arrived: float
     pending: deque[int] = field(default_factory=deque)
-    parts: dict[int, t.Any] = field(default_factory=dict)
     attempts: set[str] = field(default_factory=set)
     failures: int = 0
     refusals: int = 0
@@ -104,6 +107,7 @@
     retry_at: float = 0.0
     held: dict[int, str] = field(default_factory=dict)
     reason: str = ""
+    entry: Pending | None = None
 
     @property
     def request_id(self) -> str:
--- a/src/poplaryard/preemption.py
+++ b/src/poplaryard/preemption.py
@@ -118,6 +118,12 @@
         if victims is not None:
             self._end(now, victims.attempts)
 
+    def checkpoint(self, now: float, attempt_id: str) -> None:
+        """Checkpoint one attempt; it is queued again."""
+        attempt = self._state.attempts.get(attempt_id)
+        if attempt is not None and not attempt.preempted:
+            self._end(now, [attempt])
+
     def tick(self, now: float) -> None:
         """Stop attempts whose checkpoint or stop has taken too long."""
         while self._watched and self._watched[0][0] <= now:
--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -31,7 +31,6 @@
                 pools[name].configure(spec)
             else:
                 pools[name] = ReplicaPool(spec)
-        self.share_out()
 
     def share_out(self) -> None:
         """Compute the part of each service's replicas that this shard runs."""
--- a/src/poplaryard/results.py
+++ b/src/poplaryard/results.py
@@ -1,21 +1,24 @@
 """What attempts come to: retries, cancellations and the answers of jobs."""
 
 import typing as t
-from collections import OrderedDict, deque
+from collections import deque
 from dataclasses import replace
 
 from .codes import Code
 from .estimate import Estimator
 from .fleet import Vm
 from .jobs import Attempt, Job
-from .messages import Answer, AttemptReport, AttemptState, StopMode
+from .limits import RetryBudget, backoff_s
+from .messages import Answer, AttemptReport, AttemptState, StopMode, WorkKind
+from .outcome import Ledger
 from .state import ShardState
 
 __all__ = ["Results"]
 
 MAX_ATTEMPTS = 3
+
+# Least wait before a start that a worker refused is tried again.
 RETRY_DELAY_S = 0.05
-ANSWERS_KEPT = 20_000
 
 # Stops sent in one call. A wave of cancellations is spread over many calls, so that
 # placement goes on between them.
@@ -40,17 +43,14 @@
         estimator: Estimator,
         requeue: t.Callable[[float, Job], None],
     ):
+        self.ledger = Ledger()
+        self.budget = RetryBudget()
         self._state = state
         self._estimator = estimator
         self._requeue = requeue
-        self._answers: OrderedDict[str, Answer] = OrderedDict()
         self._to_stop: deque[str] = deque()
         self._stopping: deque[tuple[float, str]] = deque()
 
-    def known_answer(self, request_id: str) -> Answer | None:
-        """Return the answer given to a request, if it is still kept."""
-        return self._answers.get(request_id)
-
     def progress(self, vm: Vm, attempt: Attempt, report: AttemptReport) -> None:
         """Take the measured use of a running attempt."""
         self._estimator.saw_size(attempt.work, report.used)
@@ -58,66 +58,151 @@
 
     def reported(self, now: float, attempt: Attempt, report: AttemptReport) -> None:
         """Settle an attempt that a worker reports as ended."""
-        job = self._state.end(attempt)
-        if job is None:
+        job = self._state.end(now, attempt)
+        if attempt.is_replica:
             return
-        job.ran = True
-        self._estimator.saw_size(attempt.work, report.used)
         if report.state is AttemptState.SUCCEEDED:
+            self._estimator.saw_size(attempt.work, report.used)
             self._estimator.saw_time(attempt.work, report.elapsed_s)
-            self._succeeded(job, attempt.task, report.body)
+        if job is not None:
+            job.ran = True
+        if job is not None and self._tried_again(now, job, attempt, report):
+            return
+        answer = self.ledger.report(now, report)
+        if job is None:
+            return
+        if answer is not None:
+            self._send(now, job, answer)
         elif job.cancelled:
-            self._settle_cancelled(job)
-        elif attempt.preempted or report.state is AttemptState.CHECKPOINTED:
+            self._settle_cancelled(now, job)
+        elif report.state in (AttemptState.CHECKPOINTED, AttemptState.STOPPED):
             self._again(now, job, attempt.task)
-        elif job.work.idempotent and job.failures + 1 < self._max_attempts(job):
-            job.failures += 1
-            self._retry(now, job, attempt.task)
-        elif report.state is AttemptState.FAILED:
-            self.answer(job, Code.FAILED, (report.body,))
-        else:
-            self.answer(job, Code.STOPPED)
+
+    def _tried_again(
+        self, now: float, job: Job, attempt: Attempt, report: AttemptReport
+    ) -> bool:
+        """Run a failed or stopped task of idempotent work again if that is allowed."""
+        failed = report.state in (AttemptState.FAILED, AttemptState.STOPPED)
+        if not failed or attempt.preempted or not job.work.idempotent or job.cancelled:
+            return False
+        job.failures += 1
+        if job.failures < self._max_attempts(job) and self.budget.take(now):
+            self.ledger.lost(now, attempt.attempt_id)
+            self._retry(now, job, attempt.task, job.failures)
+            return True
+        if report.state is AttemptState.STOPPED:
+            self.ledger.report(now, report)
+            self._send(now, job, self.ledger.end(now, job.request_id, Code.STOPPED))
+            return True
+        return False
+
+    def adopted(self, now: float, attempt: Attempt, report: AttemptReport) -> None:
+        """Take an attempt that an earlier owner started."""
+        if attempt.is_replica:
+            return
+        self.ledger.adopt(now, report)
+        job = self._state.jobs.get(report.request_id)
+        if job is not None:
+            job.attempts.add(attempt.attempt_id)
+            if report.task in job.pending:
+                job.pending.remove(report.task)
+            self._state.attempts.describe(attempt, job.work)
+
+    def take_running(self, job: Job) -> None:
+        """Take up the attempts of a job that an earlier owner started."""
+        for attempt_id in self.ledger.attempts(job.request_id):
+            attempt = self._state.attempts.get(attempt_id)
+            if attempt is not None:
+                job.attempts.add(attempt_id)
+                self._state.attempts.describe(attempt, job.work)
+
+    def found(self, now: float, report: AttemptReport) -> None:
+        """Take the end of an attempt that is not in progress here.
+
+        An earlier owner started it, or it was given up as lost.
+        """
+        if report.kind is WorkKind.SERVICE:
+            return
+        answer = self.ledger.adopt(now, report)
+        job = self._state.jobs.get(report.request_id)
+        if job is None:
+            return
+        open_tasks = self.ledger.open_tasks(job.request_id)
+        if report.task not in open_tasks and report.task in job.pending:
+            job.pending.remove(report.task)
+            job.ran = True
+        if answer is not None:
+            self._send(now, job, answer)
 
     def not_run(self, now: float, attempt: Attempt) -> None:
         """Settle an attempt that has not run and never will."""
-        job = self._state.end(attempt)
+        job = self._state.end(now, attempt)
+        self.ledger.refused(now, attempt.attempt_id)
         if job is None:
             return
         if job.cancelled:
-            self._settle_cancelled(job)
+            self._settle_cancelled(now, job)
             return
         job.refusals += 1
-        self._retry(now, job, attempt.task)
+        self._retry(now, job, attempt.task, job.refusals)
 
     def lost(self, now: float, attempt: Attempt) -> None:
-        """Settle an attempt that has ended with its worker, with unknown effect."""
-        job = self._state.end(attempt)
+        """Settle an attempt that has ended with its worker, with unknown effect.
+
+        It needs no retry budget: the losses are bounded by the failures of VMs.
+        """
+        job = self._state.end(now, attempt)
+        answer = self.ledger.lost(now, attempt.attempt_id)
         if job is None:
             return
         job.ran = True
         job.failures += 1
-        allowed = job.failures < self._max_attempts(job)
-        if job.cancelled or not job.work.idempotent or not allowed:
-            self.answer(job, Code.WORKER_LOST)
-        else:
+        if answer is not None:
+            self._send(now, job, answer)
+        elif job.cancelled or job.failures >= self._max_attempts(job):
+            self._end_job(now, job, Code.WORKER_LOST)
+        elif job.work.idempotent:
             self._again(now, job, attempt.task)
 
-    def cancel(self, job: Job) -> None:
+    def cancel(self, now: float, job: Job) -> None:
         """Start nothing more of a job; stop what may be stopped."""
         if job.cancelled:
             return
         job.cancelled = True
         job.pending.clear()
-        self._state.unhold_all(job)
-        if job.attempts:
-            self.stop_later(job)
-        else:
-            self._settle_cancelled(job)
+        self._state.close(now, job)
+        self.stop_later(job)
+        self._settle_cancelled(now, job)
 
     def expire(self, now: float) -> None:
         """Answer the jobs whose deadline has passed."""
         for job in self._state.overdue(now):
-            self.answer(job, Code.TIMED_OUT if job.may_have_run else Code.EXPIRED)
+            if job.may_have_run:
+                self._end_job(now, job, Code.TIMED_OUT)
+            else:
+                self.refuse(now, job, Code.EXPIRED)
+
+    def refuse(
+        self,
+        now: float,
+        job: Job,
+        code: Code,
+        detail: str = "",
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Answer a job that has not run."""
+        answer = self.ledger.not_run(now, job.request_id, code)
+        if answer is None:
+            self._end_job(now, job, Code.UNKNOWN_OUTCOME)
+            return
+        if detail or retry_after_s:
+            detail = detail or answer.detail
+            answer = replace(answer, detail=detail, retry_after_s=retry_after_s)
+        self._send(now, job, answer)
+
+    def give_up(self, now: float, job: Job, code: Code) -> None:
+        """Answer a job with a code that leaves open whether it ran."""
+        self._end_job(now, job, code)
 
     def stop_later(self, job: Job) -> None:
         """Queue stops for the attempts of a job that may be stopped half-way."""
@@ -134,51 +219,35 @@
                 self._state.stop(now, attempt, StopMode.STOP)
                 self._stopping.append((now + STOP_AGAIN_S, attempt.attempt_id))
 
-    def answer(self, job: Job, code: Code, parts: tuple[t.Any, ...] = ()) -> None:
-        """Give a job its one answer."""
-        self.refuse(job, code, job.reason if code is Code.UNPLACEABLE else "", parts)
+    def _end_job(self, now: float, job: Job, code: Code) -> None:
+        self._send(now, job, self.ledger.end(now, job.request_id, code))
 
-    def refuse(
-        self, job: Job, code: Code, detail: str, parts: tuple[t.Any, ...] = ()
-    ) -> None:
-        """Give a job its one answer with a detail of its own."""
-        request_id = job.request_id
-        detail = detail or code.meaning
-        answer = Answer(
-            request_id, code, code.outcome, parts, detail, 0.0, job.reply_to
-        )
-        self._state.jobs.pop(request_id, None)
-        self._state.unhold_all(job)
-        self.stop_later(job)
+    def _send(self, now: float, job: Job, answer: Answer | None) -> None:
+        """Close a job and send its one answer."""
+        if self._state.jobs.pop(job.request_id, None) is None:
+            return
         job.pending.clear()
-        self._answers[request_id] = answer
-        if len(self._answers) > ANSWERS_KEPT:
-            self._answers.popitem(last=False)
-        self._state.out.append(answer)
-
-    def repeat(self, answer: Answer, reply_to: str) -> None:
-        """Send a known answer to another entry process."""
-        self._state.out.append(replace(answer, reply_to=reply_to))
-
-    def _succeeded(self, job: Job, task: int, body: t.Any) -> None:
-        job.parts[task] = body
-        if len(job.parts) == job.work.tasks:
-            parts = tuple(job.parts[number] for number in range(job.work.tasks))
-            self.answer(job, Code.OK, parts)
-        elif job.cancelled:
-            self._settle_cancelled(job)
+        self._state.close(now, job)
+        self.stop_later(job)
+        if answer is not None:
+            self._state.out.append(replace(answer, reply_to=job.reply_to))
 
-    def _settle_cancelled(self, job: Job) -> None:
+    def _settle_cancelled(self, now: float, job: Job) -> None:
         """Answer a cancelled job once it is certain whether it has run."""
-        if not job.attempts:
-            self.answer(job, Code.STOPPED if job.ran else Code.CANCELLED)
+        if job.attempts:
+            return
+        if job.ran:
+            self._end_job(now, job, Code.STOPPED)
+        else:
+            self.refuse(now, job, Code.CANCELLED)
 
     def _max_attempts(self, job: Job) -> int:
         spec = self._state.config.work_kinds.get(job.work.job_class)
         return spec.max_attempts if spec else MAX_ATTEMPTS
 
-    def _retry(self, now: float, job: Job, task: int) -> None:
-        job.retry_at = now + RETRY_DELAY_S
+    def _retry(self, now: float, job: Job, task: int, attempt: int) -> None:
+        wait_s = max(RETRY_DELAY_S, backoff_s(self._state.rng, attempt))
+        job.retry_at = now + wait_s
         self._again(now, job, task)
 
     def _again(self, now: float, job: Job, task: int) -> None:
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -3,15 +3,17 @@
 import random
 import typing as t
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .backlog import Backlog
 from .claims import Claims
 from .codes import Code
 from .estimate import Estimator
 from .fleet import Vm
+from .health import Health
 from .jobs import Job
 from .messages import (
+    Answer,
     Authority,
     Cancel,
     ClaimReply,
@@ -31,9 +33,12 @@
 from .resources import Resources
 from .results import Results
 from .state import ShardState
+from .takeover import Takeover
 
 __all__ = ["ShardScheduler", "Snapshot"]
 
+_TAKEOVER_INPUTS = frozenset({Tick, VmUpdate, VmGone, ClaimReply})
+
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
@@ -81,7 +86,11 @@
         self._results = Results(self._state, self._estimator, self._requeue)
         self._backlog = Backlog(self._state, self._results, self._estimator)
         self._replicas = Replicas(self._state)
-        self._claims = Claims(self._state, self._results, self._on_leaving)
+        self._health = Health(self._state)
+        self._claims = Claims(
+            self._state, self._results, self._health, self._on_leaving
+        )
+        self._capacity_changed = False
         self._handlers: dict[type, t.Callable[[float, t.Any], None]] = {
             Authority: self._claims.authority,
             Cancel: self._on_cancel,
@@ -104,15 +113,28 @@
         state = self._state
         state.out = []
         handler(now, msg)
+        if state.takeover is not None and type(msg) in _TAKEOVER_INPUTS:
+            self._advance_takeover(now, msg)
         self._results.send_stops(now)
+        if self._capacity_changed:
+            self._capacity_changed = False
+            self._replicas.share_out()
+            self._backlog.configure()
         if state.room_freed or type(msg) is Tick:
             self._replicas.reconcile(now)
         self._backlog.run(now)
         return state.out
 
+    def take_over(self, takeover: Takeover) -> None:
+        """Follow a take-over, which says when exclusive work may be served.
+
+        Without it, exclusive work waits until every VM of the shard was claimed.
+        """
+        self._state.takeover = takeover
+
     def explain(self, request_id: str) -> str:
         """Return one sentence that says where a request stands."""
-        answer = self._results.known_answer(request_id)
+        answer = self._results.ledger.answer(request_id)
         if answer is not None:
             return f"The request was answered: {answer.detail}"
         job = self._state.jobs.get(request_id)
@@ -145,15 +167,24 @@
     def _requeue(self, now: float, job: Job) -> None:
         self._backlog.requeue(now, job)
 
+    def _advance_takeover(self, now: float, msg: Message) -> None:
+        takeover = t.cast(Takeover, self._state.takeover)
+        # `Claims` sends the claims and repeats them also for workers lost later, and
+        # the caller of `handle` sees a refused epoch itself.
+        takeover.handle(now, msg)
+        if takeover.serves_exclusive():
+            self._state.room_freed = True
+
     def _on_configure(self, now: float, msg: Configure) -> None:
         if msg.config.number >= self._state.config.number:
             self._state.config = msg.config
             self._replicas.configure(msg.config)
             self._state.room_freed = True
+            self._capacity_changed = True
 
     def _on_vm_update(self, now: float, msg: VmUpdate) -> None:
         self._claims.update(now, msg)
-        self._replicas.share_out()
+        self._capacity_changed = True
 
     def _on_unreachable(self, now: float, msg: WorkerUnreachable) -> None:
         self._claims.unreachable(now, msg.vm)
@@ -172,28 +203,51 @@
 
     def _on_submit(self, now: float, msg: Submit) -> None:
         work, state = msg.work, self._state
-        answer = self._results.known_answer(work.request_id)
-        if answer is not None:
-            self._results.repeat(answer, msg.reply_to)
-            return
-        if work.request_id in state.jobs:
+        fresh = work.idempotent or state.may_run_unknown(work.issued_at)
+        found = self._results.ledger.register(
+            now, msg.wall, work, may_run_unknown=fresh
+        )
+        if found.answer is not None:
+            state.out.append(replace(found.answer, reply_to=msg.reply_to))
+        elif found.code is not None:
+            state.out.append(_refusal(msg, found.code))
+        elif work.request_id in state.jobs:
             state.jobs[work.request_id].reply_to = msg.reply_to
-            return
-        job = Job(work, msg.reply_to, now, deque(range(work.tasks)))
-        state.add_job(job)
-        if work.kind is WorkKind.REQUEST and work.target not in state.pools:
-            self._results.answer(job, Code.UNKNOWN_TARGET)
-        elif work.deadline <= now:
-            self._results.answer(job, Code.EXPIRED)
         else:
+            self._take_up(now, msg)
+
+    def _take_up(self, now: float, msg: Submit) -> None:
+        work, state = msg.work, self._state
+        open_tasks = self._results.ledger.open_tasks(work.request_id)
+        job = Job(work, msg.reply_to, now, deque(open_tasks))
+        state.add_job(job)
+        self._results.take_running(job)
+        if work.deadline <= now:
+            self._results.expire(now)
+        elif work.kind is WorkKind.REQUEST and work.target not in state.pools:
+            self._results.refuse(now, job, Code.UNKNOWN_TARGET)
+        elif job.pending:
             self._backlog.submit(now, job)
 
     def _on_cancel(self, now: float, msg: Cancel) -> None:
         job = self._state.jobs.get(msg.request_id)
         if job is not None:
-            self._results.cancel(job)
+            self._results.cancel(now, job)
 
     def _on_tick(self, now: float, msg: Tick) -> None:
         self._results.expire(now)
+        count = len(self._state.fleet.vms)
         self._claims.tick(now)
+        self._capacity_changed |= len(self._state.fleet.vms) != count
+        self._health.tick(now)
         self._backlog.tick(now)
+
+
+def _refusal(msg: Submit, code: Code) -> Answer:
+    return Answer(
+        msg.work.request_id,
+        code,
+        code.outcome,
+        detail=code.meaning,
+        reply_to=msg.reply_to,
+    )
--- a/src/poplaryard/services.py
+++ b/src/poplaryard/services.py
@@ -30,6 +30,8 @@
     ----------
     ready : bool
         Whether the worker has confirmed the start.
+    suspended : bool
+        Whether it gets no requests because its VM is ejected.
     close_at : float
         Time at which it takes no more requests, whether or not it has a successor;
         infinity if it is not being retired or waits for its successor.
@@ -45,6 +47,7 @@
     ready: bool = False
     retiring: bool = False
     closed: bool = False
+    suspended: bool = False
     close_at: float = NEVER
     position: int = -1
 
@@ -126,10 +129,8 @@
             self._refresh(replica)
 
     def _refresh(self, replica: Replica) -> None:
-        is_open = (
-            replica.ready and not replica.closed and replica.in_flight < self.slots
-        )
-        self._set_open(replica, is_open)
+        serves = replica.ready and not replica.closed and not replica.suspended
+        self._set_open(replica, serves and replica.in_flight < self.slots)
 
     def _set_open(self, replica: Replica, is_open: bool) -> None:
         if is_open == (replica.position >= 0):
@@ -157,6 +158,13 @@
                 replica.retiring = True
                 replica.close_at = min(replica.close_at, close_at)
 
+    def suspend(self, vm: str, suspended: bool) -> None:
+        """Close the replicas on an ejected VM to requests, or open them again."""
+        for replica in self.replicas.values():
+            if replica.vm == vm:
+                replica.suspended = suspended
+                self._refresh(replica)
+
     def missing(self) -> int:
         """Return how many replicas are to be started."""
         return max(0, self.wanted - len(self._keepers()))
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -10,8 +10,10 @@
 from .fleet import Fleet, Vm
 from .jobs import Attempt, Job
 from .messages import Authority, Message, StartAttempt, StopAttempt, StopMode, Work
+from .quota import Quotas
 from .resources import Resources
 from .services import ReplicaPool
+from .takeover import Takeover
 
 __all__ = ["ShardState", "Start"]
 
@@ -36,12 +38,20 @@
 
     Attributes
     ----------
+    takeover : Takeover or None
+        Progress of the take-over that began the present epoch, if it is known.
+    unseen : set of str
+        VMs that have not been claimed since the present epoch began.
     out : list of Message
         Messages of the present call.
     room_freed : bool
         Whether capacity or slots became free since the last placement pass.
     owned_since : float
         Time at which the present epoch began.
+    on_end : callable
+        Takes a time and an attempt that has ended.
+    on_close : callable
+        Takes a time and a job that starts no more tasks.
     """
 
     shard: str
@@ -51,15 +61,36 @@
     fleet: Fleet = field(default_factory=Fleet)
     pools: dict[str, ReplicaPool] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)
+    quotas: Quotas = field(default_factory=Quotas)
+    takeover: Takeover | None = None
+    unseen: set[str] = field(default_factory=set)
     out: list[Message] = field(default_factory=list)
     room_freed: bool = False
     owned_since: float = float("-inf")
+    on_end: t.Callable[[float, Attempt], None] = lambda now, attempt: None
+    on_close: t.Callable[[float, Job], None] = lambda now, job: None
     attempts: AttemptTable = field(init=False)
     _started: int = 0
     _deadlines: list[tuple[float, str]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
-        self.attempts = AttemptTable(self.fleet, self.pools)
+        self.attempts = AttemptTable(self.fleet, self.pools, self.quotas)
+
+    def serves_exclusive(self) -> bool:
+        """Tell whether exclusive and non-idempotent work may be started.
+
+        Without a `Takeover`, every VM of the shard must have been claimed.
+        """
+        if self.takeover is not None:
+            return self.authority.exclusive and self.takeover.serves_exclusive()
+        return self.authority.exclusive and not self.unseen
+
+    def may_run_unknown(self, issued_at: float) -> bool:
+        """Tell whether a non-idempotent id that no worker reports has never run."""
+        if self.takeover is None or not self.serves_exclusive():
+            # Decided when it would be started.
+            return True
+        return self.takeover.may_run_unknown(issued_at)
 
     def start(self, now: float, start: Start) -> Attempt | None:
         """Charge a VM and send it one start; None if the authority has lapsed."""
@@ -92,9 +123,10 @@
         epoch = self.authority.epoch
         self.out.append(StopAttempt(attempt.vm, attempt.attempt_id, epoch, mode))
 
-    def end(self, attempt: Attempt) -> Job | None:
+    def end(self, now: float, attempt: Attempt) -> Job | None:
         """Release all that an ended attempt held; return its job if it is open."""
         self.attempts.end(attempt.attempt_id)
+        self.on_end(now, attempt)
         self.room_freed = True
         job = self.jobs.get(attempt.work.request_id)
         if job is not None:
@@ -117,6 +149,11 @@
         for task in list(job.held):
             self.unhold(job, task)
 
+    def close(self, now: float, job: Job) -> None:
+        """Give up the room and the place in the queue of a job that starts no more."""
+        self.unhold_all(job)
+        self.on_close(now, job)
+
     def add_job(self, job: Job) -> None:
         """Take up a job and watch its deadline."""
         self.jobs[job.request_id] = job
