--- a/src/poplaryard/attempts.py
+++ b/src/poplaryard/attempts.py
@@ -17,30 +17,30 @@
 class Fate(t.NamedTuple):
     """Attempts that a claimed worker does not report."""
 
-    not_run: list[Attempt]
     lost: list[Attempt]
     in_doubt: list[Attempt]
 
 
-def fate(vm: Vm, attempts: t.Iterable[Attempt], reply: ClaimReply) -> Fate:
+def fate(now: float, vm: Vm, attempts: t.Iterable[Attempt], reply: ClaimReply) -> Fate:
     """Sort the attempts that a claim reply does not name by what became of them.
 
     A start that is still valid may arrive after the reply was written. A confirmation
     that is newer than the claim may be newer than the reply. Both stay in doubt until
-    the next claim.
+    the next claim. An attempt that is not in doubt does not run any more, but may have
+    run: a worker that was restarted has forgotten its attempts.
     """
     named = {report.attempt_id for report in reply.attempts}
-    found = Fate([], [], [])
+    found = Fate([], [])
     for attempt in attempts:
         if attempt.attempt_id in named:
             continue
         if attempt.confirmed:
-            old = attempt.confirmed_at < vm.claim_sent_at
-            (found.lost if old else found.in_doubt).append(attempt)
-        elif reply.clock_ms > attempt.valid_until_ms:
-            found.not_run.append(attempt)
+            over = attempt.confirmed_at < vm.claim_sent_at
         else:
-            found.in_doubt.append(attempt)
+            # The clock of a restarted worker may have begun anew.
+            over = reply.clock_ms > attempt.valid_until_ms
+            over = over or now > attempt.latest_start + lease_wait_s()
+        (found.lost if over else found.in_doubt).append(attempt)
     return found
 
 
--- a/src/poplaryard/backlog.py
+++ b/src/poplaryard/backlog.py
@@ -101,14 +101,18 @@
         if job.entry is None:
             job.entry = self._entry_of(job)
         if job.work.kind is WorkKind.GANG:
-            item = -int(job.work.priority), job.entry.sequence, job.request_id
-            if item not in self._gang_queue:
-                bisect.insort(self._gang_queue, item)
-                self._blocked.discard("gangs")
+            self._gang_back(job)
             return
         if not self._started_at_once(now, job):
             self._push(now, job)
 
+    def _gang_back(self, job: Job) -> None:
+        entry = t.cast(Pending, job.entry)
+        item = -int(job.work.priority), entry.sequence, job.request_id
+        if item not in self._gang_queue:
+            bisect.insort(self._gang_queue, item)
+            self._blocked.discard("gangs")
+
     def waiting(self) -> int:
         """Return the number of jobs with a task to start."""
         return sum(bool(job.pending) for job in self._state.jobs.values())
@@ -256,6 +260,14 @@
             return True
         return False
 
+    def _must_wait(self, job: Job) -> bool:
+        """Tell whether a job may not start whatever room there is."""
+        work = job.work
+        if work.idempotent and not work.exclusive_key:
+            return False
+        taken = work.exclusive_key in self._state.attempts.keys
+        return taken or not self._state.serves_exclusive()
+
     def _unpark(self, now: float) -> None:
         """Queue jobs again that need not wait any more, one for each free key."""
         freed, self._state.attempts.freed_keys = self._state.attempts.freed_keys, []
@@ -349,13 +361,17 @@
     def _start_held(self, now: float) -> None:
         """Start the tasks whose held room has become free."""
         for job in self.gangs.ready(now):
-            self._start_all_held(now, job)
+            if self._must_wait(job):
+                self._state.unhold_all(job)
+                self._gang_back(job)
+            else:
+                self._start_all_held(now, job)
         for request_id, job in list(self._urgent.items()):
             for task, name in list(job.held.items()):
                 vm = self._state.fleet.vms.get(name)
                 if vm is None or not vm.usable:
                     self._state.unhold(job, task)
-                elif not vm.overcommitted:
+                elif not vm.overcommitted and not self._must_wait(job):
                     self._start_one_held(now, job, task)
             if not job.held:
                 del self._urgent[request_id]
--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -190,14 +190,12 @@
         vm.clock_ms, vm.clock_at = msg.clock_ms, now
         self._unclaimed.pop(vm.name, None)
         self._doubtful.pop(vm.name, None)
-        missing = fate(vm, state.attempts.on_vm(vm), msg)
+        missing = fate(now, vm, state.attempts.on_vm(vm), msg)
         # Replicas first, so that requests find the executor whose slot they hold.
         for report in sorted(msg.attempts, key=lambda report: bool(report.executor)):
             if report.attempt_id not in state.attempts:
                 self._adopt(now, vm, report)
             self._report(now, vm, report)
-        for attempt in missing.not_run:
-            self._results.not_run(now, attempt)
         for attempt in missing.lost:
             self._results.lost(now, attempt)
         if missing.in_doubt:
--- a/src/poplaryard/preemption.py
+++ b/src/poplaryard/preemption.py
@@ -119,9 +119,9 @@
             self._end(now, victims.attempts)
 
     def checkpoint(self, now: float, attempt_id: str) -> None:
-        """Checkpoint one attempt; it is queued again."""
+        """Checkpoint one attempt if it may be; it is queued again."""
         attempt = self._state.attempts.get(attempt_id)
-        if attempt is not None and not attempt.preempted:
+        if attempt is not None and attempt.preemptible and not attempt.preempted:
             self._end(now, [attempt])
 
     def tick(self, now: float) -> None:
--- a/src/poplaryard/results.py
+++ b/src/poplaryard/results.py
@@ -104,8 +104,7 @@
         job = self._state.jobs.get(report.request_id)
         if job is not None:
             job.attempts.add(attempt.attempt_id)
-            if report.task in job.pending:
-                job.pending.remove(report.task)
+            self._state.withdraw(job, report.task)
             self._state.attempts.describe(attempt, job.work)
 
     def take_running(self, job: Job) -> None:
@@ -127,9 +126,8 @@
         job = self._state.jobs.get(report.request_id)
         if job is None:
             return
-        open_tasks = self.ledger.open_tasks(job.request_id)
-        if report.task not in open_tasks and report.task in job.pending:
-            job.pending.remove(report.task)
+        if report.task not in self.ledger.open_tasks(job.request_id):
+            self._state.withdraw(job, report.task)
             job.ran = True
         if answer is not None:
             self._send(now, job, answer)
@@ -251,5 +249,6 @@
         self._again(now, job, task)
 
     def _again(self, now: float, job: Job, task: int) -> None:
-        job.pending.append(task)
+        if task not in job.pending:
+            job.pending.append(task)
         self._requeue(now, job)
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -197,7 +197,9 @@
         self._replicas.leaves(now, vm)
         self._backlog.gangs.vm_lost(vm)
         for attempt in self._state.attempts.on_vm(vm):
-            if attempt.work.checkpointable and attempt.stop_mode is None:
+            work = attempt.work
+            stoppable = work.idempotent and not work.exclusive_key
+            if work.checkpointable and stoppable and attempt.stop_mode is None:
                 self._state.stop(now, attempt, StopMode.CHECKPOINT)
         self._state.room_freed = True
 
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -149,6 +149,13 @@
         for task in list(job.held):
             self.unhold(job, task)
 
+    def withdraw(self, job: Job, task: int) -> None:
+        """Start a task no more, since an attempt of it is known."""
+        if task in job.pending:
+            job.pending.remove(task)
+        if task in job.held:
+            self.unhold(job, task)
+
     def close(self, now: float, job: Job) -> None:
         """Give up the room and the place in the queue of a job that starts no more."""
         self.unhold_all(job)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -36,6 +36,19 @@
         assert shard.stops == []
 
 
+def test_urgent_work_with_room_still_waits_for_its_exclusive_key():
+    """Guards against held room being used while the key is taken elsewhere."""
+    shard = Shard(plain(vms=2))
+    shard.send(batch("b1", checkpointable=True))
+    shard.send(batch("b2", checkpointable=True))
+    shard.send(urgent(exclusive_key="k"))
+    shard.send(batch("small", exclusive_key="k", need=Resources(1000, 1, 0)))
+    shard.end(shard.starts[shard.stops[0].attempt_id], state=AttemptState.CHECKPOINTED)
+    running = {s.work.request_id for s in shard.running.values()}
+    assert "small" in running
+    assert "u1" not in running
+
+
 def test_least_work_is_lost():
     shard = Shard(plain(vms=2))
     shard.send(batch("old"))
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -76,7 +76,7 @@
     """Guards against a delayed start running next to its repetition."""
     shard = Shard(plain())
     shard.start_code = None
-    shard.send(batch("b1", idempotent=False))
+    shard.send(batch("b1"))
     shard.send(WorkerUnreachable(shard.started(WorkKind.BATCH)[0].vm))
     shard.tick(1.0)
     assert len(shard.starts) == 1
@@ -86,6 +86,19 @@
     assert not shard.answers
 
 
+def test_start_without_reply_that_the_worker_does_not_know_may_have_run():
+    """Guards against a second run when the worker was restarted after the first."""
+    shard = Shard(plain())
+    shard.start_code = None
+    shard.send(batch("b1", idempotent=False))
+    shard.running.clear()
+    shard.send(WorkerUnreachable(shard.started(WorkKind.BATCH)[0].vm))
+    shard.tick(2.5)
+    shard.tick(0.1)
+    assert shard.codes() == [Code.UNKNOWN_OUTCOME]
+    assert len(shard.starts) == 1
+
+
 def test_refused_start_is_tried_again():
     shard = Shard(plain())
     shard.start_code = Code.WORKER_FULL
