--- a/src/poplaryard/fuzz_shard.py
+++ b/src/poplaryard/fuzz_shard.py
@@ -110,7 +110,9 @@
     def _expire(self, now: float, request_id: str) -> list[t.Any]:
         if now < self._requests[request_id].work.deadline:
             return []
-        answer = self._ledger.not_run(now, request_id, Code.EXPIRED)
+        answer = self._ledger.conclude(
+            now, request_id, not_run=Code.EXPIRED, ran=Code.TIMED_OUT
+        )
         return self._answered(answer)
 
     def _submit(self, now: float, message: Submit) -> list[t.Any]:
@@ -145,7 +147,9 @@
             waiting.reply_to.append(message.reply_to)
 
     def _cancel(self, now: float, message: Cancel) -> list[t.Any]:
-        answer = self._ledger.not_run(now, message.request_id, Code.CANCELLED)
+        answer = self._ledger.conclude(
+            now, message.request_id, not_run=Code.CANCELLED, ran=Code.STOPPED
+        )
         if answer is not None:
             return self._answered(answer)
         self._cancelled.add(message.request_id)
@@ -253,7 +257,8 @@
         vm = self._vms.get(message.vm.name)
         if vm is None:
             self._vms[message.vm.name] = vm = _Vm(message.vm.capacity)
-        vm.leaving = message.leaving
+        # The worker's own word is not taken back by a list that lags behind.
+        vm.leaving = vm.leaving or message.leaving
         return self._takeover.handle(now, message)
 
     def _vm_gone(self, now: float, message: VmGone) -> list[t.Any]:
--- a/src/poplaryard/outcome.py
+++ b/src/poplaryard/outcome.py
@@ -48,6 +48,8 @@
     # Tasks of non-idempotent work that may have run and must not be started again.
     spent: set[int] = field(default_factory=set)
     parts: dict[int, tuple[AttemptState, t.Any]] = field(default_factory=dict)
+    # Some attempt may have run, even if its task may be started again.
+    ran: bool = False
     answer: Answer | None = None
 
 
@@ -144,6 +146,7 @@
             return None
         self._close(report.attempt_id)
         entry.closed.add(report.attempt_id)
+        entry.ran = True
         if report.state is AttemptState.CHECKPOINTED:
             entry.spent.discard(report.task)
             return None
@@ -159,7 +162,10 @@
         is answered "unknown outcome".
         """
         entry, _ = self._close(attempt_id)
-        return self._settle(now, entry) if entry else None
+        if entry is None:
+            return None
+        entry.ran = True
+        return self._settle(now, entry)
 
     def not_run(self, now: float, request_id: str, code: Code) -> Answer | None:
         """Answer a request that has no attempt in progress and will get none.
@@ -170,12 +176,24 @@
         entry = self._entries.get(request_id)
         if entry is None or entry.answer is not None:
             return None
-        if entry.attempts or entry.spent or entry.parts:
+        if entry.attempts or entry.ran:
             return None
         return self._answer(now, entry, code)
 
+    def conclude(
+        self, now: float, request_id: str, *, not_run: Code, ran: Code
+    ) -> Answer | None:
+        """Answer a request for which nothing more is to be started.
+
+        Returns None while it has attempts in progress, which must be stopped first.
+        """
+        entry = self._entries.get(request_id)
+        if entry is None or entry.attempts:
+            return None
+        return self.end(now, request_id, ran if entry.ran else not_run)
+
     def end(self, now: float, request_id: str, code: Code) -> Answer | None:
-        """Answer a request that may have run, with a code that says so."""
+        """Answer a request with a code that allows for its attempts in progress."""
         entry = self._entries.get(request_id)
         if entry is None or entry.answer is not None:
             return None
@@ -191,6 +209,7 @@
             return self.report(now, report)
         if report.attempt_id not in entry.closed:
             self._open(entry, report.attempt_id, report.task)
+            entry.ran = True
             if not entry.idempotent:
                 entry.spent.add(report.task)
         return None
@@ -263,6 +282,7 @@
             _describe(entry, work, attempt)
             if not work.idempotent and not may_run_unknown:
                 entry.spent.update(range(work.tasks))
+                entry.ran = True
             self._settle(now, entry)
         elif entry.digest != _digest(work):
             return Registered(Known.REFUSED, code=Code.DUPLICATE_MISMATCH)
