Count departed VMs and list reads in a take-over

Change: ids older than the last departure are unknown; claims are complete only for a list read after the take-over; new VMs are claimed only under a lease.

--- a/src/poplaryard/fuzz.py
+++ b/src/poplaryard/fuzz.py
@@ -261,6 +261,11 @@
         workers = [w for w in self.world.workers.values() if not w.gone]
         return self.rng.choice(workers) if workers else None
 
+    def vm_list(self) -> str:
+        """Let the platform's VM list fail or come back."""
+        self.world.list_up = not self.world.list_up
+        return str(self.world.list_up)
+
     def ticket(self) -> str:
         """Accept a ticket and send it to all processes."""
         world = self.world
@@ -292,6 +297,7 @@
     "heal": (Fuzzer.heal, 0.4),
     "worker_leaves": (Fuzzer.worker_leaves, 0.05),
     "worker_fails": (Fuzzer.worker_fails, 0.05),
+    "vm_list": (Fuzzer.vm_list, 0.05),
     "ticket": (Fuzzer.ticket, 0.1),
 }
 
--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -42,16 +42,19 @@
     WatchRecord,
     WriteRecord,
 )
-from .takeover import EpochRefused, Takeover
+from .takeover import EpochRefused, Takeover, VmListRead
 
 if t.TYPE_CHECKING:
     from .fuzz_world import World
 
-__all__ = ["Node", "Ticket", "VmChanged"]
+__all__ = ["Node", "Ticket"]
 
 STORE_TIMEOUT_S = 1.5
 PEER_TIMEOUT_S = 1.0
 POLL_S = 1.0
+
+# The VM list is read this often, and so lags behind.
+LIST_S = 2.0
 POLLS_MISSED = 3
 
 
@@ -63,16 +66,10 @@
     content: str
 
 
-@dataclass(frozen=True, slots=True)
-class VmChanged:
-    """The platform's list has changed for a VM; it is read on receipt."""
-
-    vm: str
-
-
 @dataclass(slots=True)
 class _Shard:
     decisions: FuzzShard
+    takeover: Takeover
     epoch: int
     authority: Authority | None = None
     exclusive_until: float = float("-inf")
@@ -105,7 +102,11 @@
         self._handled: set[str] = set()
         self._leaving: set[str] = set()
         self._poll_at = 0.0
-        self._listed_since = self.wall()
+        self._started = self.wall()
+        # VMs as this process last read them, and the last time that one left a shard.
+        self._listed = world.listed(dc)
+        self._listed_since: dict[str, float] = {}
+        self._list_at = 0.0
         world.weaken(self)
         self.give(ShardsConfigured(world.shards(dc), 1))
 
@@ -129,8 +130,12 @@
                 del self._beats[key]
                 self.give(PeerMissed(key[0]))
         self.give(Tick())
-        for name in list(self.shards):
+        leased = self.ownership.state == "held" or self.world.lacks("claims_new")
+        for name, shard in list(self.shards.items()):
+            shard.takeover.claims_new = leased
             self.give_shard(name, Tick())
+        if now >= self._list_at and self.world.list_up:
+            self._read_list()
         if now >= self._poll_at:
             self._poll_at = now + POLL_S
             self._poll()
@@ -179,7 +184,10 @@
             self.give(failure(found[1]) if reply is None else reply)
 
     def _taken(self, out: ShardTaken) -> None:
-        vms = self.world.listed(out.shard)
+        listed = self._listed.values()
+        vms = [
+            item for item in listed if self.world.shard_of(item[0].name) == out.shard
+        ]
         takeover = Takeover(
             out.shard,
             out.epoch,
@@ -189,17 +197,31 @@
             known=out.known,
             first=out.first,
             wait_s=0.0 if self.world.lacks("lease_wait") else out.wait_s,
-            listed_since=self._listed_since,
+            listed_since=self._listed_since.get(out.shard, self._started),
+            list_read=self.world.lacks("list_read"),
         )
         self.world.weaken_takeover(takeover)
         shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
-        self.shards[out.shard] = _Shard(shard, out.epoch)
+        self.shards[out.shard] = _Shard(shard, takeover, out.epoch)
         for vm, leaving in vms:
             self.give_shard(
                 out.shard, VmUpdate(vm, leaving or vm.name in self._leaving)
             )
+        self._list_at = self.now()
         self.give_shard(out.shard, Tick())
 
+    def _read_list(self) -> None:
+        """Read the platform's VM list and hand on what changed."""
+        self._list_at = self.now() + LIST_S
+        listed = self.world.listed(self.dc)
+        for vm in sorted(self._listed.keys() - listed.keys()):
+            self._vm_message(VmGone(vm))
+        for spec, leaving in listed.values():
+            self._vm_message(VmUpdate(spec, leaving))
+        self._listed = listed
+        for name in list(self.shards):
+            self.give_shard(name, VmListRead())
+
     def _authority(self, out: Authority) -> None:
         shard = self.shards.get(out.shard)
         if shard is None:
@@ -271,8 +293,6 @@
             self._from_entry(message)
         elif isinstance(message, Answer):
             self.world.answered(self, message)
-        elif isinstance(message, VmChanged):
-            self._vm_message(self.world.entry(message.vm))
         elif isinstance(message, Ticket):
             self._apply(message)
         elif isinstance(message, ProvenDead):
@@ -304,6 +324,8 @@
     def _vm_message(self, message: VmUpdate | VmGone) -> None:
         vm = message.vm if isinstance(message, VmGone) else message.vm.name
         shard = self.world.shard_of(vm)
+        if isinstance(message, VmGone) and not self.world.lacks("departed"):
+            self._listed_since[shard] = self.wall()
         if shard not in self.shards:
             return
         if isinstance(message, VmGone):
--- a/src/poplaryard/fuzz_shard.py
+++ b/src/poplaryard/fuzz_shard.py
@@ -28,7 +28,7 @@
 from .outcome import Known, Ledger
 from .ownership import LEASE_TTL_S
 from .resources import ZERO, Resources
-from .takeover import CLAIM_RETRY_S, Takeover
+from .takeover import CLAIM_RETRY_S, Takeover, VmListRead
 
 __all__ = ["FuzzShard"]
 
@@ -267,6 +267,9 @@
             out += self._lose(now, message.vm)
         return out
 
+    def _list_read(self, now: float, message: VmListRead) -> list[t.Any]:
+        return self._takeover.handle(now, message)
+
     def _authorised(self, now: float, message: Authority) -> list[t.Any]:
         self._authority = message
         return []
@@ -343,6 +346,7 @@
     Submit: FuzzShard._submit,
     Tick: FuzzShard._tick,
     VmGone: FuzzShard._vm_gone,
+    VmListRead: FuzzShard._list_read,
     VmUpdate: FuzzShard._vm_update,
     WorkerUnreachable: FuzzShard._unreachable,
 }
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -8,14 +8,12 @@
 
 from .codes import Code
 from .configuration import VmSpec
-from .fuzz_node import Node, Ticket, VmChanged
+from .fuzz_node import Node, Ticket
 from .fuzz_store import FakeStore
 from .fuzz_worker import FakeWorker
 from .messages import (
     Answer,
     Submit,
-    VmGone,
-    VmUpdate,
     Work,
 )
 from .oracle import Oracle
@@ -41,6 +39,9 @@
     "ticket_order": "only a higher ticket number is applied",
     "promises": "no take-over while a promise lasts",
     "promise_in_flight": "no promise while a take-over is in flight",
+    "list_read": "claims are complete only for a list read after the take-over",
+    "claims_new": "new VMs are claimed only while the store lease holds",
+    "departed": "ids older than the last departure of a VM are unknown",
     "known": "a member that joined later waits for the claims",
     "lease_end": "take-over only after the owner's lease has ended",
 }
@@ -75,6 +76,7 @@
         self.without = without
         self.oracle = Oracle()
         self.real = 0.0
+        self.list_up = True
         self.pool: list[_Item] = []
         self.trace: deque[str] = deque(maxlen=400)
         self.nodes: dict[str, Node] = {}
@@ -129,9 +131,10 @@
             return home_shard(key, self.all_shards())
         return home_shard(work.request_id, self.shards(node.dc))
 
-    def listed(self, shard: str) -> list[tuple[VmSpec, bool]]:
-        """Return the VMs of a shard as the platform lists them, with leaving flags."""
-        return [item for vm, item in self._vms.items() if self.shard_of(vm) == shard]
+    def listed(self, dc: str) -> dict[str, tuple[VmSpec, bool]]:
+        """Return the VMs of a data centre as the platform lists them, with flags."""
+        found = self._vms.items()
+        return {vm: item for vm, item in found if item[0].data_centre == dc}
 
     # Population
 
@@ -141,17 +144,6 @@
         self.workers[name] = worker
         spec = VmSpec(name, dc, "r", name, VM_CAPACITY)
         self._vms[name] = spec, False
-        self._tell(name, dc)
-
-    def _tell(self, vm: str, dc: str) -> None:
-        for node in self.nodes.values():
-            if node.dc == dc and node.alive:
-                self.send("platform", node.name, VmChanged(vm))
-
-    def entry(self, vm: str) -> VmUpdate | VmGone:
-        """Return what the platform's list says of a VM now."""
-        found = self._vms.get(vm)
-        return VmUpdate(*found) if found else VmGone(vm)
 
     def add_node(self, name: str, dc: str) -> None:
         """Start a process."""
@@ -268,12 +260,10 @@
         """Let the platform's list say that a VM is leaving."""
         spec, _ = self._vms[name]
         self._vms[name] = spec, True
-        self._tell(name, spec.data_centre)
 
     def unlist_worker(self, name: str) -> None:
         """Let the list drop a VM that has failed."""
-        spec, _ = self._vms.pop(name)
-        self._tell(name, spec.data_centre)
+        del self._vms[name]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -4,7 +4,7 @@
 import typing as t
 from dataclasses import dataclass
 
-from . import acquisition, chart
+from . import acquisition
 from .fencing import lease_wait_s, shortened
 from .membership import Membership
 from .messages import Authority, Tick
@@ -35,10 +35,13 @@
 )
 from .promises import Promises
 from .record import Record
+from .statechart import load_chart
 from .takeover import EpochRefused
 
 __all__ = ["LEASE_TTL_S", "Ownership"]
 
+_CHART = load_chart("lease")
+
 LEASE_TTL_S = 6.0
 RENEW_S = 2.0
 
@@ -104,7 +107,6 @@
     """
 
     state: str
-    trigger: t.Callable[[str], bool]
 
     def __init__(self, process: str, address: str, rng: random.Random):
         self.process = process
@@ -135,7 +137,7 @@
         self._leaving = False
         self.promises = Promises()
         self.membership = Membership(process, rng)
-        chart.attach("lease", self)
+        self.state = _CHART.initial
 
     @property
     def record(self) -> Record:
@@ -247,8 +249,7 @@
             event = "lapse"
         else:
             event = "promise" if full > now else "limit"
-        if self.state != _STATE_AFTER[event]:
-            self.trigger(event)
+        self.state = _CHART.step(self.state, event)
 
     # Record
 
@@ -466,7 +467,7 @@
     def _revoke(self) -> list[t.Any]:
         lease, self._lease = self._lease, ""
         self._lease_until = float("-inf")
-        self.trigger("leave")
+        self.state = _CHART.step(self.state, "leave")
         return [RevokeLease(lease)] if lease else []
 
     def _release_calls(self, now: float) -> list[t.Any]:
@@ -596,13 +597,6 @@
     return owned.announced
 
 
-_STATE_AFTER = {
-    "confirm": "held",
-    "promise": "promised",
-    "limit": "limited",
-    "lapse": "absent",
-}
-
 _HANDLERS: dict[type, t.Callable[[t.Any, float, t.Any], list[t.Any]]] = {
     EpochRefused: Ownership._epoch_refused,
     Heartbeat: Ownership._heartbeat,
--- a/src/poplaryard/takeover.py
+++ b/src/poplaryard/takeover.py
@@ -3,17 +3,13 @@
 import typing as t
 from dataclasses import dataclass
 
-from . import chart
 from .fencing import lease_wait_s
-from .messages import (
-    ClaimReply,
-    ClaimWorker,
-    Tick,
-    VmGone,
-    VmUpdate,
-)
+from .messages import ClaimReply, ClaimWorker, Tick, VmGone, VmUpdate
+from .statechart import load_chart
 
-__all__ = ["EpochRefused", "Takeover"]
+__all__ = ["EpochRefused", "Takeover", "VmListRead"]
+
+_CHART = load_chart("takeover")
 
 # Interval between claims of a worker that has not answered.
 CLAIM_RETRY_S = 1.0
@@ -27,11 +23,16 @@
     epoch: int
 
 
+@dataclass(frozen=True, slots=True)
+class VmListRead:
+    """The VM list was read after the take-over, and its changes were handed in."""
+
+
 class Takeover:
     """Progress of a take-over, from the write that raised the epoch to the last claim.
 
-    Feed it `Tick`, `VmUpdate`, `VmGone` and `ClaimReply`; it returns `ClaimWorker`
-    commands, and `EpochRefused` when a worker refuses the epoch.
+    Feed it `Tick`, `VmUpdate`, `VmGone`, `VmListRead` and `ClaimReply`; it returns
+    `ClaimWorker` commands, and `EpochRefused` when a worker refuses the epoch.
 
     Parameters
     ----------
@@ -48,11 +49,20 @@
         Whether the old owner handed over its whole ledger.
     listed_since : float
         Wall-clock time since which this process has known the shard's VMs without a
-        gap. A VM that left before then may have run ids issued before then.
+        gap and none has left. A VM that left before may have run ids issued before.
+    list_read : bool
+        Whether `workers` was read after the take-over. If not, the claims are complete
+        only after `VmListRead`: the old owner may use a VM that an older list lacks.
+
+    Attributes
+    ----------
+    claims_new : bool
+        Whether VMs that were not listed at the take-over may be claimed; only while
+        this process holds its store lease. A successor reads the list after that lease
+        has ended, and so knows every VM that this process has claimed.
     """
 
     state: str
-    trigger: t.Callable[[str], bool]
 
     def __init__(
         self,
@@ -66,12 +76,16 @@
         first: bool = False,
         handed_over: bool = False,
         listed_since: float = 0.0,
+        list_read: bool = True,
         skew_s: float = 5.0,
         wait_s: float | None = None,
     ):
         self.shard = shard
         self.epoch = epoch
+        self.claims_new = True
         self._known = known
+        self._list_read = list_read
+        self._new: set[str] = set()
         self._first = first
         self._handed_over = handed_over
         self._skew_s = skew_s
@@ -82,7 +96,7 @@
         # Ids issued before this wall-clock time may have run where no claim can tell.
         self._fresh_from = listed_since + skew_s if listed_since else 0.0
         self._taken_wall = wall
-        chart.attach("takeover", self)
+        self.state = _CHART.initial
         self._step(now)
 
     @property
@@ -96,6 +110,8 @@
             out = self._claims(now)
         elif isinstance(message, ClaimReply):
             out = self._claim_reply(message)
+        elif isinstance(message, VmListRead):
+            self._list_read, out = True, []
         else:
             out = self._vm_change(now, message)
         self._step(now)
@@ -123,7 +139,8 @@
         return self.state == "lapsed" and issued_at > self._taken_wall + self._skew_s
 
     def _claims(self, now: float) -> list[t.Any]:
-        due = [vm for vm, at in self._missing.items() if at <= now]
+        held_back = set() if self.claims_new else self._new
+        due = [v for v, at in self._missing.items() if at <= now and v not in held_back]
         for vm in due:
             self._missing[vm] = now + CLAIM_RETRY_S
         return [ClaimWorker(vm, self.epoch) for vm in due]
@@ -133,6 +150,7 @@
             return []
         if not reply.accepted:
             return self._refused(reply)
+        self._new.discard(reply.vm)
         if reply.vm in self._missing:
             del self._missing[reply.vm]
             self._claimed.add(reply.vm)
@@ -141,13 +159,14 @@
     def _refused(self, reply: ClaimReply) -> list[t.Any]:
         if reply.epoch <= self.epoch:
             return []
-        if self.state != "superseded":
-            self.trigger("refused")
+        self._trigger("refused")
         return [EpochRefused(self.shard, self.epoch)]
 
     def _vm_change(self, now: float, message: t.Any) -> list[t.Any]:
         if isinstance(message, VmUpdate) and message.vm.name not in self._claimed:
-            self._missing.setdefault(message.vm.name, 0.0)
+            if message.vm.name not in self._missing:
+                self._missing[message.vm.name] = 0.0
+                self._new.add(message.vm.name)
             return self._claims(now)
         if isinstance(message, VmGone):
             self._gone(now, message.vm)
@@ -155,6 +174,7 @@
 
     def _gone(self, now: float, vm: str) -> None:
         self._claimed.discard(vm)
+        self._new.discard(vm)
         if self._missing.pop(vm, None) is not None:
             # What an unclaimed VM ran until it left cannot be asked any more.
             wall = now + self._wall_offset
@@ -163,7 +183,10 @@
     def _step(self, now: float) -> None:
         if self.state in ("complete", "superseded"):
             return
-        if not self._missing:
-            self.trigger("all_claimed")
-        elif self.state == "claiming" and self._known and now >= self._wait_until:
-            self.trigger("old_owner_lapsed")
+        if not self._missing and self._list_read:
+            self._trigger("all_claimed")
+        elif self._known and now >= self._wait_until:
+            self._trigger("old_owner_lapsed")
+
+    def _trigger(self, event: str) -> None:
+        self.state = _CHART.step(self.state, event)
