--- a/src/poplaryard/rollout.py
+++ b/src/poplaryard/rollout.py
@@ -349,7 +349,7 @@
         return [self._adopt(now, state), confirm]
 
     def _on_ask(self, msg: AskState) -> list[_Out]:
-        if not self.ready or msg.base >= self.number:
+        if msg.base >= self.number:
             return []
         delta = self.state.delta(msg.base)
         return [Send(msg.process, PeerDelta(self.process, delta))]
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -53,6 +53,7 @@
         self.call_faults = {}
         self.down = False
         self.calls = {}
+        self.log = []
         self.hooks = []
         self._versions = itertools.count(1)
         self._leases = itertools.count(1)
@@ -68,6 +69,7 @@
     async def _before(self, method, key):
         fault = self.call_faults.pop(sum(self.calls.values()), None)
         self.calls[method] = self.calls.get(method, 0) + 1
+        self.log.append(f"{method} {key}")
         for hook in list(self.hooks):
             await hook(method, key)
         if self.down:
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -131,6 +131,30 @@
             self.assertEqual(number, asyncio.run(load(store)).number)
             self.assertEqual(1, asyncio.run(two.file(ticket("uid-a"))).number)
 
+    def test_outage_after_a_lost_race_is_not_accepted(self):
+        """Guards against "unknown" for a ticket that surely was not accepted."""
+        self.store.fail("put_if", "config/head", "dropped")
+
+        async def overtake(method, key):
+            if method == "get" and "put_if config/head" in self.store.log:
+                self.store.hooks.clear()
+                self.assertTrue((await self.two.file(ticket("uid-b", service("x")))).ok)
+                self.store.fail("put_if", "config/object", "down")
+
+        self.store.hooks.append(overtake)
+        result = self.file("uid-a")
+        self.assertEqual(Code.TICKET_NOT_ACCEPTED, result.code)
+
+    def test_base_too_old_to_judge_is_a_conflict(self):
+        """Guards against reviving an object whose removal is forgotten."""
+        self.file("uid-first", service("gone"))
+        self.file("uid-second", {"kind": "service", "name": "gone", "remove": True})
+        for number in range(300):
+            self.file(f"uid-{number}", service(replicas=number))
+        result = self.file("uid-late", service("gone"), based_on=1)
+        self.assertEqual(Code.TICKET_CONFLICT, result.code)
+        self.assertIn("too old", result.detail)
+
     def test_loser_cannot_replace_the_winners_value(self):
         """Guards against the loser's value standing under the winner's number."""
 
@@ -210,9 +234,7 @@
 
 def _down_after_swap(store):
     async def hook(method, key):
-        if method == "get" and store.calls.get("swap"):
+        if method == "get" and "put_if config/head" in store.log:
             store.down = True
-        if (method, key) == ("put_if", "config/head"):
-            store.calls["swap"] = 1
 
     return hook
--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -83,6 +83,37 @@
 
         asyncio.run(run())
 
+    def test_only_the_state_of_its_number_becomes_a_snapshot(self):
+        """Guards against a snapshot whose number and content differ."""
+
+        async def run():
+            await self.file(6)
+            ahead = Loader(self.store, await Loader(self.store).refresh())
+            head_value = self.store.entries["config/head"]
+            await self.file(1)
+            await ahead.refresh()
+            self.store.entries["config/head"] = head_value
+            self.assertFalse(await Compactor(self.store, ahead, 4).run())
+            foreign = {"format": 1, "objects": {}}
+            await self.store.put_if("config/snapshot/0000000006/0000", foreign, 0)
+            self.assertFalse(await self.compactor(4).run())
+
+        asyncio.run(run())
+
+    def test_loaded_state_knows_every_recent_removal(self):
+        """Guards against a peer that keeps an object because nobody tells it."""
+
+        async def run():
+            await self.file(2)
+            old = await Loader(self.store).refresh()
+            removal = {"kind": "service", "name": "svc-1", "remove": True}
+            self.assertTrue((await self.filer.file(ticket("uid-x", removal))).ok)
+            new = await Loader(self.store).refresh()
+            after = old.after(new.delta(2))
+            self.assertEqual(["svc-2"], list(after.config.services))
+
+        asyncio.run(run())
+
     def test_parts_stay_below_the_value_limit(self):
         """Guards against a snapshot that the store refuses at full size."""
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -329,6 +329,8 @@
         self.assertEqual(["dc1-p3"], watcher.behind(4))
         _at, report = world.rollouts["dc2-p1"].reports["dc1"]
         self.assertEqual((4, ("dc1-p3",)), (report.number, report.behind))
+        world.give("dc1-p0", PeerNumber("dc1-p2", 0))
+        self.assertEqual(["dc1-p2", "dc1-p3"], watcher.behind(4))
 
     def test_deltas_bring_any_holder_to_the_same_state(self):
         """Guards against a delta that misses a removal or revives an object."""
@@ -341,6 +343,7 @@
                 for number in range(held + 1, 60, 5):
                     after = states[held].after(states[number].delta(base))
                     self.assertEqual(states[number], after)
+        self.assertIs(None, states[9].after(states[8].delta(0)))
 
     def test_gap_is_refused(self):
         """Guards against a state with a hole where a lost delta was."""
