--- a/src/poplaryard/acceptance.py
+++ b/src/poplaryard/acceptance.py
@@ -97,16 +97,24 @@
     ----------
     seed : int or None
         Seed of the pauses between retries.
+    loader : Loader or None
+        Loader of the process, so that what it holds is not read twice.
     """
 
-    def __init__(self, store: Store, clock: Clock, seed: int | None = None):
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        seed: int | None = None,
+        loader: Loader | None = None,
+    ):
         self._store = store
         self._clock = clock
         self._rng = random.Random(seed)
         # Filers of one process would only take the head from each other.
         self._turn = asyncio.Lock()
         self._lease = RetentionLease(store, clock, RETENTION_S, _LEASE_SPAN_S)
-        self.loader = Loader(store)
+        self.loader = loader or Loader(store)
 
     async def file(self, ticket: Ticket) -> FileResult:
         """File a ticket and return what became of it; never raises for the store."""
--- a/src/poplaryard/rollout.py
+++ b/src/poplaryard/rollout.py
@@ -90,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AskState:
-    """Request of a peer for all changes after a number."""
+    """Number in force at a peer, with a request for all later changes."""
 
     process: str
     base: int
@@ -123,7 +123,7 @@
     """Command: send a message to a peer."""
 
     to: str
-    msg: PeerDelta | AskState | PeerNumber | CentreReport
+    msg: PeerDelta | AskState | CentreReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -345,10 +345,12 @@
         if state is None:
             return self._ask(now, msg.process)
         # Confirming at once tells the watcher a second earlier than the heartbeat.
-        confirm = Send(msg.process, PeerNumber(self.process, number))
+        confirm = Send(msg.process, AskState(self.process, number))
         return [self._adopt(now, state), confirm]
 
     def _on_ask(self, msg: AskState) -> list[_Out]:
+        if msg.process in self._members.local:
+            self.confirmed[msg.process] = msg.base
         if msg.base >= self.number:
             return []
         delta = self.state.delta(msg.base)
