--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -8,7 +8,14 @@
 
 # Command name to "module:attribute". Importing lazily keeps `serve` small: the bench
 # and fuzz modules pull in libraries that the daemon does not need.
-_COMMANDS: dict[str, str] = {}
+_COMMANDS: dict[str, str] = {
+    "bench": "bench:bench",
+    "check-config": "settings:check_config",
+    "load": "load:load",
+    "serve": "serve:serve",
+    "standin": "standin:standin",
+    "fuzz": "fuzz:main",
+}
 
 
 class _LazyGroup(click.Group):
--- /dev/null
+++ b/src/poplaryard/shards.py
@@ -0,0 +1,250 @@
+"""Task of one shard: owns its scheduler, its queue and the links to its workers."""
+
+import asyncio
+import dataclasses
+import random
+import typing as t
+from collections import OrderedDict, deque
+
+from .clock import SystemClock
+from .codes import Code
+from .configuration import Configuration, VmSpec
+from .links import AuthorityCell, WorkerLink
+from .messages import (
+    Answer,
+    AuditEvent,
+    Authority,
+    ClaimReply,
+    ClaimWorker,
+    Configure,
+    Message,
+    PollReply,
+    StartAttempt,
+    StopAttempt,
+    Submit,
+    Tick,
+    VmGone,
+    VmUpdate,
+)
+from .scheduler import ShardScheduler
+from .takeover import EpochRefused
+from .workers import Workers
+
+__all__ = ["ShardTask"]
+
+QUEUE_LIMIT = 20_000
+ANSWERS_KEPT = 20_000
+# Messages handled before other tasks of the loop run again.
+SLICE = 128
+BUSY_TICK_S = 0.1
+IDLE_TICK_S = 0.5
+_BUSY_AFTER_MESSAGE_S = 2.0
+
+_clock = SystemClock()
+
+Deliver: t.TypeAlias = t.Callable[[str, Message], None]
+
+
+class ShardTask:
+    """Runs the scheduler of one shard that this process owns.
+
+    Parameters
+    ----------
+    shard, process : str
+    workers : Workers
+    deliver : callable
+        Takes a process id and the answer that goes to it.
+    notice : callable
+        Takes audit events, and `EpochRefused` when a worker knows a higher epoch.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        process: str,
+        workers: Workers,
+        deliver: Deliver,
+        notice: t.Callable[[t.Any], None],
+        rng: random.Random,
+    ):
+        self.shard = shard
+        self.scheduler = ShardScheduler(shard, process, rng)
+        self._process = process
+        self._workers = workers
+        self._deliver = deliver
+        self._notice = notice
+        self._inbox: deque[Message] = deque()
+        self._wake = asyncio.Event()
+        self._authority = AuthorityCell(shard)
+        self._links: dict[str, WorkerLink] = {}
+        self._vms: dict[str, tuple[VmSpec, bool]] = {}
+        self._waiting: dict[str, set[str]] = {}
+        self._answers: OrderedDict[str, Answer] = OrderedDict()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._busy_until = 0.0
+
+    @property
+    def authority(self) -> Authority:
+        """Authority last posted."""
+        return self._authority.value
+
+    @property
+    def in_progress(self) -> int:
+        """Number of requests that have not been answered."""
+        return len(self._waiting)
+
+    def start(self) -> None:
+        """Start the task."""
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._tick()),
+        ]
+
+    async def stop(self) -> None:
+        """End the task and its links."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for link in self._links.values():
+            link.close()
+
+    def post(self, msg: Message) -> None:
+        """Queue a message that must not be lost: reports, configuration, authority.
+
+        The number of attempts and workers bounds these; only submits are refused.
+        """
+        if isinstance(msg, Authority):
+            self._authority.set(msg)
+        self._inbox.append(msg)
+        self._wake.set()
+
+    def submit(self, msg: Submit, again: bool = False) -> None:
+        """Queue work, or answer that the queue is full.
+
+        Parameters
+        ----------
+        again : bool
+            Whether the work was sent before. It may then have run, so that no refusal
+            can be given and the entry process is left to ask again.
+        """
+        if len(self._inbox) < QUEUE_LIMIT:
+            self.post(msg)
+        elif not again:
+            self._refuse(msg, Code.QUEUE_FULL)
+
+    def configure(self, config: Configuration, vms: t.Mapping[str, VmSpec]) -> None:
+        """Apply a configuration and the VMs of this shard that it names."""
+        self.post(Configure(config))
+        leaving = {name for g in config.vm_groups.values() for name in g.leaving}
+        for name in sorted(self._vms.keys() - vms.keys()):
+            del self._vms[name]
+            self.post(VmGone(name))
+        for name, vm in vms.items():
+            self._update_vm(vm, name in leaving)
+
+    def vm_leaving(self, name: str, leaving: bool) -> None:
+        """Note what the platform's list says about a VM."""
+        if name in self._vms:
+            self._update_vm(self._vms[name][0], leaving)
+
+    def vm_gone(self, name: str) -> None:
+        """Note that the platform no longer lists a VM."""
+        if self._vms.pop(name, None) is not None:
+            self.post(VmGone(name))
+
+    def look_up(self, request_id: str, reply_to: str) -> str | None:
+        """Return where a request stands, or None if it is not known here.
+
+        Its answer is sent to the process `reply_to`, at once or when there is one.
+        """
+        answer = self._answers.get(request_id)
+        if answer is None and request_id not in self._waiting:
+            return None
+        if answer is not None and reply_to:
+            self._deliver(reply_to, dataclasses.replace(answer, reply_to=reply_to))
+        elif reply_to:
+            self._waiting[request_id].add(reply_to)
+        return self.scheduler.explain(request_id)
+
+    def _update_vm(self, vm: VmSpec, leaving: bool) -> None:
+        if self._vms.get(vm.name) == (vm, leaving):
+            return
+        self._vms[vm.name] = (vm, leaving)
+        self.post(VmUpdate(vm, leaving))
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._inbox:
+                for _ in range(min(SLICE, len(self._inbox))):
+                    self._handle(self._inbox.popleft())
+                await asyncio.sleep(0)
+
+    async def _tick(self) -> None:
+        while True:
+            busy = self._waiting or _clock.now() < self._busy_until
+            await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
+            self.post(Tick())
+
+    def _handle(self, msg: Message) -> None:
+        now = _clock.now()
+        if isinstance(msg, Submit):
+            self._busy_until = now + _BUSY_AFTER_MESSAGE_S
+            self._waiting.setdefault(msg.work.request_id, set()).add(msg.reply_to)
+        elif isinstance(msg, VmUpdate):
+            self._link(msg.vm)
+        elif isinstance(msg, VmGone):
+            self._unlink(msg.vm)
+        elif isinstance(msg, ClaimReply | PollReply):
+            self._check_epoch(msg)
+        for out in self.scheduler.handle(now, msg):
+            self._dispatch(out)
+
+    def _check_epoch(self, reply: ClaimReply | PollReply) -> None:
+        epoch = self.authority.epoch
+        if reply.epoch > epoch:
+            self._notice(EpochRefused(self.shard, epoch))
+
+    def _dispatch(self, out: t.Any) -> None:
+        if isinstance(out, StartAttempt):
+            self._links[out.vm].start(out)
+        elif isinstance(out, Answer):
+            self._answer(out)
+        elif isinstance(out, StopAttempt):
+            self._links[out.vm].stop_attempt(out)
+        elif isinstance(out, ClaimWorker):
+            self._links[out.vm].claim(out)
+        elif isinstance(out, AuditEvent | EpochRefused):
+            self._notice(out)
+
+    def _answer(self, answer: Answer) -> None:
+        """Send an answer to every process that has a caller waiting for it."""
+        self._answers[answer.request_id] = answer
+        if len(self._answers) > ANSWERS_KEPT:
+            self._answers.popitem(last=False)
+        targets = self._waiting.pop(answer.request_id, set())
+        for target in sorted(targets or {answer.reply_to}):
+            if target:
+                self._deliver(target, dataclasses.replace(answer, reply_to=target))
+
+    def _refuse(self, msg: Submit, code: Code) -> None:
+        answer = Answer(
+            msg.work.request_id, code, code.outcome, (), code.meaning, 1.0, msg.reply_to
+        )
+        self._deliver(msg.reply_to, answer)
+
+    def _link(self, vm: VmSpec) -> None:
+        link = self._links.get(vm.name)
+        if link is not None and link.address == vm.address:
+            return
+        if link is not None:
+            link.close()
+        self._links[vm.name] = WorkerLink(
+            vm.name, vm.address, self._workers, self.post, self._authority
+        )
+
+    def _unlink(self, name: str) -> None:
+        link = self._links.pop(name, None)
+        if link is not None:
+            link.close()
