--- a/src/poplaryard/head.py
+++ b/src/poplaryard/head.py
@@ -84,7 +84,7 @@
         cls, number: int, ticket: tickets.Ticket, digest: str, at: float
     ) -> "Accepted":
         """Return the entry of a ticket."""
-        keys = tuple(ticket.keys())
+        keys = tuple(ticket.object_keys())
         return cls(
             number,
             ticket.uid,
--- a/src/poplaryard/tickets.py
+++ b/src/poplaryard/tickets.py
@@ -1,5 +1,6 @@
 """Tickets: reading them, applying them, and encoding a whole configuration."""
 
+import difflib
 import hashlib
 import json
 import typing as t
@@ -13,7 +14,7 @@
 from .configuration import Configuration, Policy
 from .exceptions import CallError
 from .ticket_encoding import object_of
-from .ticket_objects import AnyObject, Removal, Spec, parse_object
+from .ticket_objects import KINDS, AnyObject, Removal, Spec, parse_object
 
 __all__ = [
     "FORMAT",
@@ -70,13 +71,13 @@
     def _check(self) -> t.Self:
         if not self.objects:
             raise ValueError("names no object")
-        keys = self.keys()
+        keys = self.object_keys()
         twice = sorted({key for key in keys if keys.count(key) > 1})
         if twice:
             raise ValueError(f"names the object {twice[0]} twice")
         return self
 
-    def keys(self) -> list[str]:
+    def object_keys(self) -> list[str]:
         """Return ``kind/name`` of each object, in the ticket's order."""
         return [f"{item.kind}/{item.name}" for item in self.objects]
 
@@ -112,10 +113,26 @@
     for error in exc.errors(include_url=False)[:20]:
         where = _place(error["loc"], value)
         what = _PLAIN.get(error["type"]) or _lower(error["msg"])
-        lines.append(f"{where} {what}.")
+        lines.append(f"{where} {what}{_hint(error, value)}.")
     return " ".join(lines)
 
 
+def _hint(error: t.Any, value: t.Mapping[str, t.Any]) -> str:
+    """Return what a misspelt field or kind probably meant."""
+    loc = error["loc"]
+    if error["type"] == "union_tag_invalid":
+        known: t.Iterable[str] = KINDS
+        given = str(value["objects"][loc[1]].get("kind"))
+    elif error["type"] == "extra_forbidden":
+        model = KINDS.get(str(loc[2])) if len(loc) == 4 else None
+        known = (model or Ticket).model_fields
+        given = str(loc[-1])
+    else:
+        return ""
+    like = difflib.get_close_matches(given, list(known), 1)
+    return f' (did you mean "{like[0]}"?)' if like else ""
+
+
 def _lower(text: str) -> str:
     text = text.removeprefix("Value error, ")
     return text.replace("Input should", "should")
@@ -157,7 +174,7 @@
     """Return the stored form of each object of a ticket; None for a removal."""
     return {
         key: None if isinstance(item, Removal) else object_of(item.spec())
-        for key, item in zip(ticket.keys(), ticket.objects, strict=True)
+        for key, item in zip(ticket.object_keys(), ticket.objects, strict=True)
     }
 
 
@@ -165,7 +182,7 @@
     """Return the configuration after a ticket; the cost follows the ticket's size."""
     specs: dict[str, Spec | None] = {
         key: None if isinstance(item, Removal) else item.spec()
-        for key, item in zip(ticket.keys(), ticket.objects, strict=True)
+        for key, item in zip(ticket.object_keys(), ticket.objects, strict=True)
     }
     return _with_specs(config, number, specs)
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -62,7 +62,8 @@
             self.refusal(service(cpu="8 coors")),
         )
         self.assertEqual(
-            'In service "booking", "replcas" is not a known field.',
+            'In service "booking", "replcas" is not a known field (did you mean '
+            '"replicas"?).',
             self.refusal(service(replcas=3)),
         )
         self.assertIn("is missing", self.refusal({"kind": "team"}))
