--- /dev/null
+++ b/src/poplaryard/dispatch.py
@@ -0,0 +1,194 @@
+"""Finds the owner of work and passes messages between entry, shards and peers."""
+
+import random
+import typing as t
+
+from . import routing
+from .codes import Code
+from .configuration import Configuration
+from .entry import Entry
+from .lookup import Lookup, LookupReply
+from .messages import Answer, Authority, Cancel, Message, Submit, Work
+from .peers import Envelope
+from .shards import ShardTask
+from .workers import Workers
+
+__all__ = ["Dispatcher"]
+
+OwnerOf: t.TypeAlias = t.Callable[[str], str | Code]
+Send: t.TypeAlias = t.Callable[[str, Envelope], None]
+
+
+class Dispatcher:
+    """Shards that this process owns, and the way to the owners of all others.
+
+    Parameters
+    ----------
+    process, data_centre : str
+    owner_of : callable
+        Returns the process id of a shard's owner, or why it has none.
+    send : callable
+        Takes the process id of a peer and an envelope for it.
+    notice : callable
+        Takes what the shards report besides answers: audit events, refused epochs.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        data_centre: str,
+        workers: Workers,
+        owner_of: OwnerOf,
+        send: Send,
+        notice: t.Callable[[t.Any], None],
+        requests_limit: int,
+    ):
+        self.process = process
+        self.data_centre = data_centre
+        self.config = Configuration()
+        self.shards: dict[str, ShardTask] = {}
+        self.entry = Entry(process, self, requests_limit)
+        self._workers = workers
+        self._owner_of = owner_of
+        self._send_peer = send
+        self._notice = notice
+        self._rng = random.Random()
+        self._names: dict[str, list[str]] = {}
+        self._cell: list[str] = []
+
+    def configure(self, config: Configuration) -> None:
+        """Apply a newer configuration."""
+        self.config = config
+        count = config.policy.shards_per_data_centre
+        centres = sorted({*config.data_centres(), self.data_centre})
+        self._names = {dc: routing.shard_names(dc, count) for dc in centres}
+        self._cell = [name for names in self._names.values() for name in names]
+        for task in self.shards.values():
+            self._configure_shard(task)
+
+    def local_shards(self) -> tuple[str, ...]:
+        """Return the names of the shards of this data centre."""
+        return tuple(self._names.get(self.data_centre, ()))
+
+    def take(self, shard: str) -> ShardTask:
+        """Start to serve a shard; it places nothing until it is given authority."""
+        task = ShardTask(
+            shard, self.process, self._workers, self.deliver, self._notice, self._rng
+        )
+        self.shards[shard] = task
+        self._configure_shard(task)
+        task.start()
+        return task
+
+    async def release(self, shard: str) -> None:
+        """Stop serving a shard."""
+        task = self.shards.pop(shard, None)
+        if task is not None:
+            await task.stop()
+
+    async def close(self) -> None:
+        """Stop serving all shards."""
+        for shard in list(self.shards):
+            await self.release(shard)
+
+    def authority(self, msg: Authority) -> None:
+        """Pass a new authority on to its shard."""
+        if msg.shard in self.shards:
+            self.shards[msg.shard].post(msg)
+
+    def vm_leaving(self, name: str, leaving: bool) -> None:
+        """Pass on what the platform's list says about a VM."""
+        for task in self.shards.values():
+            task.vm_leaving(name, leaving)
+
+    def vm_gone(self, name: str) -> None:
+        """Pass on that a VM is no longer listed."""
+        for task in self.shards.values():
+            task.vm_gone(name)
+
+    def route(self, work: Work) -> tuple[str, str] | Code:
+        """Return the shard and the owner of work, or why there is none."""
+        shard = self._shard_of(work)
+        owner = self._owner_of(shard) if shard else Code.NOT_OWNER
+        return owner if isinstance(owner, Code) else (shard, owner)
+
+    def submit(self, process: str, shard: str, msg: Submit, again: bool) -> None:
+        """Send work to an owner."""
+        self._send(process, Envelope(msg, shard, again))
+
+    def cancel(self, process: str, shard: str, msg: Cancel) -> None:
+        """Send a cancellation to an owner."""
+        self._send(process, Envelope(msg, shard))
+
+    def deliver(self, process: str, msg: Message) -> None:
+        """Send a message to a process."""
+        self._send(process, Envelope(msg))
+
+    def receive(self, sender: str, envelope: Envelope) -> None:
+        """Take a message from a peer or from this process."""
+        msg = envelope.message
+        if isinstance(msg, Answer):
+            self.entry.on_answer(sender, msg)
+        elif isinstance(msg, Submit):
+            self._receive_submit(envelope, msg)
+        elif isinstance(msg, Cancel) and envelope.shard in self.shards:
+            self.shards[envelope.shard].post(msg)
+
+    def undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
+        """Take back a message that did not reach a peer, or perhaps not."""
+        if isinstance(envelope.message, Submit):
+            self.entry.undelivered(process, envelope.message.work, code)
+
+    def look_up(self, question: Lookup) -> list[LookupReply]:
+        """Return what the shards here know of a request."""
+        request_id, reply_to = question.request_id, question.reply_to
+        found = [task.look_up(request_id, reply_to) for task in self.shards.values()]
+        return [LookupReply(request_id, text) for text in found if text is not None]
+
+    def owners_of(self, request_id: str) -> set[str]:
+        """Return the owners that may know a request: all here, and its home."""
+        shards = {*self.local_shards()}
+        if self._cell:
+            shards.add(routing.home_shard(request_id, self._cell))
+        found = map(self._owner_of, shards)
+        return {owner for owner in found if not isinstance(owner, Code)}
+
+    def cancel_everywhere(self, request_id: str) -> None:
+        """Send a cancellation to all owners that may know a request."""
+        for shard in self.local_shards():
+            owner = self._owner_of(shard)
+            if not isinstance(owner, Code):
+                self.cancel(owner, shard, Cancel(request_id))
+
+    def _shard_of(self, work: Work) -> str:
+        key = routing.key_of(work)
+        if key:
+            return routing.home_shard(key, self._cell) if self._cell else ""
+        # Chosen by the id, so that a caller that asks again at another entry process
+        # of the data centre reaches the owner that knows the request.
+        local = self.local_shards()
+        return routing.home_shard(work.request_id, local) if local else ""
+
+    def _send(self, process: str, envelope: Envelope) -> None:
+        if process == self.process:
+            self.receive(process, envelope)
+        else:
+            self._send_peer(process, envelope)
+
+    def _receive_submit(self, envelope: Envelope, msg: Submit) -> None:
+        shard = self.shards.get(envelope.shard)
+        if shard is not None:
+            shard.submit(msg, envelope.again)
+            return
+        code = Code.NOT_OWNER
+        answer = Answer(msg.work.request_id, code, code.outcome, (), code.meaning)
+        self.deliver(msg.reply_to, answer)
+
+    def _configure_shard(self, task: ShardTask) -> None:
+        names = self.local_shards()
+        own = {
+            vm.name: vm
+            for vm in self.config.vms(self.data_centre)
+            if routing.shard_of_vm(vm.name, names) == task.shard
+        }
+        task.configure(self.config, own)
