--- a/src/poplaryard/api.py
+++ b/src/poplaryard/api.py
@@ -16,6 +16,7 @@
 from .clock import SystemClock
 from .codes import Code
 from .exceptions import CallError, PoplaryardError
+from .logs import requests_id
 from .messages import Answer, Priority, Work, WorkKind
 from .resources import Resources
 
@@ -107,6 +108,9 @@
     def submit(self, work: Work, digest: str) -> "asyncio.Future[Answer] | Answer":
         """Take a request; return its answer or a future of it."""
 
+    def answered(self, answer: Answer, seconds: float) -> None:
+        """Count an answer given after `seconds`."""
+
     async def find(self, request_id: str) -> "asyncio.Future[Answer] | Answer | None":
         """Return a request's answer or a future of it; None if it is not known."""
 
@@ -207,14 +211,17 @@
         refusal = self._context.refusal()
         if refusal is not None:
             return error_response(refusal)
+        received = _clock.now()
         digest = hashlib.blake2b(data, digest_size=16).hexdigest()
-        found = self._context.submit(work, digest)
-        if isinstance(found, Answer):
-            return answer_response(found)
-        if not wait:
+        with requests_id(work.request_id):
+            found = self._context.submit(work, digest)
+        if not isinstance(found, Answer) and not wait:
             return _state_response(work.request_id, Code.ACCEPTED)
-        # Shielded: the request goes on when its caller disconnects and asks elsewhere.
-        return answer_response(await asyncio.shield(found))
+        if not isinstance(found, Answer):
+            # Shielded: the request goes on when its caller disconnects.
+            found = await asyncio.shield(found)
+        self._context.answered(found, _clock.now() - received)
+        return answer_response(found)
 
     def _work(self, found: _Common) -> Work:
         work = Work(
--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -6,22 +6,24 @@
 import typing as t
 
 from starlette.applications import Starlette
-from starlette.exceptions import HTTPException
 from starlette.requests import Request
-from starlette.responses import JSONResponse, Response
-from starlette.routing import Route
 
-from .api import api_routes, bearer_allowed, error_response
+from . import logs
+from .acceptance import Acceptance
+from .api import api_routes, bearer_allowed
+from .audit import AuditLog, AuditWriter
 from .centres import AskOwners, Centres, OwnerNotice, OwnersView
 from .client import HttpClient
 from .clock import Clock, SystemClock
 from .codes import Code
+from .compaction import Compactor
 from .config_io import PEER_MESSAGES, ConfigTask
-from .config_loader import Loader
 from .context import CallerContext
 from .dispatch import Dispatcher
+from .logs import logger
 from .lookup import Finder, Lookup, LookupReply
 from .messages import AuditEvent, Authority, Configure
+from .monitoring import Monitor
 from .ownership import Ownership
 from .ownership_io import OwnershipTask
 from .ownership_messages import (
@@ -35,10 +37,11 @@
 from .rollout import Members, Rollout
 from .server import HttpServer
 from .settings import Settings
-from .store import Store
 from .store_http import HttpStore
 from .takeover import EpochRefused
+from .upkeep import UpkeepTask
 from .vmlist import VmListTask
+from .web import new_starlette
 from .workers_http import HttpWorkers
 
 __all__ = ["Application"]
@@ -77,6 +80,8 @@
             HttpClient(STORE_CONNECTIONS),
         )
         self._make_parts()
+        logs.configure(self.process, settings.log_level, self.ticket)
+        self.monitor = Monitor(self)
         self._asgi = self._new_starlette()
         self._starts: list[Hook] = []
         self._stops: list[Hook] = []
@@ -99,13 +104,16 @@
         for hook in self._starts:
             await hook()
         self.state = "running"
+        logger.info("started", extra={"address": self.address})
 
     async def stop(self) -> None:
         """Hand over, finish the requests in progress, and close everything."""
         self.state = "stopping"
+        logger.info("stopping", extra={"left": self.left_over()})
         for hook in reversed(self._stops):
             await hook()
         self.state = "stopped"
+        logger.info("stopped")
 
     def left_over(self) -> str:
         """Return what would be lost if the process ended now."""
@@ -123,12 +131,25 @@
         """Tell whether the load balancer may send requests."""
         return self.state == "running" and self.config_task.rollout.ready
 
+    def ticket(self) -> int:
+        """Return the number of the ticket in force."""
+        return self.config_task.rollout.number
+
+    def counts(self) -> dict[str, float]:
+        """Return counters and gauges by metric name."""
+        return {
+            "poplaryard_store_calls_total": self.store.calls,
+            "poplaryard_peer_batches_total": self.peers.sent_batches,
+            "poplaryard_peer_messages_total": self.peers.sent_messages,
+            "poplaryard_audit_lost_total": self.audit_log.lost,
+        }
+
     # Parts
 
     def _make_parts(self) -> None:
         peer_client, worker_client, store_client = self._clients
         limits = self.settings.limits
-        self.store: Store = HttpStore(store_client, self.settings.platform)
+        self.store = HttpStore(store_client, self.settings.platform)
         self.peers = PeerTable(
             self.process,
             self.address,
@@ -172,21 +193,32 @@
             self._ownership_notice,
             self._record_seen,
         )
+        self.acceptance = Acceptance(self.store, self.clock)
+        loader = self.acceptance.loader
         self.config_task = ConfigTask(
             Rollout(self.process, data_centre),
-            Loader(self.store),
+            loader,
             self.store,
             self.peers,
             self.clock,
             self._apply,
         )
         self.vm_list = VmListTask(
-            t.cast(HttpStore, self.store),
+            self.store,
             data_centre,
             lambda: bool(self.dispatcher.shards),
             self.dispatcher.vm_leaving,
             self.dispatcher.vm_gone,
         )
+        self.audit_log = AuditLog()
+        self.audit_writer = AuditWriter(
+            self.store, self.clock, self.audit_log, data_centre, self.process
+        )
+        self.upkeep = UpkeepTask(
+            self.audit_writer,
+            Compactor(self.store, loader),
+            lambda: (self.process,) == self.config_task.rollout.watchers[:1],
+        )
         self._notices: dict[str, OwnerNotice] = {}
         self._members: Members | None = None
         self._releases: set[asyncio.Task[None]] = set()
@@ -256,9 +288,11 @@
         elif isinstance(notice, ShardTaken):
             self._take(notice)
         elif isinstance(notice, ShardReleased):
+            logger.info("shard released", extra={"shard": notice.shard})
             self._spawn(self.dispatcher.release(notice.shard))
 
     def _take(self, taken: ShardTaken) -> None:
+        logger.info("shard taken", extra={"shard": taken.shard, "epoch": taken.epoch})
         task = self.dispatcher.take(taken.shard)
         task.post(t.cast(t.Any, taken))
         notice = OwnerNotice(taken.shard, self.process, taken.epoch)
@@ -293,12 +327,13 @@
         self.dispatcher.configure(configure.config)
         shards = self.dispatcher.local_shards()
         number = configure.config.number
+        logger.info("ticket in force", extra={"number": number})
         self.ownership_task.handle(ShardsConfigured(shards, number))
         if number:
             self._record_seen()
 
     def _audit(self, event: AuditEvent) -> None:
-        return
+        self.audit_log.add(self.clock.now(), event)
 
     # Life cycle
 
@@ -312,6 +347,7 @@
         self.ownership_task.start()
         self.config_task.start()
         self.vm_list.start()
+        self.upkeep.start()
 
     async def _hand_over(self) -> None:
         """Leave the data centre's record, then wait for the open requests."""
@@ -324,6 +360,7 @@
         await self._server.stop()
 
     async def _stop_tasks(self) -> None:
+        await self.upkeep.stop()
         await self.vm_list.stop()
         await self.config_task.stop()
         await self.ownership_task.stop()
@@ -343,42 +380,23 @@
 
     def _new_starlette(self) -> Starlette:
         context = CallerContext(
-            self.settings, self.dispatcher, self.finder, self.refusal
+            self.settings,
+            self.dispatcher,
+            self.finder,
+            self.refusal,
+            self.monitor.metrics.answered,
         )
         routes = [
             *api_routes(context),
             *peer_routes(self.peers, self._peer_allowed),
-            Route("/healthz", self._healthz, methods=["GET"]),
-            Route("/readyz", self._readyz, methods=["GET"]),
+            *self.monitor.routes(),
         ]
-        handlers: t.Any = {HTTPException: _http_error, Exception: _internal_error}
-        return Starlette(routes=routes, exception_handlers=handlers)
+        return new_starlette(routes)
 
     def _peer_allowed(self, request: Request) -> bool:
         return bearer_allowed(request, [self.settings.keys.peer])
 
-    async def _healthz(self, request: Request) -> Response:
-        return JSONResponse({"state": self.state, "process": self.process})
-
-    async def _readyz(self, request: Request) -> Response:
-        body = {
-            "state": self.state,
-            "ticket": self.config_task.rollout.number,
-            "shards": sorted(self.dispatcher.shards),
-        }
-        return JSONResponse(body, 200 if self.ready() else 503)
-
 
 def _host_and_port(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-async def _http_error(request: Request, exc: Exception) -> Response:
-    status = exc.status_code if isinstance(exc, HTTPException) else 500
-    codes = {404: Code.NO_ROUTE, 405: Code.METHOD_NOT_ALLOWED}
-    return error_response(codes.get(status, Code.INTERNAL))
-
-
-async def _internal_error(request: Request, exc: Exception) -> Response:
-    return error_response(Code.INTERNAL)
--- a/src/poplaryard/context.py
+++ b/src/poplaryard/context.py
@@ -9,6 +9,7 @@
 from .api import bearer_allowed
 from .codes import Code
 from .dispatch import Dispatcher
+from .logs import logger
 from .lookup import Finder
 from .messages import Answer, Work
 from .settings import Settings
@@ -23,6 +24,8 @@
     ----------
     refusal : callable
         Returns why no requests are taken at the moment, or None.
+    answered : callable
+        Takes the code and the time in seconds of each answer.
     """
 
     def __init__(
@@ -31,11 +34,13 @@
         dispatcher: Dispatcher,
         finder: Finder,
         refusal: t.Callable[[], Code | None],
+        answered: t.Callable[[int, float], None],
     ):
         self.body_limit = settings.limits.body_kb * 1024
         self.depth_limit = settings.limits.json_depth
         self.default_timeout_s = settings.limits.default_timeout_s
         self.refusal = refusal
+        self._answered = answered
         self._keys = tuple(settings.keys.callers.values())
         self._dispatcher = dispatcher
         self._finder = finder
@@ -60,6 +65,13 @@
         """Take a request; return its answer or a future of it."""
         return self._dispatcher.entry.submit(work, digest)
 
+    def answered(self, answer: Answer, seconds: float) -> None:
+        """Count an answer given after `seconds`."""
+        self._answered(int(answer.code), seconds)
+        logger.debug(
+            "answered", extra={"request": answer.request_id, "code": int(answer.code)}
+        )
+
     async def find(self, request_id: str) -> "asyncio.Future[Answer] | Answer | None":
         """Return a request's answer or a future of it; None if it is not known."""
         entry = self._dispatcher.entry
