--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -53,6 +53,10 @@
 PEER_TIMEOUT_S = 1.0
 POLL_S = 1.0
 
+# A forwarded request that is older is ignored. It may be a copy of one whose "not run"
+# the ledger has forgotten; answers are kept for this time plus the clock skew.
+COPY_S = 20.0
+
 # The VM list is read this often, and so lags behind.
 LIST_S = 2.0
 POLLS_MISSED = 3
@@ -310,6 +314,8 @@
             for name in list(self.shards):
                 self.give_shard(name, message)
             return
+        if self.wall() - message.wall > COPY_S and not self.world.lacks("copy_age"):
+            return
         target = self.world.shard_for(message.work, self)
         request = message.work.request_id
         if target not in self.shards:
--- a/src/poplaryard/fuzz_worker.py
+++ b/src/poplaryard/fuzz_worker.py
@@ -153,13 +153,14 @@
         return StartReply(self.name, message.attempt_id, code or Code.OK)
 
     def _refusal(self, real: float, message: StartAttempt) -> Code | None:
+        # Checked first: a late copy of a start that has begun is not "not run".
+        if message.attempt_id in self._attempts and "attempt_id" not in self._without:
+            return Code.ATTEMPT_REPEATED
         if self._fenced(message.epoch):
             return Code.STALE_EPOCH
         late = self.clock(real) * 1000 > message.valid_until_ms
         if late and "valid_until" not in self._without:
             return Code.START_EXPIRED
-        if message.attempt_id in self._attempts and "attempt_id" not in self._without:
-            return Code.ATTEMPT_REPEATED
         return None
 
     def _begin(self, real: float, message: StartAttempt) -> None:
