--- a/src/poplaryard/config_loader.py
+++ b/src/poplaryard/config_loader.py
@@ -7,11 +7,20 @@
 from .codes import Code
 from .configuration import Configuration
 from .exceptions import CallError
-from .head import HEAD_KEY, ConfigState, Delta, Head, object_key
-from .head import snapshot_key as _snapshot_key
+from .head import (
+    HEAD_KEY,
+    Accepted,
+    ConfigState,
+    Delta,
+    Head,
+    history_key,
+    object_key,
+    snapshot_key,
+    ticket_key,
+)
 from .store import Entry, Store
 
-__all__ = ["Loader", "load", "parts_of", "read_head"]
+__all__ = ["Loader", "load", "parts_of", "read_head", "read_ticket"]
 
 # One scan of all objects is cheaper for the store than this many single reads.
 _SCAN_FROM = 24
@@ -39,6 +48,25 @@
     return (Head() if entry is None else Head.from_json(entry.value)), entry
 
 
+async def read_ticket(store: Store, number: int) -> dict[str, t.Any] | None:
+    """Return an accepted ticket with its entry, or None if it is no longer kept.
+
+    The ticket itself is None once its text is older than the retention time.
+    """
+    head, _entry = await read_head(store)
+    entry = head.entry(number)
+    if entry is None and 0 < number <= head.number:
+        block = await store.get(history_key(number))
+        items = [] if block is None else block.value["tickets"]
+        found = [item for item in items if item["number"] == number]
+        entry = Accepted.from_json(found[0]) if found else None
+    if entry is None:
+        return None
+    record = await store.get(ticket_key(entry.uid))
+    text = None if record is None else record.value["ticket"]
+    return {**entry.to_json(), "ticket": text}
+
+
 class Loader:
     """Holds a configuration and reads from the store only what has changed.
 
@@ -104,7 +132,7 @@
         return Delta(self.state.number, head.number, found | read, head.horizon)
 
     async def _from_snapshot(self, head: Head, wanted: t.Mapping[str, str]) -> _Found:
-        keys = [_snapshot_key(head.snapshot, n) for n in range(head.snapshot_parts)]
+        keys = [snapshot_key(head.snapshot, n) for n in range(head.snapshot_parts)]
         parts = await self._gather(keys)
         found: _Found = {}
         for part in parts:
--- a/src/poplaryard/rollout.py
+++ b/src/poplaryard/rollout.py
@@ -4,11 +4,25 @@
 watchers per data centre read the store; all others get changes from their peers.
 """
 
-import typing as t
-from dataclasses import dataclass, field
+import dataclasses
 
 from .head import ConfigState, Delta, Head
 from .messages import Configure, Tick
+from .rollout_messages import (
+    AskState,
+    CentreReport,
+    HeadSeen,
+    LoadConfig,
+    Loaded,
+    Members,
+    PeerDelta,
+    PeerNumber,
+    RolloutInput,
+    RolloutOutput,
+    Send,
+    StoreFailed,
+    WatchHead,
+)
 
 __all__ = [
     "AskState",
@@ -37,123 +51,6 @@
 _SHOWN_BEHIND = 8
 
 
-@dataclass(frozen=True, slots=True)
-class Members:
-    """Live processes of this data centre and peers listed for the others.
-
-    Attributes
-    ----------
-    local : tuple of str
-        Ids of the live members, with this process.
-    remote : mapping
-        Data centre to the peers listed for it in the settings.
-    """
-
-    local: tuple[str, ...]
-    remote: t.Mapping[str, tuple[str, ...]] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class HeadSeen:
-    """Head record as the watch, a poll or an accepted ticket shows it."""
-
-    head: Head
-
-
-@dataclass(frozen=True, slots=True)
-class Loaded:
-    """Configuration read from the store; number 0 if no ticket was ever accepted."""
-
-    state: ConfigState
-
-
-@dataclass(frozen=True, slots=True)
-class StoreFailed:
-    """The store did not answer a read of the configuration."""
-
-
-@dataclass(frozen=True, slots=True)
-class PeerNumber:
-    """Number in force at a peer, from its heartbeat."""
-
-    process: str
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class PeerDelta:
-    """Changes sent by a peer."""
-
-    process: str
-    delta: Delta
-
-
-@dataclass(frozen=True, slots=True)
-class AskState:
-    """Number in force at a peer, with a request for all later changes."""
-
-    process: str
-    base: int
-
-
-@dataclass(frozen=True, slots=True)
-class CentreReport:
-    """What one data centre has in force.
-
-    Attributes
-    ----------
-    number : int
-        Number in force at the reporting process.
-    lowest : int
-        Lowest number that a live process of the data centre has confirmed.
-    behind : tuple of str
-        Some processes that have not confirmed `number`.
-    """
-
-    process: str
-    data_centre: str
-    number: int
-    lowest: int
-    behind: tuple[str, ...] = ()
-    passed_on: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Command: send a message to a peer."""
-
-    to: str
-    msg: PeerDelta | AskState | CentreReport
-
-
-@dataclass(frozen=True, slots=True)
-class WatchHead:
-    """Command: start or stop watching the head record."""
-
-    on: bool
-
-
-@dataclass(frozen=True, slots=True)
-class LoadConfig:
-    """Command: load the configuration; `head` is None if it must be read first."""
-
-    head: Head | None = None
-
-
-_In: t.TypeAlias = (
-    Members
-    | HeadSeen
-    | Loaded
-    | StoreFailed
-    | PeerNumber
-    | PeerDelta
-    | AskState
-    | CentreReport
-    | Tick
-)
-_Out: t.TypeAlias = Configure | Send | WatchHead | LoadConfig
-
-
 class Rollout:
     """Configuration in force in this process and its way to the others.
 
@@ -209,7 +106,18 @@
             if self._number_at(peer) < number
         ]
 
-    def handle(self, now: float, msg: _In) -> list[_Out]:
+    def missing(self, number: int) -> list[str]:
+        """Return the local processes and other data centres without a number."""
+        found = self.behind(number)
+        for centre in sorted(self._members.remote):
+            if centre in ("", self.data_centre):
+                continue
+            _at, report = self.reports.get(centre, (0.0, None))
+            if report is None or report.lowest < number:
+                found.append(centre)
+        return found
+
+    def handle(self, now: float, msg: RolloutInput) -> list[RolloutOutput]:
         """Return the commands that follow from a message.
 
         Parameters
@@ -237,7 +145,7 @@
             case Tick():
                 return self._on_tick(now)
 
-    def _on_members(self, now: float, msg: Members) -> list[_Out]:
+    def _on_members(self, now: float, msg: Members) -> list[RolloutOutput]:
         self._members = msg
         for gone in self.confirmed.keys() - set(msg.local):
             del self.confirmed[gone]
@@ -248,7 +156,7 @@
         self._next_poll = now
         return [WatchHead(watching)]
 
-    def _on_head(self, now: float, head: Head) -> list[_Out]:
+    def _on_head(self, now: float, head: Head) -> list[RolloutOutput]:
         self.store_ok = True
         self.store_number = head.number
         if head.number <= self.number:
@@ -261,7 +169,7 @@
             return []
         return [LoadConfig(head)]
 
-    def _on_loaded(self, now: float, state: ConfigState) -> list[_Out]:
+    def _on_loaded(self, now: float, state: ConfigState) -> list[RolloutOutput]:
         self.store_ok = True
         self.store_number = max(self.store_number, state.number)
         first = not self.ready
@@ -279,10 +187,10 @@
             self._pending = None
         return Configure(state.config)
 
-    def _push(self, before: int) -> list[_Out]:
+    def _push(self, before: int) -> list[RolloutOutput]:
         """Send the change to the live local peers, from what each is known to hold."""
         deltas: dict[int, Delta] = {}
-        out: list[_Out] = []
+        out: list[RolloutOutput] = []
         for peer in self._members.local:
             if peer == self.process or self._number_at(peer) >= self.number:
                 continue
@@ -295,11 +203,11 @@
     def _number_at(self, peer: str) -> int:
         return self.number if peer == self.process else self.confirmed.get(peer, 0)
 
-    def _on_store_failed(self, now: float) -> list[_Out]:
+    def _on_store_failed(self, now: float) -> list[RolloutOutput]:
         self.store_ok = False
         return [] if self.ready else self._ask_anyone(now)
 
-    def _ask_anyone(self, now: float) -> list[_Out]:
+    def _ask_anyone(self, now: float) -> list[RolloutOutput]:
         """Ask local peers and one peer of each other data centre in turn."""
         peers = [peer for peer in self._members.local if peer != self.process]
         peers += self._one_per_centre()
@@ -313,13 +221,13 @@
             if peers and centre != self.data_centre
         ]
 
-    def _ask(self, now: float, peer: str) -> list[_Out]:
+    def _ask(self, now: float, peer: str) -> list[RolloutOutput]:
         if now < self._asked.get(peer, now):
             return []
         self._asked[peer] = now + ASK_AGAIN_S
         return [Send(peer, AskState(self.process, self.number))]
 
-    def _on_number(self, now: float, peer: str, number: int) -> list[_Out]:
+    def _on_number(self, now: float, peer: str, number: int) -> list[RolloutOutput]:
         if peer in self._members.local:
             # A restarted peer starts again from 0, so the last report counts.
             self.confirmed[peer] = number
@@ -327,7 +235,7 @@
             self._heard_watcher = now
         return self._ask(now, peer) if number > self.number else []
 
-    def _on_delta(self, now: float, msg: PeerDelta) -> list[_Out]:
+    def _on_delta(self, now: float, msg: PeerDelta) -> list[RolloutOutput]:
         number = msg.delta.number
         if msg.process in self._members.local:
             known = self.confirmed.get(msg.process, 0)
@@ -348,7 +256,7 @@
         confirm = Send(msg.process, AskState(self.process, number))
         return [self._adopt(now, state), confirm]
 
-    def _on_ask(self, msg: AskState) -> list[_Out]:
+    def _on_ask(self, msg: AskState) -> list[RolloutOutput]:
         if msg.process in self._members.local:
             self.confirmed[msg.process] = msg.base
         if msg.base >= self.number:
@@ -356,20 +264,13 @@
         delta = self.state.delta(msg.base)
         return [Send(msg.process, PeerDelta(self.process, delta))]
 
-    def _on_report(self, now: float, msg: CentreReport) -> list[_Out]:
+    def _on_report(self, now: float, msg: CentreReport) -> list[RolloutOutput]:
         if msg.data_centre == self.data_centre:
             return []
         self.reports[msg.data_centre] = (now, msg)
-        out: list[_Out] = []
+        out: list[RolloutOutput] = []
         if not msg.passed_on:
-            passed = CentreReport(
-                msg.process,
-                msg.data_centre,
-                msg.number,
-                msg.lowest,
-                msg.behind,
-                passed_on=True,
-            )
+            passed = dataclasses.replace(msg, passed_on=True)
             peers = (peer for peer in self._members.local if peer != self.process)
             out += [Send(peer, passed) for peer in peers]
             if msg.number > self.number:
@@ -377,8 +278,8 @@
                 out += self._ask(now, msg.process)
         return out
 
-    def _on_tick(self, now: float) -> list[_Out]:
-        out: list[_Out] = []
+    def _on_tick(self, now: float) -> list[RolloutOutput]:
+        out: list[RolloutOutput] = []
         if self._pending is not None and now >= self._pending[0]:
             out.append(LoadConfig(self._pending[1]))
             self._pending = None
