--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -24,6 +24,8 @@
 from .lookup import Finder, Lookup, LookupReply
 from .messages import AuditEvent, Authority, Configure
 from .monitoring import Monitor
+from .operator_context import OperatorDesk
+from .operators import operator_routes
 from .ownership import Ownership
 from .ownership_io import OwnershipTask
 from .ownership_messages import (
@@ -82,6 +84,7 @@
         self._make_parts()
         logs.configure(self.process, settings.log_level, self.ticket)
         self.monitor = Monitor(self)
+        self.desk = self._new_desk()
         self._asgi = self._new_starlette()
         self._starts: list[Hook] = []
         self._stops: list[Hook] = []
@@ -390,9 +393,39 @@
             *api_routes(context),
             *peer_routes(self.peers, self._peer_allowed),
             *self.monitor.routes(),
+            *operator_routes(self.desk),
         ]
         return new_starlette(routes)
 
+    def _new_desk(self) -> OperatorDesk:
+        return OperatorDesk(
+            self.settings.keys.operators,
+            self.store,
+            self.clock,
+            self.acceptance,
+            self.config_task.rollout,
+            self.config_task.handle,
+            self.audit_log,
+            self.audit_writer,
+            self._facts,
+        )
+
+    def _facts(self) -> dict[str, t.Any]:
+        """Return what the status screen shows besides the rollout."""
+        record = self.ownership_task.ownership.record
+        local = self.dispatcher.local_shards()
+        shown = [task.scheduler.snapshot() for task in self.dispatcher.shards.values()]
+        return {
+            "suspected": self.ownership_task.ownership.membership.suspects(),
+            "ownerless": tuple(
+                shard
+                for shard in local
+                if shard not in record.shards or not record.shards[shard].owner
+            ),
+            "vms": sum(item.vms for item in shown),
+            "queued": sum(item.queued for item in shown),
+        }
+
     def _peer_allowed(self, request: Request) -> bool:
         return bearer_allowed(request, [self.settings.keys.peer])
 
--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -11,10 +11,11 @@
 _COMMANDS: dict[str, str] = {
     "bench": "bench:bench",
     "check-config": "settings:check_config",
+    "demo": "demo:demo",
+    "fuzz": "fuzz:main",
     "load": "load:load",
     "serve": "serve:serve",
     "standin": "standin:standin",
-    "fuzz": "fuzz:main",
 }
 
 
