Send requests only to shards that can hold them

Cause: requests went by their id to shards without a fitting VM and waited there, and the demo's first entries knew no peers of the data centres started later. Change: ShardMap names the shards with a VM that fits; peers can be listed after the ports are known; the server's own log is silent because the applications log errors.

--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -73,6 +73,7 @@
         self.clock = clock or SystemClock()
         self.process = f"{settings.process}#{secrets.token_hex(5)}"
         self.state = "starting"
+        self.listed_peers = dict(settings.peers)
         self._server = HttpServer(self._serve_asgi, *_host_and_port(settings.listen))
         host = settings.listen.rpartition(":")[0]
         self.address = settings.advertise or f"{host}:{self._server.ports[0]}"
@@ -177,7 +178,7 @@
             self.dispatcher.look_up,
         )
         self.centres = Centres(
-            self.settings.peers,
+            self.listed_peers,
             self.peers,
             self.clock,
             self.dispatcher.entry.owners_changed,
@@ -314,12 +315,12 @@
         ready = self.config_task.rollout.ready
         remote = {
             name: tuple(found)
-            for name, found in self.settings.peers.items()
+            for name, found in self.listed_peers.items()
             if name != self.settings.data_centre
         }
         if not ready:
             # The listed peers here serve a process that starts during a store outage.
-            remote[""] = tuple(self.settings.peers.get(self.settings.data_centre, ()))
+            remote[""] = tuple(self.listed_peers.get(self.settings.data_centre, ()))
         members = Members(live or (self.process,), remote)
         if members != self._members:
             self._members = members
@@ -341,7 +342,7 @@
     # Life cycle
 
     async def _start_tasks(self) -> None:
-        for addresses in self.settings.peers.values():
+        for addresses in self.listed_peers.values():
             for address in addresses:
                 if address != self.address:
                     self.peers.learn(address, address)
--- a/src/poplaryard/context.py
+++ b/src/poplaryard/context.py
@@ -51,7 +51,7 @@
 
     def defaults(self, work: Work, timeout_s: float | None) -> tuple[Work, float]:
         """Return work with the defaults of its class, and its time-out in seconds."""
-        spec = self._dispatcher.config.work_kinds.get(work.job_class)
+        spec = self._dispatcher.map.config.work_kinds.get(work.job_class)
         if spec is None:
             return work, timeout_s or self.default_timeout_s
         work = dataclasses.replace(
--- a/src/poplaryard/demo.py
+++ b/src/poplaryard/demo.py
@@ -17,7 +17,7 @@
 
 DATA_CENTRES = ("dc1", "dc2", "dc3")
 ENTRIES = 2
-SHARDS = 2
+SHARDS = 1
 ROUNDS = 25
 # Gap between the rounds of each service, which spreads the run over the events.
 GAP_S = 0.12
--- a/src/poplaryard/demo_cell.py
+++ b/src/poplaryard/demo_cell.py
@@ -79,7 +79,12 @@
             self._addresses |= await host.start()
         for data_centre in self._data_centres:
             for number in range(self._entries):
-                await self.start_entry(data_centre, f"{data_centre}-entry-{number}")
+                self._add_entry(data_centre, f"{data_centre}-entry-{number}")
+        # The addresses are known only now, because the ports are free ones.
+        for app in self.apps:
+            app.listed_peers.update(self._peers())
+        for app in self.apps:
+            await app.start()
 
     async def stop(self) -> None:
         """Stop the entry applications together, then the stand-ins."""
@@ -88,15 +93,13 @@
         await asyncio.gather(*(host.stop() for host in self._hosts.values()))
         await self.platform.stop()
 
-    async def start_entry(self, data_centre: str, name: str) -> Application:
-        """Start one entry application."""
+    def _add_entry(self, data_centre: str, name: str) -> None:
         settings = Settings(
             process=name,
             cell="demo",
             data_centre=data_centre,
             listen="127.0.0.1:0",
             platform=self._platform_address,
-            peers=self._peers(),
             keys=Keys(
                 callers={"demo": CALLER_KEY},
                 operators={"demo": OPERATOR_KEY},
@@ -105,10 +108,7 @@
             limits=Limits(),
             log_level="error",
         )
-        app = Application(settings)
-        await app.start()
-        self.apps.append(app)
-        return app
+        self.apps.append(Application(settings))
 
     async def wait_ready(self, ticket: int) -> bool:
         """Wait until every entry has a ticket in force and every shard an owner."""
--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/dispatch.py
@@ -3,13 +3,13 @@
 import random
 import typing as t
 
-from . import routing
 from .codes import Code
 from .configuration import Configuration
 from .entry import Entry
 from .lookup import Lookup, LookupReply
 from .messages import Answer, Authority, Cancel, Message, Submit, Work
 from .peers import Envelope
+from .shard_map import ShardMap
 from .shards import ShardTask
 from .workers import Workers
 
@@ -44,8 +44,7 @@
         requests_limit: int,
     ):
         self.process = process
-        self.data_centre = data_centre
-        self.config = Configuration()
+        self.map = ShardMap(data_centre)
         self.shards: dict[str, ShardTask] = {}
         self.entry = Entry(process, self, requests_limit)
         self._workers = workers
@@ -53,22 +52,16 @@
         self._send_peer = send
         self._notice = notice
         self._rng = random.Random()
-        self._names: dict[str, list[str]] = {}
-        self._cell: list[str] = []
 
     def configure(self, config: Configuration) -> None:
         """Apply a newer configuration."""
-        self.config = config
-        count = config.policy.shards_per_data_centre
-        centres = sorted({*config.data_centres(), self.data_centre})
-        self._names = {dc: routing.shard_names(dc, count) for dc in centres}
-        self._cell = [name for names in self._names.values() for name in names]
+        self.map.configure(config)
         for task in self.shards.values():
             self._configure_shard(task)
 
     def local_shards(self) -> tuple[str, ...]:
         """Return the names of the shards of this data centre."""
-        return tuple(self._names.get(self.data_centre, ()))
+        return self.map.local()
 
     def take(self, shard: str) -> ShardTask:
         """Start to serve a shard; it places nothing until it is given authority."""
@@ -108,7 +101,7 @@
 
     def route(self, work: Work) -> tuple[str, str] | Code:
         """Return the shard and the owner of work, or why there is none."""
-        shard = self._shard_of(work)
+        shard = self.map.shard_for(work)
         owner = self._owner_of(shard) if shard else Code.NOT_OWNER
         return owner if isinstance(owner, Code) else (shard, owner)
 
@@ -147,9 +140,7 @@
 
     def owners_of(self, request_id: str) -> set[str]:
         """Return the owners that may know a request: all here, and its home."""
-        shards = {*self.local_shards()}
-        if self._cell:
-            shards.add(routing.home_shard(request_id, self._cell))
+        shards = {*self.local_shards(), self.map.home(request_id)} - {""}
         found = map(self._owner_of, shards)
         return {owner for owner in found if not isinstance(owner, Code)}
 
@@ -160,15 +151,6 @@
             if not isinstance(owner, Code):
                 self.cancel(owner, shard, Cancel(request_id))
 
-    def _shard_of(self, work: Work) -> str:
-        key = routing.key_of(work)
-        if key:
-            return routing.home_shard(key, self._cell) if self._cell else ""
-        # Chosen by the id, so that a caller that asks again at another entry process
-        # of the data centre reaches the owner that knows the request.
-        local = self.local_shards()
-        return routing.home_shard(work.request_id, local) if local else ""
-
     def _send(self, process: str, envelope: Envelope) -> None:
         if process == self.process:
             self.receive(process, envelope)
@@ -185,10 +167,4 @@
         self.deliver(msg.reply_to, answer)
 
     def _configure_shard(self, task: ShardTask) -> None:
-        names = self.local_shards()
-        own = {
-            vm.name: vm
-            for vm in self.config.vms(self.data_centre)
-            if routing.shard_of_vm(vm.name, names) == task.shard
-        }
-        task.configure(self.config, own)
+        task.configure(self.map.config, self.map.vms_of(task.shard))
--- a/src/poplaryard/server.py
+++ b/src/poplaryard/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
 import typing as t
 
@@ -14,6 +15,11 @@
 BACKLOG = 1024
 
 
+# Errors of the applications are logged by the applications.
+logging.getLogger("uvicorn").addHandler(logging.NullHandler())
+logging.getLogger("uvicorn").propagate = False
+
+
 class _Server(uvicorn.Server):
     """Server whose process handles signals itself."""
 
@@ -34,6 +40,8 @@
         First port; 0 takes free ones.
     count : int
         Number of ports to listen on.
+    graceful_s : float
+        Time given to calls in progress when the server stops.
 
     Attributes
     ----------
@@ -41,7 +49,14 @@
         Ports that it listens on.
     """
 
-    def __init__(self, app: t.Any, host: str, port: int, count: int = 1):
+    def __init__(
+        self,
+        app: t.Any,
+        host: str,
+        port: int,
+        count: int = 1,
+        graceful_s: float = 5.0,
+    ):
         numbers = [port + index if port else 0 for index in range(count)]
         self._sockets = [_bound(host, number) for number in numbers]
         self.ports: list[int] = [sock.getsockname()[1] for sock in self._sockets]
@@ -59,7 +74,7 @@
             proxy_headers=False,
             backlog=BACKLOG,
             timeout_keep_alive=KEEP_ALIVE_S,
-            timeout_graceful_shutdown=5,
+            timeout_graceful_shutdown=graceful_s,  # type: ignore[arg-type]
         )
         self._server = _Server(config)
         self._task: asyncio.Task[None] | None = None
--- /dev/null
+++ b/src/poplaryard/shard_map.py
@@ -0,0 +1,91 @@
+"""Which shard each VM belongs to, and which shards can hold a piece of work."""
+
+from . import routing
+from .configuration import Configuration, VmSpec
+from .messages import Work, WorkKind
+from .resources import Resources
+
+__all__ = ["ShardMap"]
+
+
+class ShardMap:
+    """Shards of a cell under one configuration.
+
+    The home of a key depends on the number of shards alone, so that two processes
+    agree on it even while a ticket that changes VMs comes into force.
+    """
+
+    def __init__(self, data_centre: str):
+        self.data_centre = data_centre
+        self.config = Configuration()
+        self._names: dict[str, tuple[str, ...]] = {}
+        self._cell: list[str] = []
+        self._shard_of: dict[str, str] = {}
+        self._able: dict[tuple[str, Resources], list[str]] = {}
+
+    def configure(self, config: Configuration) -> None:
+        """Take a newer configuration."""
+        if config.policy != self.config.policy:
+            self._shard_of.clear()
+        self.config = config
+        self._able.clear()
+        count = config.policy.shards_per_data_centre
+        centres = sorted({*config.data_centres(), self.data_centre})
+        self._names = {dc: tuple(routing.shard_names(dc, count)) for dc in centres}
+        self._cell = [name for names in self._names.values() for name in names]
+
+    def local(self) -> tuple[str, ...]:
+        """Return the shards of this data centre."""
+        return self._names.get(self.data_centre, ())
+
+    def home(self, key: str) -> str:
+        """Return the home shard of a key; empty before the first configuration."""
+        return routing.home_shard(key, self._cell) if self._cell else ""
+
+    def shard_for(self, work: Work) -> str:
+        """Return the shard that work is sent to; empty if there is none.
+
+        Work without a key goes by its request id to a shard of this data centre with a
+        VM that fits, so that a caller that asks again at another entry process reaches
+        the owner that knows the request.
+        """
+        key = routing.key_of(work)
+        if key:
+            return self.home(key)
+        able = self._able_shards(work) or self.local()
+        return routing.home_shard(work.request_id, able) if able else ""
+
+    def vms_of(self, shard: str) -> dict[str, VmSpec]:
+        """Return the VMs of a shard of this data centre by name."""
+        found = self.config.vms(self.data_centre)
+        return {vm.name: vm for vm in found if self._shard(vm) == shard}
+
+    def _shard(self, vm: VmSpec) -> str:
+        shard = self._shard_of.get(vm.name)
+        if shard is None:
+            shard = routing.shard_of_vm(vm.name, self._names[vm.data_centre])
+            self._shard_of[vm.name] = shard
+        return shard
+
+    def _able_shards(self, work: Work) -> list[str]:
+        """Return the shards with a VM for the work: here if any, else anywhere."""
+        group, need = work.group, work.need
+        if work.kind is WorkKind.REQUEST:
+            spec = self.config.services.get(work.target)
+            if spec is None:
+                return []
+            group, need = spec.group, spec.need
+        found = self._able.get((group, need))
+        if found is None:
+            found = self._search(group, need)
+            self._able[group, need] = found
+        return found
+
+    def _search(self, group: str, need: Resources) -> list[str]:
+        groups = self.config.vm_groups
+        chosen = [groups[group]] if group in groups else list(groups.values())
+        fitting = [
+            vm for item in chosen for vm in item.vms if need.fits_in(vm.capacity)
+        ]
+        near = [vm for vm in fitting if vm.data_centre == self.data_centre]
+        return sorted({self._shard(vm) for vm in near or fitting})
