Fuzz owners that are usurped, held messages and joining VMs

Change: actions usurp, hold, release, mend and worker_comes. Conclusion: take-overs are still too rare.

--- a/src/poplaryard/fuzz.py
+++ b/src/poplaryard/fuzz.py
@@ -21,6 +21,8 @@
 # Virtual time after which a healed world must serve all work again.
 RECOVERY_S = 60.0
 
+MOST_WORKERS = 6
+
 
 class Failure(Exception):
     """Broken promise or error, with the episode's seed, step and last actions."""
@@ -40,6 +42,7 @@
         self.rng = random.Random(seed)
         self.world = World(self.rng, without)
         self._works: list[tuple[Work, int, str]] = []
+        self._held: list[t.Any] = []
         self._names = list(ACTIONS)
         storm = self.rng.choice((0.1, 0.3, 1.0))
         # Each episode favours other faults, so that rare pairs of them meet.
@@ -98,6 +101,24 @@
                 self.world.deliver(item)
         return str(count)
 
+    def hold(self) -> str | None:
+        """Keep a message back until it is released."""
+        pool = self.world.pool
+        if not pool:
+            return None
+        item = self.rng.choice(pool)
+        pool.remove(item)
+        self._held.append(item)
+        return str(item)
+
+    def release(self) -> str | None:
+        """Let a message that was kept back go on."""
+        if not self._held:
+            return None
+        item = self._held.pop(self.rng.randrange(len(self._held)))
+        self.world.pool.append(item)
+        return str(item)
+
     def repeat(self) -> str | None:
         """Deliver a message and keep a copy of it, unless it is a store reply."""
         return self.deliver(again=True)
@@ -137,6 +158,7 @@
         if self._works and self.rng.random() < 0.3:
             index = self.rng.randrange(max(0, len(self._works) - 30), len(self._works))
             work, attempt, _ = self._works[index]
+            # A caller only raises the number of its attempt when it is told "not run".
             attempt += self.rng.randrange(2)
         else:
             index, work, attempt = len(self._works), self._work(), 1
@@ -148,7 +170,7 @@
     def _work(self) -> Work:
         rng, world = self.rng, self.world
         idempotent = rng.random() < 0.5
-        issued = world.wall() + rng.choice((0.0, 0.0, 0.0, -3.0, 4.0, -500.0, 20.0))
+        issued = world.wall() + rng.choice((*[0.0] * 7, -3.0, 4.0, -500.0, 20.0))
         size = rng.choice((500, 500, 1000, 2000, 4000))
         return Work(
             f"r{world.next_id()}",
@@ -223,7 +245,7 @@
     def cut(self) -> str | None:
         """Cut two places off from each other."""
         world = self.world
-        places = [*world.workers, *(n.partition("#")[0] for n in world.nodes)]
+        places = [*world.workers, *_places(world.nodes)]
         places += [f"store/{dc}" for dc in world.stores]
         pair = frozenset(self.rng.sample(places, 2))
         world.cuts.add(pair)
@@ -242,6 +264,36 @@
         self.world.cuts |= {frozenset((name, other)) for other in others}
         return f"{name} {others}"
 
+    def usurp(self) -> str | None:
+        """Cut an owner off so that another takes over with a worker out of reach."""
+        rng, world = self.rng, self.world
+        node = self._node()
+        if node is None:
+            return None
+        name = node.name.partition("#")[0]
+        peers = [n for n in _places(world.nodes) if n != name]
+        workers = [w.name for w in world.workers.values() if not w.gone]
+        pairs = [(name, f"store/{node.dc}")] if rng.random() < 0.8 else []
+        if rng.random() < 0.7:
+            pairs += [(name, peer) for peer in peers]
+        hidden = rng.sample(workers, min(len(workers), rng.randint(1, 2)))
+        pairs += [(peer, worker) for peer in peers for worker in hidden]
+        if rng.random() < 0.2:
+            joiner = f"{node.dc}-j{world.next_id()}"
+            pairs += [(joiner, name), *((joiner, worker) for worker in hidden)]
+            world.add_node(f"{joiner}#1", node.dc)
+        world.cuts |= {frozenset(pair) for pair in pairs}
+        return str(pairs)
+
+    def mend(self) -> str | None:
+        """Remove one cut."""
+        cuts = self.world.cuts
+        if not cuts:
+            return None
+        pair = self.rng.choice(sorted(cuts, key=sorted))
+        cuts.discard(pair)
+        return str(sorted(pair))
+
     def heal(self) -> str:
         """Remove all cuts."""
         self.world.cuts.clear()
@@ -258,12 +310,24 @@
             self.world.leave_worker(worker.name)
         return worker.name
 
+    def worker_comes(self) -> str | None:
+        """Add a VM."""
+        live = sum(not worker.gone for worker in self.world.workers.values())
+        if live >= MOST_WORKERS:
+            return None
+        dc = self.rng.choice(list(self.world.stores))
+        name = f"{dc}-vm{self.world.next_id()}"
+        self.world.add_worker(name, dc)
+        return name
+
     def worker_fails(self) -> str | None:
-        """Lose a VM; the list says so at once or later, and a new one comes."""
+        """Lose a VM; at times the list says so and a new one comes."""
         worker = self._worker()
         if worker is None:
             return None
         worker.fail(self.world.real)
+        if self.rng.random() < 0.5:
+            return worker.name
         dc = worker.name.partition("-")[0]
         self.world.unlist_worker(worker.name)
         self.world.add_worker(f"{dc}-vm{self.world.next_id()}", dc)
@@ -289,6 +353,10 @@
         return str(number)
 
 
+def _places(nodes: t.Iterable[str]) -> list[str]:
+    return sorted({name.partition("#")[0] for name in nodes})
+
+
 _PROGRESS = {"advance", "deliver", "finish", "flush", "heal", "submit"}
 
 ACTIONS: dict[str, tuple[t.Callable[[Fuzzer], str | None], float]] = {
@@ -297,6 +365,8 @@
     "advance": (Fuzzer.advance, 15.0),
     "finish": (Fuzzer.finish, 5.0),
     "submit": (Fuzzer.submit, 6.0),
+    "hold": (Fuzzer.hold, 1.0),
+    "release": (Fuzzer.release, 1.0),
     "repeat": (Fuzzer.repeat, 2.0),
     "drop": (Fuzzer.drop, 2.0),
     "cancel": (Fuzzer.cancel, 0.3),
@@ -306,6 +376,9 @@
     "leave": (Fuzzer.leave, 0.05),
     "store": (Fuzzer.store, 0.05),
     "cut": (Fuzzer.cut, 0.1),
+    "usurp": (Fuzzer.usurp, 0.1),
+    "mend": (Fuzzer.mend, 0.2),
+    "worker_comes": (Fuzzer.worker_comes, 0.05),
     "isolate": (Fuzzer.isolate, 0.05),
     "heal": (Fuzzer.heal, 0.1),
     "worker_leaves": (Fuzzer.worker_leaves, 0.05),
--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -206,6 +206,7 @@
         )
         self.world.weaken_takeover(takeover)
         shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
+        self.world.weaken_ledger(shard.ledger)
         self.shards[out.shard] = _Shard(shard, takeover, out.epoch)
         for vm, leaving in vms:
             self.give_shard(
--- a/src/poplaryard/fuzz_shard.py
+++ b/src/poplaryard/fuzz_shard.py
@@ -75,7 +75,7 @@
         self._process = process
         self._takeover = takeover
         self._without = without
-        self._ledger = Ledger()
+        self.ledger = Ledger()
         self._vms: dict[str, _Vm] = {}
         self._sent: dict[str, _Sent] = {}
         self._requests: dict[str, _Waiting] = {}
@@ -110,7 +110,7 @@
     def _expire(self, now: float, request_id: str) -> list[t.Any]:
         if now < self._requests[request_id].work.deadline:
             return []
-        answer = self._ledger.conclude(
+        answer = self.ledger.conclude(
             now, request_id, not_run=Code.EXPIRED, ran=Code.TIMED_OUT
         )
         return self._answered(answer)
@@ -118,7 +118,7 @@
     def _submit(self, now: float, message: Submit) -> list[t.Any]:
         work = message.work
         issued = work.issued_at
-        known = self._ledger.register(
+        known = self.ledger.register(
             now,
             message.wall,
             work,
@@ -147,7 +147,7 @@
             waiting.reply_to.append(message.reply_to)
 
     def _cancel(self, now: float, message: Cancel) -> list[t.Any]:
-        answer = self._ledger.conclude(
+        answer = self.ledger.conclude(
             now, message.request_id, not_run=Code.CANCELLED, ran=Code.STOPPED
         )
         if answer is not None:
@@ -155,7 +155,7 @@
         self._cancelled.add(message.request_id)
         return [
             StopAttempt(self._sent[k].vm, k, self._takeover.epoch)
-            for k in self._ledger.attempts(message.request_id)
+            for k in self.ledger.attempts(message.request_id)
             if k in self._sent
         ]
 
@@ -174,8 +174,8 @@
     def _adopt(self, now: float, vm: str, report: AttemptReport) -> list[t.Any]:
         if report.state is not AttemptState.RUNNING:
             return self._ended(now, report, adopted=True)
-        self._ledger.adopt(now, report)
-        if report.attempt_id in self._ledger.attempts(report.request_id):
+        self.ledger.adopt(now, report)
+        if report.attempt_id in self.ledger.attempts(report.request_id):
             sent = _Sent(vm, report.need, report.request_id, 0, confirmed=True)
             self._sent.setdefault(report.attempt_id, sent).confirmed = True
         return []
@@ -225,25 +225,25 @@
 
     def _refuse(self, now: float, attempt_id: str) -> None:
         self._sent.pop(attempt_id, None)
-        self._ledger.refused(now, attempt_id)
+        self.ledger.refused(now, attempt_id)
 
     def _ended(
         self, now: float, report: AttemptReport, adopted: bool = False
     ) -> list[t.Any]:
         self._sent.pop(report.attempt_id, None)
-        take = self._ledger.adopt if adopted else self._ledger.report
+        take = self.ledger.adopt if adopted else self.ledger.report
         answer = take(now, report)
         request_id = report.request_id
-        ended = not self._ledger.attempts(request_id)
+        ended = not self.ledger.attempts(request_id)
         if answer is None and ended and request_id in self._cancelled:
-            answer = self._ledger.end(now, request_id, Code.STOPPED)
+            answer = self.ledger.end(now, request_id, Code.STOPPED)
         return self._answered(answer)
 
     def _lose(self, now: float, vm: str) -> list[t.Any]:
         out: list[t.Any] = []
         for attempt_id in [k for k, sent in self._sent.items() if sent.vm == vm]:
             del self._sent[attempt_id]
-            out += self._answered(self._ledger.lost(now, attempt_id))
+            out += self._answered(self.ledger.lost(now, attempt_id))
         return out
 
     def _unreachable(self, now: float, message: WorkerUnreachable) -> list[t.Any]:
@@ -297,11 +297,11 @@
         if not self._may_serve(work):
             return []
         fresh = work.idempotent or self._takeover.may_run_unknown(work.issued_at)
-        if not fresh and not self._ledger.attempts(request_id):
-            answer = self._ledger.end(now, request_id, Code.UNKNOWN_OUTCOME)
+        if not fresh and not self.ledger.attempts(request_id):
+            answer = self.ledger.end(now, request_id, Code.UNKNOWN_OUTCOME)
             return self._answered(answer)
         out: list[t.Any] = []
-        for task in self._ledger.open_tasks(request_id):
+        for task in self.ledger.open_tasks(request_id):
             out += self._start(now, work, task)
         return out
 
@@ -312,14 +312,14 @@
 
     def _start(self, now: float, work: Work, task: int) -> list[t.Any]:
         vm = self._fitting(work.need)
-        if vm is None or not self._ledger.may_start(work.request_id, task):
+        if vm is None or not self.ledger.may_start(work.request_id, task):
             return []
         number = next(self._numbers)
         attempt_id = f"{self._process}/{self.shard}/{self._takeover.epoch}/{number}"
         limit = valid_until_ms(*self._vms[vm].reading, self._authority.until)
         if "charge" not in self._without:
             self._sent[attempt_id] = _Sent(vm, work.need, work.request_id, limit)
-        self._ledger.started(now, work.request_id, attempt_id, task)
+        self.ledger.started(now, work.request_id, attempt_id, task)
         return [StartAttempt(vm, attempt_id, self._takeover.epoch, limit, work, task)]
 
     def _fitting(self, need: Resources) -> str | None:
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -17,6 +17,7 @@
     Work,
 )
 from .oracle import Oracle
+from .outcome import Ledger, Registered
 from .ownership_messages import Heartbeat, ProvenDead
 from .resources import Resources
 from .routing import home_shard, key_of, shard_names, shard_of_vm
@@ -178,6 +179,12 @@
         if self.lacks("unknown_outcome"):
             weak.may_run_unknown = lambda issued_at: True
 
+    def weaken_ledger(self, ledger: Ledger) -> None:
+        """Take the check for known ids out of a ledger."""
+        if self.lacks("duplicate"):
+            weak = t.cast(t.Any, ledger)
+            weak._known = functools.partial(_always_new, ledger)
+
     # Messages
 
     def note(self, action: str, detail: t.Any) -> None:
@@ -290,6 +297,13 @@
     return name.partition("#")[0]
 
 
+def _always_new(
+    ledger: t.Any, now: float, entry: t.Any, work: Work, *_: t.Any
+) -> Registered:
+    del ledger._entries[work.request_id]
+    return ledger.register(now, now, work)
+
+
 def _promise_always(ownership: t.Any, now: float, message: Heartbeat) -> bool:
     ownership.promises.give(now, message.sender)
     return True
