--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -15,6 +15,10 @@
     "serve": "serve:serve",
     "standin": "standin:standin",
     "fuzz": "fuzz:main",
+    "audit": "ticket_cli:audit",
+    "explain": "ticket_cli:explain",
+    "status": "ticket_cli:status",
+    "ticket": "ticket_cli:ticket",
 }
 
 
