Replace a lapsed retention lease

Cause: the store refuses a write under a lapsed lease like an existing key, so a history block could be dropped from the head without being kept. Change: the conflict is told apart by reading the key; the lease is replaced. Conclusion: a lapsed lease costs one more call and loses nothing.

--- a/src/poplaryard/acceptance.py
+++ b/src/poplaryard/acceptance.py
@@ -190,6 +190,8 @@
                 return None
             except (StoreConflict, StoreReplyLost):
                 filing.record = await self._store.get(key)
+                if filing.record is None:
+                    self._lease.forget()
         raise StoreDown()
 
     async def _accepted_before(self, filing: _Filing, head: Head) -> Accepted | None:
@@ -250,11 +252,7 @@
         """Write everything that the next head refers to, and return that head."""
         block = head.sealed_block()
         if block:
-            await self._put_once(
-                history_key(block[0].number),
-                {"format": tickets.FORMAT, "tickets": [e.to_json() for e in block]},
-                await self._lease.current(),
-            )
+            await self._keep_block(block)
             head = head.without_block()
         number = head.number + 1
         refs: dict[str, str | None] = {}
@@ -269,12 +267,28 @@
         entry = Accepted.of(number, filing.ticket, filing.digest, at)
         return head.followed_by(entry, refs)
 
-    async def _put_once(self, key: str, value: t.Any, lease: str = "") -> None:
-        """Write a value whose key determines it; one that exists is the same."""
+    async def _keep_block(self, block: t.Sequence[Accepted]) -> None:
+        """Write the tickets that leave the head, for as long as their uids count."""
+        key = history_key(block[0].number)
+        value = {"format": tickets.FORMAT, "tickets": [e.to_json() for e in block]}
         for _ in range(_WRITE_TRIES):
+            lease = await self._lease.current()
             try:
                 await self._store.put_if(key, value, 0, lease)
                 return
+            except (StoreConflict, StoreReplyLost):
+                if await self._store.get(key) is not None:
+                    return
+                # A lapsed lease is refused in the same way as an existing key.
+                self._lease.forget()
+        raise StoreDown()
+
+    async def _put_once(self, key: str, value: t.Any) -> None:
+        """Write a value whose key determines it; one that exists is the same."""
+        for _ in range(_WRITE_TRIES):
+            try:
+                await self._store.put_if(key, value, 0)
+                return
             except StoreConflict:
                 return
             except StoreReplyLost:
--- a/src/poplaryard/audit.py
+++ b/src/poplaryard/audit.py
@@ -171,7 +171,10 @@
     async def _resolve(self, value: dict[str, t.Any], lease: str) -> None:
         """Handle a key that an earlier write with a lost reply has taken."""
         held = await self._store.get(self._key())
-        if held is not None and held.value != value:
+        if held is None:
+            self._lease.forget()
+            raise StoreDown("The retention lease has lapsed.")
+        if held.value != value:
             # The earlier write took effect with fewer events; write the whole again.
             await self._store.put_if(self._key(), value, held.version, lease)
 
--- a/src/poplaryard/retention.py
+++ b/src/poplaryard/retention.py
@@ -38,3 +38,7 @@
             self._lease = await self._store.grant(self._keep_s + self._span_s)
             self._until = now + self._span_s
         return self._lease
+
+    def forget(self) -> None:
+        """Take a new lease for the next record, as this one may have lapsed."""
+        self._until = float("-inf")
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -98,6 +98,8 @@
     async def put_if(self, key, value, version, lease=""):
         lost = await self._before("put_if", key)
         held = self.entries.get(key)
+        if lease and lease not in self.leases:
+            raise StoreConflict()
         if (0 if held is None else held.version) != version:
             if lost:
                 raise StoreReplyLost()
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -181,6 +181,16 @@
         future = self.file("uid-6", based_on=99)
         self.assertEqual(Code.TICKET_INVALID, future.code)
 
+    def test_lapsed_retention_lease_is_replaced(self):
+        """Guards against tickets refused, or history lost, once a lease is gone."""
+        for number in range(256):
+            self.file(f"uid-{number}", service(replicas=number))
+        self.store.leases.clear()
+        self.assertTrue(self.file("uid-next").ok)
+        self.assertEqual(1, self.file("uid-0", service(replicas=0)).number)
+        self.store.leases.clear()
+        self.assertTrue(self.file("uid-last").ok)
+
     def test_vm_in_two_groups_is_refused(self):
         """Guards against one VM being given twice the work that it can hold."""
         self.assertTrue(self.file("uid-1", vm_group("first", 3)).ok)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -100,3 +100,7 @@
         self.add(1)
         self.assertTrue(self.flush(force=True))
         self.assertEqual(2, self.store.calls["grant"])
+        self.store.leases.clear()
+        self.add(1)
+        self.assertFalse(self.flush(force=True))
+        self.assertTrue(self.flush(force=True))
