--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -16,6 +16,11 @@
     "load": "load:load",
     "serve": "serve:serve",
     "standin": "standin:standin",
+    "fuzz": "fuzz:main",
+    "audit": "ticket_cli:audit",
+    "explain": "ticket_cli:explain",
+    "status": "ticket_cli:status",
+    "ticket": "ticket_cli:ticket",
 }
 
 
