--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -9,16 +9,15 @@
 # Command name to "module:attribute". Importing lazily keeps `serve` small: the bench
 # and fuzz modules pull in libraries that the daemon does not need.
 _COMMANDS: dict[str, str] = {
+    "audit": "ticket_cli:audit",
     "bench": "bench:bench",
     "check-config": "settings:check_config",
     "demo": "demo:demo",
+    "explain": "ticket_cli:explain",
     "fuzz": "fuzz:main",
     "load": "load:load",
     "serve": "serve:serve",
     "standin": "standin:standin",
-    "fuzz": "fuzz:main",
-    "audit": "ticket_cli:audit",
-    "explain": "ticket_cli:explain",
     "status": "ticket_cli:status",
     "ticket": "ticket_cli:ticket",
 }
