--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -2,7 +2,7 @@
 
 import random
 import typing as t
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .fencing import valid_until_ms
 from .fuzz_shard import FuzzShard
@@ -42,16 +42,23 @@
     WatchRecord,
     WriteRecord,
 )
-from .takeover import EpochRefused, Takeover
+from .takeover import EpochRefused, Takeover, VmListRead
 
 if t.TYPE_CHECKING:
     from .fuzz_world import World
 
-__all__ = ["Node", "Ticket", "VmChanged"]
+__all__ = ["Node", "Ticket"]
 
 STORE_TIMEOUT_S = 1.5
 PEER_TIMEOUT_S = 1.0
 POLL_S = 1.0
+
+# A forwarded request that is older is ignored. It may be a copy of one whose "not run"
+# the ledger has forgotten; answers are kept for this time plus the clock skew.
+COPY_S = 20.0
+
+# The VM list is read this often, and so lags behind.
+LIST_S = 2.0
 POLLS_MISSED = 3
 
 
@@ -63,16 +70,10 @@
     content: str
 
 
-@dataclass(frozen=True, slots=True)
-class VmChanged:
-    """The platform's list has changed for a VM; it is read on receipt."""
-
-    vm: str
-
-
 @dataclass(slots=True)
 class _Shard:
     decisions: FuzzShard
+    takeover: Takeover
     epoch: int
     authority: Authority | None = None
     exclusive_until: float = float("-inf")
@@ -103,8 +104,13 @@
         # Ids that this process took in; once it has lost the shard, it cannot say of
         # these that they did not run.
         self._handled: set[str] = set()
+        self._leaving: set[str] = set()
         self._poll_at = 0.0
-        self._listed_since = self.wall()
+        self._started = self.wall()
+        # VMs as this process last read them, and the last time that one left a shard.
+        self._listed = world.listed(dc)
+        self._listed_since: dict[str, float] = {}
+        self._list_at = 0.0
         world.weaken(self)
         self.give(ShardsConfigured(world.shards(dc), 1))
 
@@ -128,8 +134,12 @@
                 del self._beats[key]
                 self.give(PeerMissed(key[0]))
         self.give(Tick())
-        for name in list(self.shards):
+        leased = self.ownership.state == "held" or self.world.lacks("claims_new")
+        for name, shard in list(self.shards.items()):
+            shard.takeover.claims_new = leased
             self.give_shard(name, Tick())
+        if now >= self._list_at and self.world.list_up:
+            self._read_list()
         if now >= self._poll_at:
             self._poll_at = now + POLL_S
             self._poll()
@@ -178,7 +188,10 @@
             self.give(failure(found[1]) if reply is None else reply)
 
     def _taken(self, out: ShardTaken) -> None:
-        vms = self.world.listed(out.shard)
+        listed = self._listed.values()
+        vms = [
+            item for item in listed if self.world.shard_of(item[0].name) == out.shard
+        ]
         takeover = Takeover(
             out.shard,
             out.epoch,
@@ -188,15 +201,32 @@
             known=out.known,
             first=out.first,
             wait_s=0.0 if self.world.lacks("lease_wait") else out.wait_s,
-            listed_since=self._listed_since,
+            listed_since=self._listed_since.get(out.shard, self._started),
+            list_read=self.world.lacks("list_read"),
         )
         self.world.weaken_takeover(takeover)
         shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
-        self.shards[out.shard] = _Shard(shard, out.epoch)
+        self.world.weaken_ledger(shard.ledger)
+        self.shards[out.shard] = _Shard(shard, takeover, out.epoch)
         for vm, leaving in vms:
-            self.give_shard(out.shard, VmUpdate(vm, leaving))
+            self.give_shard(
+                out.shard, VmUpdate(vm, leaving or vm.name in self._leaving)
+            )
+        self._list_at = self.now()
         self.give_shard(out.shard, Tick())
 
+    def _read_list(self) -> None:
+        """Read the platform's VM list and hand on what changed."""
+        self._list_at = self.now() + LIST_S
+        listed = self.world.listed(self.dc)
+        for vm in sorted(self._listed.keys() - listed.keys()):
+            self._vm_message(VmGone(vm))
+        for spec, leaving in listed.values():
+            self._vm_message(VmUpdate(spec, leaving))
+        self._listed = listed
+        for name in list(self.shards):
+            self.give_shard(name, VmListRead())
+
     def _authority(self, out: Authority) -> None:
         shard = self.shards.get(out.shard)
         if shard is None:
@@ -239,7 +269,7 @@
         for shard in self.shards.values():
             if shard.authority is None or shard.authority.until <= now:
                 continue
-            for vm in shard.claimed:
+            for vm in sorted(shard.claimed):
                 self._poll_vm(shard, vm)
             self._note_missed(shard)
 
@@ -268,8 +298,6 @@
             self._from_entry(message)
         elif isinstance(message, Answer):
             self.world.answered(self, message)
-        elif isinstance(message, VmChanged):
-            self._vm_message(self.world.entry(message.vm))
         elif isinstance(message, Ticket):
             self._apply(message)
         elif isinstance(message, ProvenDead):
@@ -287,23 +315,30 @@
             for name in list(self.shards):
                 self.give_shard(name, message)
             return
+        if self.wall() - message.wall > COPY_S and not self.world.lacks("copy_age"):
+            return
         target = self.world.shard_for(message.work, self)
         request = message.work.request_id
         if target not in self.shards:
             self.answer(self.world.not_owner(message, request in self._handled))
             return
         self._handled.add(request)
+        work = replace(message.work, deadline=self.now() + message.work.deadline)
+        message = replace(message, work=work)
         self.world.oracle.reached(self.name, message.reply_to, request)
         self.give_shard(target, message)
 
     def _vm_message(self, message: VmUpdate | VmGone) -> None:
         vm = message.vm if isinstance(message, VmGone) else message.vm.name
         shard = self.world.shard_of(vm)
+        if isinstance(message, VmGone) and not self.world.lacks("departed"):
+            self._listed_since[shard] = self.wall()
         if shard not in self.shards:
             return
         if isinstance(message, VmGone):
             self.shards[shard].claimed.discard(vm)
         elif message.leaving:
+            self._leaving.add(vm)
             self.world.oracle.told_leaving(self.name, vm)
         self.give_shard(shard, message)
 
@@ -334,6 +369,7 @@
             if isinstance(message, ClaimReply):
                 shard.claimed.add(message.vm)
         if isinstance(message, PollReply) and message.leaving:
+            self._leaving.add(message.vm)
             self.world.oracle.told_leaving(self.name, message.vm)
 
     def entry_for(self, work: Work) -> str:
