Do not call work "not run" while an old owner's worker is unclaimed

Change: work taken up before every worker was claimed counts as perhaps run, unless its id was issued after the take-over.

--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -222,6 +222,7 @@
         work, state = msg.work, self._state
         open_tasks = self._results.ledger.open_tasks(work.request_id)
         job = Job(work, msg.reply_to, now, deque(open_tasks))
+        job.ran = not state.all_known(now, msg.wall, work)
         state.add_job(job)
         self._results.take_running(job)
         if work.deadline <= now:
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -21,6 +21,9 @@
 # lost start be tried again soon.
 START_VALID_S = 2.0
 
+# Largest difference of two wall clocks.
+SKEW_S = 5.0
+
 
 class Start(t.NamedTuple):
     """One task with the VM and executor chosen for it."""
@@ -85,6 +88,15 @@
             return self.authority.exclusive and self.takeover.serves_exclusive()
         return self.authority.exclusive and not self.unseen
 
+    def all_known(self, now: float, wall: float, work: Work) -> bool:
+        """Tell whether no earlier owner can have run work that no worker reports.
+
+        It is so once every worker of the shard was claimed, and for ids issued after
+        the present epoch began.
+        """
+        taken_wall = wall - (now - self.owned_since)
+        return not self.unseen or work.issued_at > taken_wall + SKEW_S
+
     def may_run_unknown(self, issued_at: float) -> bool:
         """Tell whether a non-idempotent id that no worker reports has never run."""
         if self.takeover is None or not self.serves_exclusive():
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -177,6 +177,16 @@
     assert shard.codes() == [Code.EXCLUSIVE_PAUSED]
 
 
+def test_work_is_not_called_not_run_while_a_worker_of_the_old_owner_is_unclaimed():
+    """Guards against "expired, not run" for what an unclaimed worker has run."""
+    shard = Shard(plain())
+    shard.claimable = False
+    shard.send(Authority("dc1/0", 2, 1000.0))
+    shard.send(batch("b1", deadline=1.0))
+    shard.tick(1.5)
+    assert shard.codes() == [Code.TIMED_OUT]
+
+
 def test_waiting_work_is_handed_back_when_the_authority_lapses():
     shard = Shard(plain(), until=10.0)
     shard.send(batch("b1"))
