Measure the whole shard scheduler; reconcile replicas only when something changed

Cause: reconciling all replicas after every report cost more with every VM. Change: a pool says whether anything changed; ticks look at what waits. The largest fitting shape is remembered. `bench placement` feeds a whole shard as well.

--- a/src/poplaryard/bench_placement.py
+++ b/src/poplaryard/bench_placement.py
@@ -1,6 +1,7 @@
 """Benchmark of placement: cost of a decision and packing, against three baselines."""
 
 import hashlib
+import itertools
 import json
 import random
 import sys
@@ -9,6 +10,7 @@
 
 import click
 
+from .bench_scheduler import SchedulerBench
 from .configuration import VmSpec
 from .fleet import Fleet, Vm
 from .placement import BatchTask, choose
@@ -71,19 +73,24 @@
 }
 
 
-def _cell(count: int, shapes: t.Sequence[tuple[float, Resources]]) -> Fleet:
-    """Return a fleet of empty, claimed VMs."""
-    fleet = Fleet()
+def _vms(count: int, shapes: t.Sequence[tuple[float, Resources]]) -> list[VmSpec]:
     counts = [round(share * count) for share, _ in shapes[1:]]
     counts.insert(0, count - sum(counts))
-    number = 0
+    found: list[VmSpec] = []
     for size, (_, shape) in zip(counts, shapes, strict=True):
-        for _ in range(size):
+        for number in range(len(found), len(found) + size):
             name, rack = f"vm{number:05d}", f"r{number // RACK_SIZE:05d}"
-            vm = fleet.update(VmSpec(name, "dc1", rack, "", shape))
-            vm.claimed = True
-            fleet.refresh(vm)
-            number += 1
+            found.append(VmSpec(name, "dc1", rack, "", shape))
+    return found
+
+
+def _cell(count: int, shapes: t.Sequence[tuple[float, Resources]]) -> Fleet:
+    """Return a fleet of empty, claimed VMs."""
+    fleet = Fleet()
+    for spec in _vms(count, shapes):
+        vm = fleet.update(spec)
+        vm.claimed = True
+        fleet.refresh(vm)
     return fleet
 
 
@@ -193,6 +200,28 @@
     }
 
 
+def _measure_scheduler(vms: int, tasks: int, seed: int) -> dict[str, t.Any]:
+    """Measure the whole scheduler, from a submit to the answer."""
+    found = {}
+    rng = random.Random(seed)
+    for kind in ("batch", "request"):
+        bench = SchedulerBench(_vms(vms, SHAPES), 4 * vms, seed)
+        if kind == "batch":
+            needs = itertools.islice(_needs(rng, gpus=True), tasks)
+            bench.run(bench.batch(needs))
+        else:
+            bench.run(bench.requests(tasks))
+        total_ns = sum(bench.submit_ns) + bench.other_ns
+        elapsed = sorted(bench.submit_ns)
+        found[kind] = {
+            "tasks_per_s": round(tasks * 1e9 / total_ns),
+            "submit_p50_us": round(elapsed[len(elapsed) // 2] / 1000, 1),
+            "submit_p99_us": round(elapsed[len(elapsed) * 99 // 100] / 1000, 1),
+            "answered": bench.answered,
+        }
+    return found
+
+
 @click.command()
 @click.option("--vms", default=1300, show_default=True, help="VMs of the cell.")
 @click.option("--tasks", default=20_000, show_default=True, help="Timed decisions.")
@@ -210,6 +239,7 @@
     result: dict[str, t.Any] = {"vms": vms, "tasks": tasks, "seed": seed}
     for name, chooser in choosers.items():
         result[name] = _measure(chooser, vms, tasks, seed)
+    result["scheduler"] = _measure_scheduler(vms, tasks, seed)
     text = json.dumps(result, indent=2, allow_nan=False) + "\n"
     if output == "-":
         sys.stdout.write(text)
--- /dev/null
+++ b/src/poplaryard/bench_scheduler.py
@@ -0,0 +1,130 @@
+"""Cost of the whole shard scheduler, for `bench placement`."""
+
+import itertools
+import random
+import time
+import typing as t
+from collections import deque
+
+from .codes import Code
+from .configuration import Configuration, Policy, ServiceSpec, VmGroupSpec, VmSpec
+from .messages import (
+    Answer,
+    AttemptReport,
+    AttemptState,
+    Authority,
+    ClaimReply,
+    ClaimWorker,
+    Configure,
+    Message,
+    PollReply,
+    StartAttempt,
+    StartReply,
+    Submit,
+    VmUpdate,
+    Work,
+    WorkKind,
+)
+from .resources import Resources
+from .scheduler import ShardScheduler
+
+__all__ = ["SchedulerBench"]
+
+# Tasks that end in one report of a worker.
+REPORT_BATCH = 8
+
+
+class SchedulerBench:
+    """Feeds a shard with work and answers for its workers.
+
+    The time of each message's handling is measured; making the messages is not.
+
+    Parameters
+    ----------
+    vms : list of VmSpec
+        VMs of the shard, all claimed.
+    running : int
+        Tasks that run at a time.
+    """
+
+    def __init__(self, vms: t.Sequence[VmSpec], running: int, seed: int):
+        self._scheduler = ShardScheduler("dc1/0", "bench", random.Random(seed))
+        self._running_limit = running
+        self._now = 0.0
+        self._ids = itertools.count()
+        self._running: deque[StartAttempt] = deque()
+        self.submit_ns: list[int] = []
+        self.other_ns = 0
+        self.answered = 0
+        self._set_up(vms)
+
+    def run(self, works: t.Iterable[Work]) -> None:
+        """Submit work; the oldest tasks end once the limit is reached."""
+        for work in works:
+            self._now += 1e-4
+            begun = time.perf_counter_ns()
+            out = self._scheduler.handle(self._now, Submit(work, "bench", 1e9))
+            self.submit_ns.append(time.perf_counter_ns() - begun)
+            self._follow(out)
+            if len(self._running) >= self._running_limit + REPORT_BATCH:
+                self._end_some()
+
+    def batch(self, needs: t.Iterable[Resources]) -> t.Iterator[Work]:
+        """Yield batch work of the given sizes."""
+        for need in needs:
+            yield Work(f"b{next(self._ids)}", WorkKind.BATCH, need=need)
+
+    def requests(self, count: int) -> t.Iterator[Work]:
+        """Yield requests to the one service."""
+        for _ in range(count):
+            yield Work(f"q{next(self._ids)}", target="service", declared_s=0.1)
+
+    def _set_up(self, vms: t.Sequence[VmSpec]) -> None:
+        service = ServiceSpec("service", "team", len(vms), Resources(1000, 1024, 0))
+        config = Configuration(
+            services={"service": service},
+            vm_groups={"all": VmGroupSpec("all", tuple(vms))},
+            policy=Policy(short_share=0.0),
+        )
+        self._give(Configure(config))
+        for vm in vms:
+            self._give(VmUpdate(vm))
+        self._give(Authority("dc1/0", 1, float("inf")))
+        self.other_ns = 0
+
+    def _end_some(self) -> None:
+        ended = [self._running.popleft() for _ in range(REPORT_BATCH)]
+        for vm in dict.fromkeys(start.vm for start in ended):
+            reports = tuple(_report(start) for start in ended if start.vm == vm)
+            self._give(PollReply(vm, 1, reports, int(self._now * 1000)))
+
+    def _give(self, msg: Message) -> None:
+        begun = time.perf_counter_ns()
+        out = self._scheduler.handle(self._now, msg)
+        self.other_ns += time.perf_counter_ns() - begun
+        self._follow(out)
+
+    def _follow(self, out: t.Iterable[Message]) -> None:
+        for item in out:
+            if isinstance(item, StartAttempt):
+                if item.work.kind is not WorkKind.SERVICE:
+                    self._running.append(item)
+                self._give(StartReply(item.vm, item.attempt_id, Code.OK))
+            elif isinstance(item, ClaimWorker):
+                self._give(ClaimReply(item.vm, item.epoch, True))
+            elif isinstance(item, Answer):
+                self.answered += 1
+
+
+def _report(start: StartAttempt) -> AttemptReport:
+    return AttemptReport(
+        start.attempt_id,
+        start.work.request_id,
+        AttemptState.SUCCEEDED,
+        kind=start.work.kind,
+        task=start.task,
+        need=start.work.need,
+        executor=start.executor,
+        target=start.work.target,
+        elapsed_s=0.1,
+    )
--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -202,6 +202,8 @@
             self._doubtful[vm.name] = vm
         state.fleet.refresh(vm)
         state.room_freed = True
+        for pool in state.pools.values():
+            pool.changed = True
 
     def _adopt(self, now: float, vm: Vm, report: AttemptReport) -> None:
         """Take over an attempt that an earlier owner started."""
--- a/src/poplaryard/fleet.py
+++ b/src/poplaryard/fleet.py
@@ -10,6 +10,9 @@
 
 __all__ = ["Fleet", "Vm"]
 
+# Sizes of work for which the largest fitting shape is remembered.
+ROOMIEST_KEPT = 4096
+
 
 @dataclass(slots=True, eq=False)
 class Vm:
@@ -92,6 +95,7 @@
         self.racks: dict[str, dict[str, Vm]] = {}
         self._rack_names: list[str] = []
         self._shapes: dict[tuple[str, Resources], int] = {}
+        self._roomiest: dict[tuple[Resources, str], Resources | None] = {}
         self.index: CapacityIndex[Vm] = CapacityIndex()
         self.total = ZERO
         self.used = ZERO
@@ -218,11 +222,21 @@
 
     def roomiest(self, need: Resources, group: str = "") -> Resources | None:
         """Return the largest shape that holds `need`, or None if none does."""
-        fitting = [shape for shape in self.shapes(group) if need.fits_in(shape)]
-        return max(fitting, key=lambda s: (s.cpu_m, s.mem_mb, s.gpus), default=None)
+        key = need, group
+        if key not in self._roomiest:
+            if len(self._roomiest) >= ROOMIEST_KEPT:
+                self._roomiest.clear()
+            fitting = [shape for shape in self.shapes(group) if need.fits_in(shape)]
+            self._roomiest[key] = max(fitting, key=_size, default=None)
+        return self._roomiest[key]
 
     def _count_shape(self, spec: VmSpec, step: int) -> None:
+        self._roomiest.clear()
         key = spec.group, spec.capacity
         self._shapes[key] = self._shapes.get(key, 0) + step
         if not self._shapes[key]:
             del self._shapes[key]
+
+
+def _size(shape: Resources) -> tuple[int, int, int]:
+    return shape.cpu_m, shape.mem_mb, shape.gpus
--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -40,7 +40,7 @@
         weights = {name: len(config.vms(name)) for name in config.data_centres()}
         for name, pool in self._state.pools.items():
             spec = config.services.get(name)
-            pool.wanted = split(spec.replicas, weights).get(own, 0) if spec else 0
+            pool.want(split(spec.replicas, weights).get(own, 0) if spec else 0)
 
     def leaves(self, now: float, vm: Vm) -> None:
         """Replace the replicas on a VM that leaves."""
@@ -48,10 +48,27 @@
         for pool in self._state.pools.values():
             pool.retire(vm.name, close_at)
 
-    def reconcile(self, now: float) -> None:
-        """Start missing replicas and drain those that are not wanted any more."""
+    def reconcile(self, now: float, all_unsettled: bool) -> None:
+        """Start missing replicas and drain those that are not wanted any more.
+
+        Parameters
+        ----------
+        all_unsettled : bool
+            Whether to look also at services for which nothing has changed, but which
+            wait for room or for requests to end.
+        """
+        pools = self._state.pools
+        due = [
+            name
+            for name, pool in pools.items()
+            if pool.changed or (all_unsettled and pool.unsettled)
+        ]
+        if due:
+            self._reconcile(now, sorted(due))
+
+    def _reconcile(self, now: float, names: list[str]) -> None:
         settled = self._settled(now)
-        for name in sorted(self._state.pools):
+        for name in names:
             pool = self._state.pools[name]
             for replica in pool.reconcile(now):
                 attempt = self._state.attempts.get(replica.attempt_id)
@@ -60,6 +77,7 @@
             for _ in range(pool.missing() if settled else 0):
                 if not self._start(now, pool):
                     break
+            pool.unsettled |= pool.missing() > 0
             if name not in self._state.config.services and not pool.replicas:
                 del self._state.pools[name]
 
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -120,8 +120,7 @@
             self._capacity_changed = False
             self._replicas.share_out()
             self._backlog.configure()
-        if state.room_freed or type(msg) is Tick:
-            self._replicas.reconcile(now)
+        self._replicas.reconcile(now, type(msg) is Tick)
         self._backlog.run(now)
         return state.out
 
--- a/src/poplaryard/services.py
+++ b/src/poplaryard/services.py
@@ -59,11 +59,17 @@
     ----------
     wanted : int
         Replicas that this shard is to run.
+    changed : bool
+        Whether something happened since the last reconciliation.
+    unsettled : bool
+        Whether replicas wait to be started, closed or drained.
     """
 
     def __init__(self, spec: ServiceSpec):
         self.spec = spec
         self.wanted = 0
+        self.changed = True
+        self.unsettled = False
         self.replicas: dict[str, Replica] = {}
         self.racks: dict[str, int] = {}
         self.retry_at = 0.0
@@ -79,6 +85,7 @@
         """Add a replica that is being started."""
         replica = Replica(attempt_id, vm, rack, need)
         replica.in_flight = self._in_flight.get(attempt_id, 0)
+        self.changed = True
         self.replicas[attempt_id] = replica
         self.racks[rack] = self.racks.get(rack, 0) + 1
 
@@ -87,6 +94,7 @@
         replica = self.replicas.pop(attempt_id, None)
         if replica is None:
             return
+        self.changed = True
         self.racks[replica.rack] -= 1
         if not self.racks[replica.rack]:
             del self.racks[replica.rack]
@@ -96,6 +104,7 @@
         """Note that a replica serves requests."""
         replica = self.replicas.get(attempt_id)
         if replica is not None:
+            self.changed = True
             replica.ready = True
             self._refresh(replica)
 
@@ -148,6 +157,7 @@
     def configure(self, spec: ServiceSpec) -> None:
         """Take a new specification."""
         self.spec = spec
+        self.changed = True
         for replica in self.replicas.values():
             self._refresh(replica)
 
@@ -155,6 +165,7 @@
         """Replace the replicas on a VM; they close at `close_at` at the latest."""
         for replica in self.replicas.values():
             if replica.vm == vm:
+                self.changed = True
                 replica.retiring = True
                 replica.close_at = min(replica.close_at, close_at)
 
@@ -165,6 +176,11 @@
                 replica.suspended = suspended
                 self._refresh(replica)
 
+    def want(self, count: int) -> None:
+        """Set the number of replicas that this shard is to run."""
+        self.changed |= count != self.wanted
+        self.wanted = count
+
     def missing(self) -> int:
         """Return how many replicas are to be started."""
         return max(0, self.wanted - len(self._keepers()))
@@ -175,6 +191,7 @@
         A retiring replica takes requests until its successor is ready, and is drained
         once it has no request in flight.
         """
+        self.changed = False
         keepers = self._keepers()
         for replica in sorted(keepers, key=self._surplus_order)[self.wanted :]:
             replica.retiring = True
@@ -185,6 +202,7 @@
             if replica.retiring and not replica.closed:
                 replica.closed = ready >= self.wanted or now >= replica.close_at
                 self._refresh(replica)
+        self.unsettled = any(r.retiring for r in self.replicas.values())
         return [r for r in self.replicas.values() if r.closed and not r.in_flight]
 
     def _keepers(self) -> list[Replica]:
