--- a/src/poplaryard/settings.py
+++ b/src/poplaryard/settings.py
@@ -6,12 +6,12 @@
 
 import click
 from pydantic import (
+    AfterValidator,
     BaseModel,
     ConfigDict,
     Field,
     StringConstraints,
     ValidationError,
-    field_validator,
 )
 
 from . import jsonc
@@ -39,6 +39,9 @@
     return value
 
 
+Address: t.TypeAlias = t.Annotated[str, AfterValidator(_check_address)]
+
+
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True, strict=True)
 
@@ -92,29 +95,14 @@
     process: Name
     cell: Name
     data_centre: Name
-    listen: str
-    advertise: str = ""
-    platform: str
-    peers: dict[Name, list[str]] = Field(default_factory=dict, max_length=64)
+    listen: Address
+    advertise: Address | t.Literal[""] = ""
+    platform: Address
+    peers: dict[Name, list[Address]] = Field(default_factory=dict, max_length=64)
     keys: Keys
     limits: Limits = Field(default_factory=Limits)
     log_level: t.Literal["debug", "info", "warning", "error"] = "info"
 
-    @field_validator("listen", "platform")
-    @classmethod
-    def _address(cls, value: str) -> str:
-        return _check_address(value)
-
-    @field_validator("advertise")
-    @classmethod
-    def _optional_address(cls, value: str) -> str:
-        return _check_address(value) if value else value
-
-    @field_validator("peers")
-    @classmethod
-    def _addresses(cls, value: dict[str, list[str]]) -> dict[str, list[str]]:
-        return {dc: [_check_address(a) for a in found] for dc, found in value.items()}
-
 
 def load_settings(path: str | pathlib.Path) -> Settings:
     """Return the settings in a file.
