Fuzz duels of few processes over one shard

Cause: take-overs were too rare to notice removed mechanisms. Change: half of the episodes are small, with long tasks and frequent cuts.

--- a/src/poplaryard/fuzz.py
+++ b/src/poplaryard/fuzz.py
@@ -40,18 +40,22 @@
 
     def __init__(self, seed: int, without: frozenset[str] = frozenset()):
         self.rng = random.Random(seed)
-        self.world = World(self.rng, without)
+        self.duel = self.rng.random() < 0.5
+        self.world = World(self.rng, without, small=self.duel)
         self._works: list[tuple[Work, int, str]] = []
         self._held: list[t.Any] = []
         self._names = list(ACTIONS)
+        self._weights = self._pick_weights()
+
+    def _pick_weights(self) -> list[float]:
+        """Favour other faults in each episode, so that rare pairs of them meet."""
+        weights = {name: weight for name, (_, weight) in ACTIONS.items()}
         storm = self.rng.choice((0.1, 0.3, 1.0))
-        # Each episode favours other faults, so that rare pairs of them meet.
-        self._weights = [
-            weight
-            if name in _PROGRESS
-            else weight * storm * self.rng.choice((0, 0, 1, 4))
-            for name, (_, weight) in ACTIONS.items()
-        ]
+        for name in sorted(weights.keys() - _PROGRESS):
+            weights[name] *= storm * self.rng.choice((0, 0, 1, 4))
+        if self.duel:
+            weights |= _DUEL
+        return [weights[name] for name in self._names]
 
     def step(self) -> None:
         """Take one action."""
@@ -155,7 +159,7 @@
         entry = self._node()
         if entry is None:
             return None
-        if self._works and self.rng.random() < 0.3:
+        if self._works and self.rng.random() < (0.5 if self.duel else 0.3):
             index = self.rng.randrange(max(0, len(self._works) - 30), len(self._works))
             work, attempt, _ = self._works[index]
             # A caller only raises the number of its attempt when it is told "not run".
@@ -171,7 +175,7 @@
         rng, world = self.rng, self.world
         idempotent = rng.random() < 0.5
         issued = world.wall() + rng.choice((*[0.0] * 7, -3.0, 4.0, -500.0, 20.0))
-        size = rng.choice((500, 500, 1000, 2000, 4000))
+        size = rng.choice((500, 500, 1000) if self.duel else (500, 1000, 2000, 4000))
         return Work(
             f"r{world.next_id()}",
             tasks=rng.choice((1, 1, 1, 2, 3)),
@@ -357,6 +361,18 @@
     return sorted({name.partition("#")[0] for name in nodes})
 
 
+# Weights for episodes in which few processes contend for one shard and tasks are long.
+_DUEL = {
+    "advance": 20.0,
+    "finish": 1.0,
+    "flush": 10.0,
+    "heal": 0.08,
+    "kill": 0.01,
+    "mend": 0.1,
+    "store": 0.01,
+    "usurp": 0.15,
+}
+
 _PROGRESS = {"advance", "deliver", "finish", "flush", "heal", "submit"}
 
 ACTIONS: dict[str, tuple[t.Callable[[Fuzzer], str | None], float]] = {
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -77,9 +77,13 @@
     ----------
     without : frozenset of str
         Names from `MECHANISMS` that are taken out.
+    small : bool
+        Whether to build one data centre with one shard and few processes.
     """
 
-    def __init__(self, rng: random.Random, without: frozenset[str]):
+    def __init__(
+        self, rng: random.Random, without: frozenset[str], small: bool = False
+    ):
         self.rng = rng
         self.without = without
         self.oracle = Oracle()
@@ -94,9 +98,10 @@
         self._ids = 0
         self._vms: dict[str, tuple[VmSpec, bool]] = {}
         self._callers: dict[str, tuple[str, Work]] = {}
-        count = rng.choice((1, 1, 2))
-        self.data_centres = {f"dc{i + 1}": rng.randint(1, 4) for i in range(count)}
-        self.shard_count = rng.randint(1, 2)
+        count = 1 if small else rng.choice((1, 1, 2))
+        most = 3 if small else 4
+        self.data_centres = {f"dc{i + 1}": rng.randint(1, most) for i in range(count)}
+        self.shard_count = 1 if small else rng.randint(1, 2)
         self.stores = {dc: FakeStore(rng) for dc in self.data_centres}
         self.oracle.ticket(1, "content 1")
         for dc, count in self.data_centres.items():
@@ -301,6 +306,8 @@
     ledger: t.Any, now: float, entry: t.Any, work: Work, *_: t.Any
 ) -> Registered:
     del ledger._entries[work.request_id]
+    for attempt_id in entry.attempts:
+        del ledger._by_attempt[attempt_id]
     return ledger.register(now, now, work)
 
 
