--- /dev/null
+++ b/src/poplaryard/backlog.py
@@ -0,0 +1,402 @@
+"""Waiting work of one shard and the passes that start it."""
+
+import bisect
+import heapq
+import itertools
+import typing as t
+from collections import OrderedDict
+
+from .admission import Admission
+from .codes import Code
+from .estimate import Estimator
+from .gangs import QUANTILE, Gangs
+from .jobs import Attempt, Job
+from .lanes import Lane, Pending, lane_of
+from .messages import Priority, WorkKind
+from .parking import Parking
+from .placement import BatchTask, Choice, RequestTask, Task, choose
+from .preemption import Preemptor
+from .queues import WaitQueues
+from .reasons import Reasons
+from .resources import ZERO, Resources
+from .results import Results
+from .state import ShardState, Start
+
+__all__ = ["Backlog"]
+
+# Jobs tried in one pass, so that a deep queue does not delay the next message.
+PASS_LIMIT = 32
+
+# Gangs tried in one pass.
+GANG_LIMIT = 8
+
+# Largest number of jobs for which other work is being preempted.
+PREEMPTING = 256
+
+# Queued work is handed back this long after the authority has lapsed.
+HAND_BACK_S = 1.0
+
+
+class Backlog:
+    """Queues jobs and starts their tasks where they fit."""
+
+    def __init__(self, state: ShardState, results: Results, estimator: Estimator):
+        self._state = state
+        self._results = results
+        self._estimator = estimator
+        self.gangs = Gangs(state, estimator)
+        self.preemptor = Preemptor(state)
+        self.reasons = Reasons(state)
+        self._queues = WaitQueues(state.config.policy, self._state.quotas.share)
+        self._admission = Admission(state.config.policy)
+        self._parking = Parking()
+        self._sequence = itertools.count()
+        self._gang_queue: list[tuple[int, int, str]] = []
+        self._blocked: set[t.Hashable] = set()
+        self._retry_pass = False
+        self._delayed: list[tuple[float, str]] = []
+        self._urgent: OrderedDict[str, Job] = OrderedDict()
+        state.on_end = self._ended
+        state.on_close = self._closed
+
+    def configure(self) -> None:
+        """Take the policy, the teams and the capacity in force."""
+        config, fleet = self._state.config, self._state.fleet
+        slots = {
+            name: Resources(cpu_m=pool.slots * pool.wanted)
+            for name, pool in self._state.pools.items()
+        }
+        capacity = {**fleet.totals_by_group(), **slots, "": fleet.total}
+        self._queues.configure(config.policy, capacity)
+        self._admission.configure(config.policy)
+        self._state.quotas.configure(config.teams, fleet.total)
+
+    def submit(self, now: float, job: Job) -> None:
+        """Queue a new job, or refuse it."""
+        detail = self.reasons.never(job, self.gangs)
+        if detail:
+            self._results.refuse(now, job, Code.UNPLACEABLE, detail)
+            return
+        detail = self.reasons.beyond_quota(job)
+        if detail:
+            self._results.refuse(now, job, Code.QUOTA_EXCEEDED, detail)
+            return
+        depth, team_depth = self._queues.depth(job.work), 0
+        if depth:
+            team_depth = self._queues.team_depth(job.work)
+        pool = self._state.pools.get(job.work.target)
+        limit = pool.spec.queue_limit if pool else None
+        verdict = self._admission.admit(now, job.work, depth, team_depth, limit)
+        if verdict.code is Code.ACCEPTED:
+            self.requeue(now, job)
+        else:
+            after_s = verdict.retry_after_s
+            self._results.refuse(now, job, verdict.code, retry_after_s=after_s)
+
+    def requeue(self, now: float, job: Job) -> None:
+        """Queue a job that has a task to start, or start it if nothing waits."""
+        if job.retry_at > now:
+            heapq.heappush(self._delayed, (job.retry_at, job.request_id))
+            return
+        if job.entry is None:
+            job.entry = self._entry_of(job)
+        if job.work.kind is WorkKind.GANG:
+            item = -int(job.work.priority), job.entry.sequence, job.request_id
+            if item not in self._gang_queue:
+                bisect.insort(self._gang_queue, item)
+                self._blocked.discard("gangs")
+            return
+        if not self._started_at_once(now, job):
+            self._push(now, job)
+
+    def waiting(self) -> int:
+        """Return the number of jobs with a task to start."""
+        return sum(bool(job.pending) for job in self._state.jobs.values())
+
+    def run(self, now: float) -> None:
+        """Start what fits."""
+        while self._delayed and self._delayed[0][0] <= now:
+            job = self._state.jobs.get(heapq.heappop(self._delayed)[1])
+            if job is not None and job.pending:
+                job.retry_at = now
+                self.requeue(now, job)
+        if now >= self._state.authority.until:
+            return
+        if self._state.room_freed:
+            self._state.room_freed = False
+            self._blocked.clear()
+            self._retry_pass = True
+            self._unpark(now)
+            self._start_held(now)
+        if self._gang_queue:
+            self._pass_gangs(now)
+        if self._retry_pass and len(self._queues):
+            self._pass(now)
+
+    def tick(self, now: float) -> None:
+        """Go on with preemption and try all waiting work again."""
+        self.preemptor.tick(now)
+        self._queues.expire(now)
+        self._hand_back(now)
+        for job in self._parking.overdue(now):
+            if not job.may_have_run:
+                self._results.refuse(now, job, Code.EXCLUSIVE_PAUSED, retry_after_s=1.0)
+        for attempt_id in self._queues.to_yield(now):
+            self.preemptor.checkpoint(now, attempt_id)
+        self._state.room_freed = True
+
+    def _hand_back(self, now: float) -> None:
+        """Answer work that has not run once this process cannot start it."""
+        if now < self._state.authority.until + HAND_BACK_S:
+            return
+        for job in list(self._state.jobs.values()):
+            if job.pending and not job.may_have_run and not job.cancelled:
+                self._results.refuse(now, job, Code.NOT_OWNER, retry_after_s=0.1)
+
+    def _entry_of(self, job: Job) -> Pending:
+        expected_s = self._estimator.run_time_s(job.work)
+        sequence = next(self._sequence)
+        return Pending(job.work, job.arrived, sequence, expected_s=expected_s)
+
+    def _push(self, now: float, job: Job) -> None:
+        entry = t.cast(Pending, job.entry)
+        if job.request_id in self._queues:
+            return
+        entry.next_task = job.work.tasks - len(job.pending)
+        self._queues.push(now, entry)
+        self._state.quotas.waits(job.work.team)
+        if entry.lane not in self._blocked:
+            self._retry_pass = True
+
+    def _remove(self, now: float, job: Job) -> None:
+        if self._queues.remove(job.request_id, now) is not None:
+            self._state.quotas.left(job.work.team)
+
+    def _started_at_once(self, now: float, job: Job) -> bool:
+        """Start a job past an empty queue, or as backfill before a gang."""
+        if now >= self._state.authority.until:
+            return False
+        entry = t.cast(Pending, job.entry)
+        lane = lane_of(entry, self._state.config.policy.short_s)
+        if self._queues.depth(job.work) and not (
+            lane in self._blocked and self.gangs.active
+        ):
+            return False
+        if self._place(now, job, entry):
+            return True
+        self._block(job, lane)
+        return False
+
+    def _pass(self, now: float) -> None:
+        self._retry_pass = False
+        for entry in self._queues.candidates(now, PASS_LIMIT):
+            # What starts may have others of its lane behind it, which come next time.
+            self._retry_pass |= self._try(now, entry)
+
+    def _try(self, now: float, entry: Pending) -> bool:
+        """Place one queued job; block its lane if it shows that the lane is stuck."""
+        lane, team = t.cast(Lane, entry.lane), entry.work.team
+        if lane in self._blocked or (lane, team) in self._blocked:
+            return False
+        job = self._state.jobs.get(entry.work.request_id)
+        if job is None or not job.pending:
+            self._queues.remove(entry.work.request_id, now)
+            return True
+        before = len(job.pending)
+        if self._place(now, job, entry):
+            self._remove(now, job)
+            return True
+        self._block(job, lane)
+        return len(job.pending) < before
+
+    def _block(self, job: Job, lane: Lane) -> None:
+        """Note what cannot start either, now that a job could not."""
+        team = job.work.team
+        if not self._state.quotas.allowed(team, self._charge(job)):
+            self._blocked.add((lane, team))
+        elif not self._waits_alone(job):
+            self._blocked.add(lane)
+
+    def _waits_alone(self, job: Job) -> bool:
+        """Tell whether a job waits for something that those behind it do not."""
+        if job.held:
+            return True
+        is_batch = job.work.kind is WorkKind.BATCH
+        return is_batch and (self.gangs.active or self._charge(job) != job.work.need)
+
+    def _place(self, now: float, job: Job, entry: Pending) -> bool:
+        """Start what fits of a job; return True if it waits in the queue no more."""
+        while job.pending:
+            if self._parked(now, job):
+                return True
+            task = job.pending[0]
+            may_start = self._results.ledger.may_start(job.request_id, task)
+            if may_start and not self._place_task(now, job, task, entry):
+                return False
+            job.pending.popleft()
+        return True
+
+    def _parked(self, now: float, job: Job) -> bool:
+        """Set a job aside that must wait for sole ownership or for its key."""
+        work, key = job.work, job.work.exclusive_key
+        if work.idempotent and not key:
+            return False
+        if not self._state.serves_exclusive():
+            job.reason = "It waits until this process is certain to be the only owner."
+            self._parking.wait_for_ownership(now, job)
+            return True
+        if key and key in self._state.attempts.keys:
+            job.reason = self.reasons.key_taken()
+            self._parking.wait_for_key(job)
+            return True
+        if work.idempotent or job.may_have_run:
+            return False
+        if not self._state.may_run_unknown(work.issued_at):
+            self._results.give_up(now, job, Code.UNKNOWN_OUTCOME)
+            return True
+        return False
+
+    def _unpark(self, now: float) -> None:
+        """Queue jobs again that need not wait any more, one for each free key."""
+        freed, self._state.attempts.freed_keys = self._state.attempts.freed_keys, []
+        for key in freed:
+            job = self._parking.key_freed(key)
+            if job is not None:
+                self.requeue(now, job)
+        if self._state.serves_exclusive():
+            for job in self._parking.owned():
+                self.requeue(now, job)
+
+    def _place_task(self, now: float, job: Job, task: int, entry: Pending) -> bool:
+        if task in job.held:
+            return False
+        charge = self._charge(job)
+        if not self._state.quotas.allowed(job.work.team, charge):
+            job.reason = self.reasons.over_quota(job)
+            return False
+        if not self._queues.may_start(now, entry):
+            job.reason = self.reasons.kept_for_short(job)
+            return False
+        choice = self._choose(now, job, charge)
+        if choice is None:
+            job.reason = self.reasons.no_room(job, charge)
+            if job.work.priority is Priority.URGENT:
+                self._preempt(now, job, task, charge)
+            return False
+        return self._start(now, job, task, choice, charge)
+
+    def _choose(self, now: float, job: Job, charge: Resources) -> Choice | None:
+        work, fleet, rng = job.work, self._state.fleet, self._state.rng
+        task: Task
+        if work.kind is WorkKind.REQUEST:
+            task = RequestTask(pool=self._state.pools.get(work.target))
+            return choose(task, fleet, rng)
+        if not self._within_headroom(job, charge):
+            return None
+        task = BatchTask(charge, work.group)
+        choice = choose(task, fleet, rng)
+        if choice is not None or not self.gangs.active:
+            return choice
+        run_time_s = self._estimator.run_time_s(work, QUANTILE)
+        vm = self.gangs.backfill(now, charge, work.group, run_time_s)
+        return Choice(vm) if vm else None
+
+    def _within_headroom(self, job: Job, charge: Resources) -> bool:
+        """Tell whether the share kept free for peaks stays free."""
+        headroom = self._state.config.policy.headroom
+        if not headroom or job.work.priority is Priority.URGENT:
+            return True
+        after = self._state.fleet.used + charge
+        return after.dominant_share(self._state.fleet.total) <= 1.0 - headroom
+
+    def _pass_gangs(self, now: float) -> None:
+        if "gangs" in self._blocked:
+            return
+        self._blocked.add("gangs")
+        for item in self._gang_queue[:GANG_LIMIT]:
+            job = self._state.jobs.get(item[2])
+            if job is None or not job.pending or self._place_gang(now, job):
+                self._gang_queue.remove(item)
+
+    def _place_gang(self, now: float, job: Job) -> bool:
+        """Start a gang whole; return True if it waits in the queue no more."""
+        if job.held:
+            return False
+        if self._parked(now, job):
+            return True
+        charge = self._charge(job)
+        whole = charge.times(len(job.pending))
+        if not self._state.quotas.allowed(job.work.team, whole):
+            job.reason = self.reasons.over_quota(job)
+            return False
+        if self.gangs.hold_all(job, charge):
+            self._start_all_held(now, job)
+            return True
+        reserved = self.gangs.reserve(now, job, charge)
+        job.reason = self.reasons.gang_waits(job, reserved)
+        if reserved and job.work.priority is Priority.URGENT:
+            for name in sorted(set(job.held.values())):
+                self.preemptor.clear(now, self._state.fleet.vms[name])
+        return False
+
+    def _preempt(self, now: float, job: Job, task: int, charge: Resources) -> None:
+        if job.work.kind is WorkKind.REQUEST or len(self._urgent) >= PREEMPTING:
+            return
+        if self.preemptor.make_room(now, job, task, charge):
+            self._urgent[job.request_id] = job
+            job.reason = "It waits until less urgent work is checkpointed or stopped."
+
+    def _start_held(self, now: float) -> None:
+        """Start the tasks whose held room has become free."""
+        for job in self.gangs.ready(now):
+            self._start_all_held(now, job)
+        for request_id, job in list(self._urgent.items()):
+            for task, name in list(job.held.items()):
+                vm = self._state.fleet.vms.get(name)
+                if vm is None or not vm.usable:
+                    self._state.unhold(job, task)
+                elif not vm.overcommitted:
+                    self._start_one_held(now, job, task)
+            if not job.held:
+                del self._urgent[request_id]
+
+    def _start_all_held(self, now: float, job: Job) -> None:
+        for task in list(job.held):
+            self._start_one_held(now, job, task)
+
+    def _start_one_held(self, now: float, job: Job, task: int) -> None:
+        vm = self._state.fleet.vms[job.held[task]]
+        amount = self._state.unhold(job, task)
+        if self._start(now, job, task, Choice(vm), amount):
+            job.pending.remove(task)
+            if not job.pending:
+                self._remove(now, job)
+
+    def _start(
+        self, now: float, job: Job, task: int, choice: Choice, charge: Resources
+    ) -> bool:
+        start = Start(choice.vm, job.work, task, charge, choice.executor)
+        attempt = self._state.start(now, start)
+        if attempt is None:
+            return False
+        self._results.ledger.started(now, job.request_id, attempt.attempt_id, task)
+        entry = t.cast(Pending, job.entry)
+        is_request = job.work.kind is WorkKind.REQUEST
+        held = None if is_request else charge
+        self._queues.started(now, attempt.attempt_id, entry, held)
+        self._admission.started(now, job.work)
+        self._results.budget.first(now)
+        job.attempts.add(attempt.attempt_id)
+        return True
+
+    def _ended(self, now: float, attempt: Attempt) -> None:
+        self._queues.ended(now, attempt.attempt_id)
+
+    def _closed(self, now: float, job: Job) -> None:
+        self._remove(now, job)
+
+    def _charge(self, job: Job) -> Resources:
+        if job.work.kind is WorkKind.REQUEST:
+            return ZERO
+        limit = self._state.fleet.roomiest(job.work.need, job.work.group)
+        return self._estimator.charge(job.work, limit or ZERO)
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -53,6 +53,7 @@
         self.call_faults = {}
         self.down = False
         self.calls = {}
+        self.log = []
         self.hooks = []
         self._versions = itertools.count(1)
         self._leases = itertools.count(1)
@@ -68,6 +69,7 @@
     async def _before(self, method, key):
         fault = self.call_faults.pop(sum(self.calls.values()), None)
         self.calls[method] = self.calls.get(method, 0) + 1
+        self.log.append(f"{method} {key}")
         for hook in list(self.hooks):
             await hook(method, key)
         if self.down:
@@ -96,6 +98,8 @@
     async def put_if(self, key, value, version, lease=""):
         lost = await self._before("put_if", key)
         held = self.entries.get(key)
+        if lease and lease not in self.leases:
+            raise StoreConflict()
         if (0 if held is None else held.version) != version:
             if lost:
                 raise StoreReplyLost()
