--- a/src/poplaryard/bench.py
+++ b/src/poplaryard/bench.py
@@ -9,6 +9,7 @@
 # Benchmark name to "module:attribute".
 _BENCHMARKS: dict[str, str] = {
     "placement": "bench_placement:placement",
+    "tickets": "bench_tickets:tickets_bench",
 }
 
 
--- /dev/null
+++ b/src/poplaryard/bench_tickets.py
@@ -0,0 +1,379 @@
+"""Benchmarks of change tickets: acceptance, state size, cost, time in force."""
+
+import asyncio
+import json
+import random
+import statistics
+import time
+import typing as t
+from collections import Counter
+
+import click
+
+from . import tickets
+from .acceptance import Acceptance
+from .client import HttpClient
+from .clock import SystemClock
+from .compaction import Compactor
+from .config_loader import Loader, parts_of, read_head
+from .exceptions import PoplaryardError
+from .head import HEAD_KEY, MAX_VALUE_BYTES, ConfigState, Head
+from .rollout import Loaded, Members, PeerDelta, Rollout, Send
+from .standin_platform import MemoryStore
+from .store import Entry
+
+__all__ = ["tickets_bench"]
+
+TEAMS = 950
+SERVICES = 600
+GROUPS = 20
+VMS_PER_GROUP = 950
+_POLL_S = 0.01
+_LATE_S = 10.0
+
+
+class _LocalStore:
+    """Store in memory that takes some time per call and counts the calls."""
+
+    def __init__(self, delay_s: float):
+        self._store = MemoryStore()
+        self._delay_s = delay_s
+        self.calls: Counter[str] = Counter()
+
+    def __getattr__(self, name: str) -> t.Any:
+        method = getattr(self._store, name)
+
+        async def call(*args: t.Any) -> t.Any:
+            self.calls[name] += 1
+            await asyncio.sleep(self._delay_s)
+            found = method(*args)
+            return await found if asyncio.iscoroutine(found) else found
+
+        return call
+
+
+def _service(name: str, replicas: int) -> dict[str, t.Any]:
+    return {
+        "kind": "service",
+        "name": name,
+        "team": f"team-{replicas % TEAMS:03d}",
+        "replicas": replicas,
+        "cpu": "2 cores",
+        "memory": "4 GB",
+    }
+
+
+def _ticket(uid: str, *objects: t.Any) -> tickets.Ticket:
+    value = {"format": 1, "uid": uid, "author": "bench", "objects": list(objects)}
+    return tickets.parse(value)
+
+
+def _group(index: int) -> dict[str, t.Any]:
+    centre = f"dc{index % 15 + 1}"
+    vms = [
+        {
+            "name": f"{centre}-g{index:02d}-vm{number:04d}",
+            "data_centre": centre,
+            "rack": f"{centre}-g{index:02d}-r{number // 5:03d}",
+            "address": f"10.{index}.{number // 250}.{number % 250}:7000",
+        }
+        for number in range(VMS_PER_GROUP)
+    ]
+    size = {"cpu": "32 cores", "memory": "64 GB", "gpus": 1}
+    return {"kind": "vm_group", "name": f"group-{index:02d}", **size, "vms": vms}
+
+
+async def _whole_state(store: t.Any) -> Acceptance:
+    """File a state of the two-year size, in tickets of at most 100 objects."""
+    filer = Acceptance(store, SystemClock(), 1)
+    teams = [
+        {"kind": "team", "name": f"team-{number:03d}", "weight": 1.0}
+        | {"limit_cpu": "640 cores", "limit_memory": "2 TB", "limit_gpus": 64}
+        for number in range(TEAMS)
+    ]
+    services = [_service(f"service-{number:03d}", 3) for number in range(SERVICES)]
+    plain = teams + services
+    chunks = [plain[start : start + 100] for start in range(0, len(plain), 100)]
+    chunks += [[_group(index)] for index in range(GROUPS)]
+    for number, chunk in enumerate(chunks):
+        result = await filer.file(_ticket(f"whole-{number}", *chunk))
+        assert result.ok, result.detail
+    return filer
+
+
+@click.group(name="tickets")
+def tickets_bench() -> None:
+    """Measure change tickets."""
+
+
+def _print(figures: t.Mapping[str, t.Any]) -> None:
+    click.echo(json.dumps(figures, indent=2))
+
+
+@tickets_bench.command()
+@click.option("--count", default=2000, help="Tickets to file.")
+@click.option("--filers", default=6, help="Processes that file at the same time.")
+@click.option("--rate", default=0.0, help="Tickets per second; 0 files at once.")
+@click.option("--burst", default=1, help="Tickets filed at the same moment.")
+@click.option("--delay-ms", default=0.0, help="Time of one store call.")
+@click.option("--seed", default=1)
+def accept(
+    count: int, filers: int, rate: float, burst: int, delay_ms: float, seed: int
+) -> None:
+    """Measure accepted tickets per second and store calls per ticket."""
+    _print(asyncio.run(_accept(count, filers, rate, burst, delay_ms / 1000, seed)))
+
+
+async def _accept(
+    count: int, filers: int, rate: float, burst: int, delay_s: float, seed: int
+) -> dict[str, t.Any]:
+    store: t.Any = _LocalStore(delay_s)
+    rng = random.Random(seed)
+    group = [Acceptance(store, SystemClock(), seed + n) for n in range(filers)]
+    took: list[float] = []
+    codes: Counter[str] = Counter()
+
+    async def one(number: int) -> None:
+        start = time.perf_counter()
+        name = f"service-{rng.randrange(SERVICES):03d}"
+        item = _ticket(f"uid-{number}", _service(name, rng.randrange(1, 100)))
+        result = await group[number % filers].file(item)
+        took.append((time.perf_counter() - start) * 1000)
+        codes[result.code.name] += 1
+
+    began = time.perf_counter()
+    gate = asyncio.Semaphore(filers if not rate else count)
+
+    async def gated(number: int) -> None:
+        async with gate:
+            await one(number)
+
+    tasks = []
+    for number in range(count):
+        tasks.append(asyncio.create_task(gated(number)))
+        if rate and (number + 1) % burst == 0:
+            due = began + (number + 1) / rate
+            await asyncio.sleep(max(0.0, due - time.perf_counter()))
+    await asyncio.gather(*tasks)
+    seconds = time.perf_counter() - began
+    calls = sum(store.calls.values())
+    return {
+        "tickets_per_s": round(count / seconds, 1),
+        "codes": dict(codes),
+        "store_calls_per_ticket": round(calls / count, 2),
+        "calls": dict(store.calls),
+        **_quantiles(took, "file"),
+    }
+
+
+def _quantiles(values_ms: list[float], name: str) -> dict[str, float]:
+    ordered = sorted(values_ms) or [0.0]
+    return {
+        f"{name}_p50_ms": round(ordered[len(ordered) // 2], 3),
+        f"{name}_p99_ms": round(ordered[int(len(ordered) * 0.99)], 3),
+        f"{name}_max_ms": round(ordered[-1], 3),
+    }
+
+
+@tickets_bench.command()
+@click.option("--rounds", default=200, help="Small tickets to apply.")
+@click.option("--seed", default=1)
+def state(rounds: int, seed: int) -> None:
+    """Measure the size of the whole state and the cost of one more ticket."""
+    _print(asyncio.run(_state(rounds, seed)))
+
+
+async def _state(rounds: int, seed: int) -> dict[str, t.Any]:
+    store: t.Any = _LocalStore(0.0)
+    filer = await _whole_state(store)
+    loader = Loader(store)
+    began = time.perf_counter()
+    whole = await loader.refresh()
+    load_ms = (time.perf_counter() - began) * 1000
+    calls = Counter(store.calls)
+    await Compactor(store, loader, 1).run()
+    began = time.perf_counter()
+    await Loader(store).refresh()
+    snapshot_load_ms = (time.perf_counter() - began) * 1000
+    began = time.perf_counter()
+    parts = parts_of(whole, MAX_VALUE_BYTES)
+    parts_ms = (time.perf_counter() - began) * 1000
+    entries = [await store.get(key) for key in (HEAD_KEY,)]
+    sizes = [len(json.dumps(part)) for part in parts]
+    groups = [len(json.dumps(_group(index))) for index in range(GROUPS)]
+    vms = sum(len(group.vms) for group in whole.config.vm_groups.values())
+    return {
+        "vms": vms,
+        "teams": len(whole.config.teams),
+        "services": len(whole.config.services),
+        "head_bytes": len(json.dumps(entries[0].value)),
+        "largest_group_bytes": max(groups),
+        "snapshot_parts": len(parts),
+        "snapshot_part_max_bytes": max(sizes),
+        "whole_bytes": sum(sizes),
+        "whole_without_vms_bytes": sum(sizes) - sum(groups),
+        "load_ms": round(load_ms, 1),
+        "load_snapshot_ms": round(snapshot_load_ms, 1),
+        "snapshot_encode_ms": round(parts_ms, 1),
+        "store_calls_while_filing": dict(calls),
+        **await _costs(filer, whole, rounds, seed),
+    }
+
+
+async def _costs(
+    filer: Acceptance, whole: ConfigState, rounds: int, seed: int
+) -> dict[str, float]:
+    """Measure each step that one small ticket causes in a process."""
+    rng = random.Random(seed)
+    took: dict[str, list[float]] = {
+        name: [] for name in ("apply", "head", "load", "push", "adopt", "file")
+    }
+    watcher, follower = Rollout("p0", "dc1"), Rollout("p1", "dc1")
+    for rollout in (watcher, follower):
+        rollout.handle(0.0, Members(("p0", "p1", "p2", "p3", "p4", "p5")))
+        rollout.handle(0.0, Loaded(whole))
+    loader = Loader(t.cast(t.Any, filer)._store, whole)
+    for number in range(rounds):
+        item = _ticket(
+            f"more-{number}",
+            _service(f"service-{rng.randrange(SERVICES):03d}", rng.randrange(1, 90)),
+        )
+        steps = _Steps(took)
+        tickets.apply(watcher.state.config, watcher.number + 1, item)
+        steps.mark("apply")
+        result = await filer.file(item)
+        assert result.ok, result.detail
+        steps.mark("file")
+        _head, entry = await read_head(t.cast(t.Any, filer)._store)
+        text = json.dumps(t.cast(Entry, entry).value)
+        steps.restart()
+        head = Head.from_json(json.loads(text))
+        steps.mark("head")
+        loaded = await loader.refresh(head)
+        steps.mark("load")
+        out = watcher.handle(float(number), Loaded(loaded))
+        sent = next(item for item in out if isinstance(item, Send))
+        steps.mark("push")
+        follower.handle(float(number), t.cast(PeerDelta, sent.msg))
+        steps.mark("adopt")
+        assert follower.state == watcher.state == loaded
+    return {
+        f"{name}_p50_ms": round(statistics.median(values), 3)
+        for name, values in took.items()
+    }
+
+
+class _Steps:
+    """Stopwatch for the steps of one ticket."""
+
+    def __init__(self, took: dict[str, list[float]]):
+        self._took = took
+        self.restart()
+
+    def restart(self) -> None:
+        self._last = time.perf_counter()
+
+    def mark(self, name: str) -> None:
+        now = time.perf_counter()
+        self._took[name].append((now - self._last) * 1000)
+        self._last = time.perf_counter()
+
+
+@tickets_bench.command()
+@click.option("--servers", required=True, help="Addresses, separated by commas.")
+@click.option("--key", required=True, help="Operator key.")
+@click.option("--count", default=200, help="Tickets to file.")
+@click.option("--rate", default=20.0, help="Tickets per second.")
+@click.option("--burst", default=1, help="Tickets filed at the same moment.")
+@click.option("--seed", default=1)
+def force(
+    servers: str, key: str, count: int, rate: float, burst: int, seed: int
+) -> None:
+    """Measure the time from filing until each process has a ticket in force."""
+    _print(asyncio.run(_Force(servers.split(","), key, seed).run(count, rate, burst)))
+
+
+class _Force:
+    """Files tickets at a rate and watches the number in force at each process."""
+
+    def __init__(self, servers: list[str], key: str, seed: int):
+        self._servers = servers
+        self._client = HttpClient(256, key)
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._filed: dict[int, tuple[float, float]] = {}
+        self._seen: dict[str, list[tuple[int, float]]] = {name: [] for name in servers}
+        self._codes: Counter[str] = Counter()
+        self._file_ms: list[float] = []
+
+    async def run(self, count: int, rate: float, burst: int) -> dict[str, t.Any]:
+        watching = [asyncio.create_task(self._watch(name)) for name in self._servers]
+        began = time.perf_counter()
+        tasks = []
+        for number in range(count):
+            tasks.append(asyncio.create_task(self._file(number)))
+            if (number + 1) % burst == 0:
+                due = began + (number + 1) / rate
+                await asyncio.sleep(max(0.0, due - time.perf_counter()))
+        await asyncio.gather(*tasks)
+        await self._until_all()
+        for task in watching:
+            task.cancel()
+        await asyncio.gather(*watching, return_exceptions=True)
+        await self._client.close()
+        return self._figures()
+
+    async def _file(self, number: int) -> None:
+        server = self._servers[number % len(self._servers)]
+        name = f"service-{self._rng.randrange(SERVICES):03d}"
+        item = _service(name, self._rng.randrange(1, 100))
+        uid = f"force-{self._seed}-{time.time_ns()}-{number}"
+        body = {"format": 1, "uid": uid, "author": "bench", "objects": [item]}
+        start = time.perf_counter()
+        try:
+            reply = await self._client.post(f"http://{server}/v1/tickets", body, 10.0)
+        except PoplaryardError as exc:
+            self._codes[exc.code.name] += 1
+            return
+        now = time.perf_counter()
+        self._codes[str(reply.body.get("code"))] += 1
+        self._file_ms.append((now - start) * 1000)
+        if reply.status == 200:
+            self._filed[reply.body["number"]] = (start, now)
+
+    async def _watch(self, server: str) -> None:
+        last = -1
+        while True:
+            reply = await self._client.get(f"http://{server}/readyz", 10.0)
+            number = reply.body["ticket"]
+            if number > last:
+                self._seen[server].append((number, time.perf_counter()))
+                last = number
+            await asyncio.sleep(_POLL_S)
+
+    async def _until_all(self) -> None:
+        until = time.perf_counter() + _LATE_S
+        last = max(self._filed, default=0)
+        while time.perf_counter() < until:
+            if all(seen and seen[-1][0] >= last for seen in self._seen.values()):
+                return
+            await asyncio.sleep(_POLL_S)
+
+    def _figures(self) -> dict[str, t.Any]:
+        answered, filed = [], []
+        for number, (start, accepted) in self._filed.items():
+            reached = [self._reached(seen, number) for seen in self._seen.values()]
+            answered += [max(0.0, at - accepted) * 1000 for at in reached]
+            filed += [(at - start) * 1000 for at in reached]
+        return {
+            "servers": len(self._servers),
+            "accepted": len(self._filed),
+            "codes": dict(self._codes),
+            **_quantiles(self._file_ms, "file"),
+            **_quantiles(answered, "in_force_after_answer"),
+            **_quantiles(filed, "in_force_after_filing"),
+        }
+
+    @staticmethod
+    def _reached(seen: list[tuple[int, float]], number: int) -> float:
+        return next((at for held, at in seen if held >= number), float("inf"))
