--- a/src/poplaryard/bench_stragglers.py
+++ b/src/poplaryard/bench_stragglers.py
@@ -24,7 +24,6 @@
 _LONG_SHARE = 0.01
 # Waits below the time of one hop to the worker count as that time in ratios.
 _FLOOR_S = 0.001
-_THRESHOLD_S = 8.0
 # Swing: for 5 s of each 60 s short work arrives at five times its usual rate.
 _SWING_EVERY_S = 60.0
 _SWING_S = 5.0
@@ -51,7 +50,7 @@
 
 
 def _subject(cluster: Cluster, rng: random.Random) -> Subject:
-    return Subject(cluster, rng, Policy(short_s=_THRESHOLD_S))
+    return Subject(cluster, rng, Policy())
 
 
 def _compare(case: str, name: str, make: t.Any, seed: int) -> list[dict[str, t.Any]]:
--- /dev/null
+++ b/src/poplaryard/results.py
@@ -0,0 +1,255 @@
+"""What attempts come to: retries, cancellations and the answers of jobs."""
+
+import typing as t
+from collections import deque
+from dataclasses import replace
+
+from .codes import Code
+from .estimate import Estimator
+from .fleet import Vm
+from .jobs import Attempt, Job
+from .limits import RetryBudget, backoff_s
+from .messages import Answer, AttemptReport, AttemptState, StopMode, WorkKind
+from .outcome import Ledger
+from .state import ShardState
+
+__all__ = ["Results"]
+
+MAX_ATTEMPTS = 3
+
+# Least wait before a start that a worker refused is tried again.
+RETRY_DELAY_S = 0.05
+
+# Stops sent in one call. A wave of cancellations is spread over many calls, so that
+# placement goes on between them.
+STOP_SLICE = 32
+
+# A stop whose effect is not reported is sent again after this time.
+STOP_AGAIN_S = 1.0
+
+
+class Results:
+    """Settles the attempts of a shard and answers its jobs, each once.
+
+    Parameters
+    ----------
+    requeue : callable
+        Takes a time and a job that has a task to start.
+    """
+
+    def __init__(
+        self,
+        state: ShardState,
+        estimator: Estimator,
+        requeue: t.Callable[[float, Job], None],
+    ):
+        self.ledger = Ledger()
+        self.budget = RetryBudget()
+        self._state = state
+        self._estimator = estimator
+        self._requeue = requeue
+        self._to_stop: deque[str] = deque()
+        self._stopping: deque[tuple[float, str]] = deque()
+
+    def progress(self, vm: Vm, attempt: Attempt, report: AttemptReport) -> None:
+        """Take the measured use of a running attempt."""
+        self._estimator.saw_size(attempt.work, report.used)
+        self._state.fleet.raise_charge(vm, attempt.attempt_id, report.used)
+
+    def reported(self, now: float, attempt: Attempt, report: AttemptReport) -> None:
+        """Settle an attempt that a worker reports as ended."""
+        job = self._state.end(now, attempt)
+        if attempt.is_replica:
+            return
+        if report.state is AttemptState.SUCCEEDED:
+            self._estimator.saw_size(attempt.work, report.used)
+            self._estimator.saw_time(attempt.work, report.elapsed_s)
+        if job is not None:
+            job.ran = True
+        if job is not None and self._tried_again(now, job, attempt, report):
+            return
+        answer = self.ledger.report(now, report)
+        if job is None:
+            return
+        if answer is not None:
+            self._send(now, job, answer)
+        elif job.cancelled:
+            self._settle_cancelled(now, job)
+        elif report.state in (AttemptState.CHECKPOINTED, AttemptState.STOPPED):
+            self._again(now, job, attempt.task)
+
+    def _tried_again(
+        self, now: float, job: Job, attempt: Attempt, report: AttemptReport
+    ) -> bool:
+        """Run a failed or stopped task of idempotent work again if that is allowed."""
+        failed = report.state in (AttemptState.FAILED, AttemptState.STOPPED)
+        if not failed or attempt.preempted or not job.work.idempotent or job.cancelled:
+            return False
+        job.failures += 1
+        if job.failures < self._max_attempts(job) and self.budget.take(now):
+            self.ledger.lost(now, attempt.attempt_id)
+            self._retry(now, job, attempt.task, job.failures)
+            return True
+        if report.state is AttemptState.STOPPED:
+            self.ledger.report(now, report)
+            self._send(now, job, self.ledger.end(now, job.request_id, Code.STOPPED))
+            return True
+        return False
+
+    def adopted(self, now: float, attempt: Attempt, report: AttemptReport) -> None:
+        """Take an attempt that an earlier owner started."""
+        if attempt.is_replica:
+            return
+        self.ledger.adopt(now, report)
+        job = self._state.jobs.get(report.request_id)
+        if job is not None:
+            job.attempts.add(attempt.attempt_id)
+            if report.task in job.pending:
+                job.pending.remove(report.task)
+            self._state.attempts.describe(attempt, job.work)
+
+    def take_running(self, job: Job) -> None:
+        """Take up the attempts of a job that an earlier owner started."""
+        for attempt_id in self.ledger.attempts(job.request_id):
+            attempt = self._state.attempts.get(attempt_id)
+            if attempt is not None:
+                job.attempts.add(attempt_id)
+                self._state.attempts.describe(attempt, job.work)
+
+    def found(self, now: float, report: AttemptReport) -> None:
+        """Take the end of an attempt that is not in progress here.
+
+        An earlier owner started it, or it was given up as lost.
+        """
+        if report.kind is WorkKind.SERVICE:
+            return
+        answer = self.ledger.adopt(now, report)
+        job = self._state.jobs.get(report.request_id)
+        if job is None:
+            return
+        open_tasks = self.ledger.open_tasks(job.request_id)
+        if report.task not in open_tasks and report.task in job.pending:
+            job.pending.remove(report.task)
+            job.ran = True
+        if answer is not None:
+            self._send(now, job, answer)
+
+    def not_run(self, now: float, attempt: Attempt) -> None:
+        """Settle an attempt that has not run and never will."""
+        job = self._state.end(now, attempt)
+        self.ledger.refused(now, attempt.attempt_id)
+        if job is None:
+            return
+        if job.cancelled:
+            self._settle_cancelled(now, job)
+            return
+        job.refusals += 1
+        self._retry(now, job, attempt.task, job.refusals)
+
+    def lost(self, now: float, attempt: Attempt) -> None:
+        """Settle an attempt that has ended with its worker, with unknown effect.
+
+        It needs no retry budget: the losses are bounded by the failures of VMs.
+        """
+        job = self._state.end(now, attempt)
+        answer = self.ledger.lost(now, attempt.attempt_id)
+        if job is None:
+            return
+        job.ran = True
+        job.failures += 1
+        if answer is not None:
+            self._send(now, job, answer)
+        elif job.cancelled or job.failures >= self._max_attempts(job):
+            self._end_job(now, job, Code.WORKER_LOST)
+        elif job.work.idempotent:
+            self._again(now, job, attempt.task)
+
+    def cancel(self, now: float, job: Job) -> None:
+        """Start nothing more of a job; stop what may be stopped."""
+        if job.cancelled:
+            return
+        job.cancelled = True
+        job.pending.clear()
+        self._state.close(now, job)
+        self.stop_later(job)
+        self._settle_cancelled(now, job)
+
+    def expire(self, now: float) -> None:
+        """Answer the jobs whose deadline has passed."""
+        for job in self._state.overdue(now):
+            if job.may_have_run:
+                self._end_job(now, job, Code.TIMED_OUT)
+            else:
+                self.refuse(now, job, Code.EXPIRED)
+
+    def refuse(
+        self,
+        now: float,
+        job: Job,
+        code: Code,
+        detail: str = "",
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Answer a job that has not run."""
+        answer = self.ledger.not_run(now, job.request_id, code)
+        if answer is None:
+            self._end_job(now, job, Code.UNKNOWN_OUTCOME)
+            return
+        if detail or retry_after_s:
+            detail = detail or answer.detail
+            answer = replace(answer, detail=detail, retry_after_s=retry_after_s)
+        self._send(now, job, answer)
+
+    def give_up(self, now: float, job: Job, code: Code) -> None:
+        """Answer a job with a code that leaves open whether it ran."""
+        self._end_job(now, job, code)
+
+    def stop_later(self, job: Job) -> None:
+        """Queue stops for the attempts of a job that may be stopped half-way."""
+        if job.stoppable:
+            self._to_stop.extend(sorted(job.attempts))
+
+    def send_stops(self, now: float) -> None:
+        """Send a slice of the queued stops, and repeat those without effect."""
+        while self._stopping and self._stopping[0][0] <= now:
+            self._to_stop.append(self._stopping.popleft()[1])
+        for _ in range(min(STOP_SLICE, len(self._to_stop))):
+            attempt = self._state.attempts.get(self._to_stop.popleft())
+            if attempt is not None:
+                self._state.stop(now, attempt, StopMode.STOP)
+                self._stopping.append((now + STOP_AGAIN_S, attempt.attempt_id))
+
+    def _end_job(self, now: float, job: Job, code: Code) -> None:
+        self._send(now, job, self.ledger.end(now, job.request_id, code))
+
+    def _send(self, now: float, job: Job, answer: Answer | None) -> None:
+        """Close a job and send its one answer."""
+        if self._state.jobs.pop(job.request_id, None) is None:
+            return
+        job.pending.clear()
+        self._state.close(now, job)
+        self.stop_later(job)
+        if answer is not None:
+            self._state.out.append(replace(answer, reply_to=job.reply_to))
+
+    def _settle_cancelled(self, now: float, job: Job) -> None:
+        """Answer a cancelled job once it is certain whether it has run."""
+        if job.attempts:
+            return
+        if job.ran:
+            self._end_job(now, job, Code.STOPPED)
+        else:
+            self.refuse(now, job, Code.CANCELLED)
+
+    def _max_attempts(self, job: Job) -> int:
+        spec = self._state.config.work_kinds.get(job.work.job_class)
+        return spec.max_attempts if spec else MAX_ATTEMPTS
+
+    def _retry(self, now: float, job: Job, task: int, attempt: int) -> None:
+        wait_s = max(RETRY_DELAY_S, backoff_s(self._state.rng, attempt))
+        job.retry_at = now + wait_s
+        self._again(now, job, task)
+
+    def _again(self, now: float, job: Job, task: int) -> None:
+        job.pending.append(task)
+        self._requeue(now, job)
