Order worker replies by the worker's clock; let the take-over send first claims

Change: a reply with an older clock reading is not believed, and an attempt is lost only if a reply written after its start window lacks it. Takeover claims each worker first, as it may hold back new VMs. An exclusive key of a lost attempt waits for the lease TTL as well, since a renewal may be read that late.

--- a/src/poplaryard/attempts.py
+++ b/src/poplaryard/attempts.py
@@ -7,11 +7,16 @@
 from .fleet import Fleet, Vm
 from .jobs import Attempt
 from .messages import ClaimReply, Work
+from .ownership import LEASE_TTL_S
 from .quota import Quotas
 from .resources import ZERO, Resources
 from .services import ReplicaPool
 
-__all__ = ["AttemptTable", "Fate", "fate", "lost_after"]
+__all__ = ["RESTART_S", "AttemptTable", "Fate", "fate", "lost_after"]
+
+# A reply is not on its way for longer than this, so that a smaller clock reading than
+# before then means that the worker was restarted.
+RESTART_S = 10.0
 
 
 class Fate(t.NamedTuple):
@@ -21,25 +26,22 @@
     in_doubt: list[Attempt]
 
 
-def fate(now: float, vm: Vm, attempts: t.Iterable[Attempt], reply: ClaimReply) -> Fate:
+def fate(now: float, attempts: t.Iterable[Attempt], reply: ClaimReply) -> Fate:
     """Sort the attempts that a claim reply does not name by what became of them.
 
-    A start that is still valid may arrive after the reply was written. A confirmation
-    that is newer than the claim may be newer than the reply. Both stay in doubt until
-    the next claim. An attempt that is not in doubt does not run any more, but may have
-    run: a worker that was restarted has forgotten its attempts.
+    A reply written while the start was valid may be older than the start, even if the
+    start has been confirmed since; the attempt stays in doubt until the next claim.
+    One that is not in doubt does not run any more, but may have run: a worker that was
+    restarted has forgotten its attempts.
     """
     named = {report.attempt_id for report in reply.attempts}
     found = Fate([], [])
     for attempt in attempts:
         if attempt.attempt_id in named:
             continue
-        if attempt.confirmed:
-            over = attempt.confirmed_at < vm.claim_sent_at
-        else:
-            # The clock of a restarted worker may have begun anew.
-            over = reply.clock_ms > attempt.valid_until_ms
-            over = over or now > attempt.latest_start + lease_wait_s()
+        # The clock of a restarted worker may have begun anew.
+        restarted = now > attempt.latest_start + RESTART_S
+        over = restarted or reply.clock_ms > attempt.valid_until_ms
         (found.lost if over else found.in_doubt).append(attempt)
     return found
 
@@ -48,13 +50,13 @@
     """Return the time at which an attempt on an unreachable worker has ended.
 
     Its lease was renewed at `lost_at`, or began with a late start. A renewal that was
-    sent before `lost_at` and read by a paused worker just before the lease ended would
-    extend it once more; only an exclusive key must wait for that too, as idempotent
-    work may run twice and other work is not run again.
+    sent before `lost_at` may be read later, as long as the authority it was sent under
+    is valid. Only an exclusive key must wait for that too: idempotent work may run
+    twice, and other work is not run again.
     """
     begun = lost_at if attempt.confirmed else max(lost_at, attempt.latest_start)
-    leases = 2 if attempt.work.exclusive_key else 1
-    return begun + leases * lease_wait_s()
+    late_s = LEASE_TTL_S if attempt.work.exclusive_key else 0.0
+    return begun + late_s + lease_wait_s()
 
 
 class AttemptTable:
--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -3,7 +3,7 @@
 import typing as t
 from dataclasses import replace
 
-from .attempts import fate, lost_after
+from .attempts import RESTART_S, fate, lost_after
 from .codes import Code, Outcome
 from .fleet import Vm
 from .health import Health
@@ -14,14 +14,17 @@
     Authority,
     ClaimReply,
     ClaimWorker,
+    Message,
     PollReply,
     StartReply,
+    Tick,
     VmGone,
     VmUpdate,
     Work,
 )
 from .results import Results
 from .state import ShardState
+from .takeover import Takeover, VmListRead
 
 __all__ = ["Claims"]
 
@@ -32,6 +35,10 @@
 # Interval at which a worker with attempts in doubt is claimed again.
 RECHECK_S = 0.5
 
+NEVER = float("-inf")
+
+_TAKEOVER_INPUTS = frozenset({Tick, VmUpdate, VmGone, ClaimReply, VmListRead})
+
 
 class Claims:
     """Knows which workers answer, and settles the attempts of those that do not.
@@ -71,6 +78,24 @@
             for vm in state.fleet.vms.values():
                 self._claim(now, vm)
 
+    def take_over(self, now: float, takeover: Takeover) -> None:
+        """Follow a take-over, which claims each worker for the first time."""
+        state = self._state
+        state.takeover = takeover
+        self.authority(now, Authority(state.shard, takeover.epoch, NEVER, False))
+
+    def advance(self, now: float, msg: Message | VmListRead) -> None:
+        """Hand a message on to the take-over and send the claims that it asks for."""
+        takeover = self._state.takeover
+        if takeover is None or type(msg) not in _TAKEOVER_INPUTS:
+            return
+        for command in takeover.handle(now, msg):
+            vm = self._state.fleet.vms.get(getattr(command, "vm", ""))
+            if vm is not None and vm.name not in self._gone:
+                self._send_claim(now, vm, takeover.epoch)
+        if takeover.serves_exclusive():
+            self._state.room_freed = True
+
     def update(self, now: float, msg: VmUpdate) -> None:
         """Add a VM or take over its changes."""
         known = msg.vm.name in self._state.fleet.vms
@@ -115,11 +140,10 @@
             self.lose_authority()
         if not msg.accepted or msg.epoch != epoch:
             return
-        if vm.clock_at > vm.claim_sent_at and msg.clock_ms <= vm.clock_ms:
-            # A later report was handled first, so this reply may name ended attempts.
+        if _outdated(now, vm, msg):
             self._claim(now, vm)
-            return
-        self._set_claimed(now, vm, msg)
+        else:
+            self._set_claimed(now, vm, msg)
 
     def poll_reply(self, now: float, msg: PollReply) -> None:
         """Take a worker's changes."""
@@ -131,6 +155,11 @@
             self.lose_authority()
         if msg.epoch != epoch:
             return
+        if _outdated(now, vm, msg):
+            for report in msg.attempts:
+                if report.state is not AttemptState.RUNNING:
+                    self._report(now, vm, report)
+            return
         vm.clock_ms, vm.clock_at = msg.clock_ms, now
         if vm.says_leaving != msg.leaving:
             vm.says_leaving = msg.leaving
@@ -155,7 +184,7 @@
     def lose_authority(self) -> None:
         """Start nothing more: a worker has seen a higher epoch."""
         state = self._state
-        state.authority = replace(state.authority, until=float("-inf"))
+        state.authority = replace(state.authority, until=NEVER)
 
     def tick(self, now: float) -> None:
         """End lease waits and repeat claims."""
@@ -177,10 +206,15 @@
         vm.claimed = False
         self._unclaimed[vm.name] = vm
         self._state.fleet.refresh(vm)
-        epoch = self._state.authority.epoch
-        if epoch and vm.name not in self._gone:
-            vm.claim_sent_at = now
-            self._state.out.append(ClaimWorker(vm.name, epoch))
+        epoch, takeover = self._state.authority.epoch, self._state.takeover
+        if not epoch or vm.name in self._gone:
+            return
+        if takeover is None or vm.name not in takeover.missing:
+            self._send_claim(now, vm, epoch)
+
+    def _send_claim(self, now: float, vm: Vm, epoch: int) -> None:
+        vm.claim_sent_at = now
+        self._state.out.append(ClaimWorker(vm.name, epoch))
 
     def _set_claimed(self, now: float, vm: Vm, msg: ClaimReply) -> None:
         state = self._state
@@ -190,7 +224,7 @@
         vm.clock_ms, vm.clock_at = msg.clock_ms, now
         self._unclaimed.pop(vm.name, None)
         self._doubtful.pop(vm.name, None)
-        missing = fate(now, vm, state.attempts.on_vm(vm), msg)
+        missing = fate(now, state.attempts.on_vm(vm), msg)
         # Replicas first, so that requests find the executor whose slot they hold.
         for report in sorted(msg.attempts, key=lambda report: bool(report.executor)):
             if report.attempt_id not in state.attempts:
@@ -221,6 +255,7 @@
         attempt = Attempt(
             report.attempt_id, work, report.task, vm.name, report.executor, now
         )
+        attempt.valid_until_ms = vm.clock_ms
         self._state.attempts.add(vm, attempt, report.need)
         self._results.adopted(now, attempt, report)
 
@@ -265,3 +300,15 @@
             self._health.forget(vm.name)
             del self._unclaimed[vm.name]
             self._gone.discard(vm.name)
+
+
+def _outdated(now: float, vm: Vm, reply: ClaimReply | PollReply) -> bool:
+    """Tell whether a reply was written before another one that was handled already.
+
+    It may name attempts that have ended, and lack attempts that have started since.
+    """
+    if now > vm.clock_at + RESTART_S:
+        return False
+    if isinstance(reply, ClaimReply) and vm.clock_at > vm.claim_sent_at:
+        return reply.clock_ms <= vm.clock_ms
+    return reply.clock_ms < vm.clock_ms
--- a/src/poplaryard/results.py
+++ b/src/poplaryard/results.py
@@ -27,6 +27,9 @@
 # A stop whose effect is not reported is sent again after this time.
 STOP_AGAIN_S = 1.0
 
+# Answers in place of "not run" if the ledger knows that some attempt may have run.
+_MAY_HAVE_RUN = {Code.EXPIRED: Code.TIMED_OUT, Code.CANCELLED: Code.STOPPED}
+
 
 class Results:
     """Settles the attempts of a shard and answers its jobs, each once.
@@ -191,7 +194,7 @@
         """Answer a job that has not run."""
         answer = self.ledger.not_run(now, job.request_id, code)
         if answer is None:
-            self._end_job(now, job, Code.UNKNOWN_OUTCOME)
+            self._end_job(now, job, _MAY_HAVE_RUN.get(code, Code.UNKNOWN_OUTCOME))
             return
         if detail or retry_after_s:
             detail = detail or answer.detail
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -33,12 +33,10 @@
 from .resources import Resources
 from .results import Results
 from .state import ShardState
-from .takeover import Takeover
+from .takeover import Takeover, VmListRead
 
 __all__ = ["ShardScheduler", "Snapshot"]
 
-_TAKEOVER_INPUTS = frozenset({Tick, VmUpdate, VmGone, ClaimReply})
-
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
@@ -101,11 +99,12 @@
             Submit: self._on_submit,
             Tick: self._on_tick,
             VmGone: self._claims.gone,
+            VmListRead: lambda now, msg: None,
             VmUpdate: self._on_vm_update,
             WorkerUnreachable: self._on_unreachable,
         }
 
-    def handle(self, now: float, msg: Message) -> list[Message]:
+    def handle(self, now: float, msg: Message | VmListRead) -> list[Message]:
         """Take one message and return the messages that follow from it."""
         handler = self._handlers.get(type(msg))
         if handler is None:
@@ -113,8 +112,7 @@
         state = self._state
         state.out = []
         handler(now, msg)
-        if state.takeover is not None and type(msg) in _TAKEOVER_INPUTS:
-            self._advance_takeover(now, msg)
+        self._claims.advance(now, msg)
         self._results.send_stops(now)
         if self._capacity_changed:
             self._capacity_changed = False
@@ -124,12 +122,13 @@
         self._backlog.run(now)
         return state.out
 
-    def take_over(self, takeover: Takeover) -> None:
-        """Follow a take-over, which says when exclusive work may be served.
+    def take_over(self, now: float, takeover: Takeover) -> None:
+        """Follow a take-over, which claims workers and says what may be served.
 
-        Without it, exclusive work waits until every VM of the shard was claimed.
+        Call it before the first `Authority` of its epoch. Without it, exclusive work
+        waits until every VM of the shard was claimed.
         """
-        self._state.takeover = takeover
+        self._claims.take_over(now, takeover)
 
     def explain(self, request_id: str) -> str:
         """Return one sentence that says where a request stands."""
@@ -166,14 +165,6 @@
     def _requeue(self, now: float, job: Job) -> None:
         self._backlog.requeue(now, job)
 
-    def _advance_takeover(self, now: float, msg: Message) -> None:
-        takeover = t.cast(Takeover, self._state.takeover)
-        # `Claims` sends the claims and repeats them also for workers lost later, and
-        # the caller of `handle` sees a refused epoch itself.
-        takeover.handle(now, msg)
-        if takeover.serves_exclusive():
-            self._state.room_freed = True
-
     def _on_configure(self, now: float, msg: Configure) -> None:
         if msg.config.number >= self._state.config.number:
             self._state.config = msg.config
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -95,7 +95,11 @@
         the present epoch began.
         """
         taken_wall = wall - (now - self.owned_since)
-        return not self.unseen or work.issued_at > taken_wall + SKEW_S
+        if work.issued_at > taken_wall + SKEW_S:
+            return True
+        if self.takeover is not None:
+            return self.takeover.state == "complete"
+        return not self.unseen
 
     def may_run_unknown(self, issued_at: float) -> bool:
         """Tell whether a non-idempotent id that no worker reports has never run."""
