--- a/src/poplaryard/backlog.py
+++ b/src/poplaryard/backlog.py
@@ -143,7 +143,9 @@
         self._queues.expire(now)
         self._hand_back(now)
         for job in self._parking.overdue(now):
-            if not job.may_have_run:
+            if job.may_have_run:
+                self._parking.wait_for_ownership(now, job)
+            else:
                 self._results.refuse(now, job, Code.EXCLUSIVE_PAUSED, retry_after_s=1.0)
         for attempt_id in self._queues.to_yield(now):
             self.preemptor.checkpoint(now, attempt_id)
@@ -253,11 +255,11 @@
             job.reason = self.reasons.key_taken()
             self._parking.wait_for_key(job)
             return True
-        if work.idempotent or job.may_have_run:
-            return False
-        if not self._state.may_run_unknown(work.issued_at):
-            self._results.give_up(now, job, Code.UNKNOWN_OUTCOME)
-            return True
+        if not work.idempotent and not job.fresh:
+            job.fresh = self._state.may_run_unknown(work.issued_at)
+            if not job.fresh:
+                self._results.give_up(now, job, Code.UNKNOWN_OUTCOME)
+                return True
         return False
 
     def _must_wait(self, job: Job) -> bool:
--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -101,6 +101,8 @@
         known = msg.vm.name in self._state.fleet.vms
         vm = self._state.fleet.update(msg.vm)
         self._health.add(vm)
+        # First, as the take-over may hold back the claim of a new VM.
+        self.advance(now, msg)
         back = vm.name in self._gone
         self._gone.discard(vm.name)
         vm.listed_leaving = msg.leaving
@@ -155,17 +157,16 @@
             self.lose_authority()
         if msg.epoch != epoch:
             return
-        if _outdated(now, vm, msg):
-            for report in msg.attempts:
-                if report.state is not AttemptState.RUNNING:
-                    self._report(now, vm, report)
-            return
-        vm.clock_ms, vm.clock_at = msg.clock_ms, now
-        if vm.says_leaving != msg.leaving:
+        outdated = _outdated(now, vm, msg)
+        if not outdated:
+            vm.clock_ms, vm.clock_at = msg.clock_ms, now
+        if msg.leaving or (vm.says_leaving and not outdated):
             vm.says_leaving = msg.leaving
             self._note_leaving(now, vm)
         for report in msg.attempts:
-            self._report(now, vm, report)
+            # That an attempt has ended stays true; that it runs may not.
+            if report.state is not AttemptState.RUNNING or not outdated:
+                self._report(now, vm, report)
 
     def start_reply(self, now: float, msg: StartReply) -> None:
         """Take a worker's answer to one start."""
--- a/src/poplaryard/jobs.py
+++ b/src/poplaryard/jobs.py
@@ -85,6 +85,8 @@
         Starts that a worker refused.
     ran : bool
         Whether any attempt has run or was lost with its worker.
+    fresh : bool
+        Whether it is certain that no earlier owner has run any of its tasks.
     retry_at : float
         Time before which no task is started again.
     held : dict of int to str
@@ -103,6 +105,7 @@
     failures: int = 0
     refusals: int = 0
     ran: bool = False
+    fresh: bool = False
     cancelled: bool = False
     retry_at: float = 0.0
     held: dict[int, str] = field(default_factory=dict)
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -111,8 +111,10 @@
             return []
         state = self._state
         state.out = []
+        # `Claims.update` does so for a `VmUpdate`, once the VM is known.
+        if type(msg) is not VmUpdate:
+            self._claims.advance(now, msg)
         handler(now, msg)
-        self._claims.advance(now, msg)
         self._results.send_stops(now)
         if self._capacity_changed:
             self._capacity_changed = False
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,15 +1,24 @@
+import random
+
 from poplaryard.codes import Code
 from poplaryard.messages import (
+    Answer,
     AttemptState,
     Authority,
     Cancel,
     ClaimReply,
+    Configure,
+    StartAttempt,
     Submit,
+    Tick,
+    VmUpdate,
     WorkerUnreachable,
     WorkKind,
 )
 from poplaryard.resources import Resources
-from tests.builders import work
+from poplaryard.scheduler import ShardScheduler
+from poplaryard.takeover import Takeover
+from tests.builders import configuration, work
 from tests.shard import BIG, Shard, batch, plain
 
 
@@ -187,6 +196,40 @@
     assert shard.codes() == [Code.TIMED_OUT]
 
 
+def test_take_over_can_hold_back_the_claim_of_a_new_vm():
+    """Guards against a claim that a successor with an older VM list misses."""
+    config = configuration(vms=2)
+    first, second = config.vms("dc1")
+    scheduler = ShardScheduler("dc1/0", "p1", random.Random(1))
+    takeover = Takeover("dc1/0", 2, 0.0, 0.0, [first.name], known=True)
+    scheduler.take_over(0.0, takeover)
+    scheduler.handle(0.0, VmUpdate(first))
+    scheduler.handle(0.0, Authority("dc1/0", 2, 100.0))
+    takeover.claims_new = False
+    assert scheduler.handle(0.1, VmUpdate(second)) == []
+    takeover.claims_new = True
+    claimed = {c.vm for c in scheduler.handle(2.0, Tick())}
+    assert claimed == {first.name, second.name}
+
+
+def test_tasks_that_an_old_owner_may_have_run_are_not_started():
+    """Guards against a second run once the old owner's leases have ended (P5)."""
+    config = plain(vms=2)
+    first, second = config.vms("dc1")
+    scheduler = ShardScheduler("dc1/0", "p1", random.Random(1))
+    names = [first.name, second.name]
+    scheduler.take_over(100.0, Takeover("dc1/0", 2, 100.0, 100.0, names, known=True))
+    for msg in (Configure(config), VmUpdate(first), VmUpdate(second)):
+        scheduler.handle(100.0, msg)
+    scheduler.handle(100.0, Authority("dc1/0", 2, 900.0))
+    old = work("b1", kind=WorkKind.BATCH, idempotent=False, issued_at=99.0)
+    scheduler.handle(100.1, Submit(old, wall=100.1))
+    scheduler.handle(100.2, ClaimReply(first.name, 2, True))
+    out = scheduler.handle(120.0, Tick())
+    assert [m.code for m in out if isinstance(m, Answer)] == [Code.UNKNOWN_OUTCOME]
+    assert not [m for m in out if isinstance(m, StartAttempt)]
+
+
 def test_waiting_work_is_handed_back_when_the_authority_lapses():
     shard = Shard(plain(), until=10.0)
     shard.send(batch("b1"))
