Test real processes under kills, pauses, replacements and an outage

Cause: hand-over and take-over were only tried by hand. Change: tests start processes on free ports and compare answers with the workers' records; callers reconnect to another entry process with their request ids.

--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,296 @@
+"""Real processes on free ports, and callers that reconnect with their request ids."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+
+from poplaryard.client import HttpClient
+from poplaryard.clock import SystemClock
+from poplaryard.codes import Code
+from poplaryard.exceptions import PoplaryardError
+
+CALLER_KEY = "caller-key-1"
+OPERATOR_KEY = "operator-key-1"
+WORKERS = 4
+# Bounds on waits; a test fails when one is reached, it never passes because of one.
+READY_S = 30.0
+ANSWER_S = 60.0
+
+_clock = SystemClock()
+_SOURCE = pathlib.Path(__file__).parent.parent / "src"
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago, none of them twice."""
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Processes:
+    """A platform, four workers and entry processes of one data centre."""
+
+    def __init__(self, entries=3, shards=3):
+        self.directory = tempfile.TemporaryDirectory()
+        ports = free_ports(1 + entries + 1)
+        self.platform = f"127.0.0.1:{ports[0]}"
+        self.addresses = [f"127.0.0.1:{port}" for port in ports[1:-1]]
+        self.shards = shards
+        self.workers = {}
+        self.running = {}
+        self.client = HttpClient(256, CALLER_KEY)
+        self.operator = HttpClient(4, OPERATOR_KEY)
+        self._others = []
+
+    async def __aenter__(self):
+        port = self.platform.rpartition(":")[2]
+        self._others.append(self._spawn("standin", "platform", "--port", port))
+        worker = self._spawn("standin", "worker", "--count", str(WORKERS), pipe=True)
+        self._others.append(worker)
+        for _ in range(WORKERS):
+            name, address = worker.stdout.readline().split()
+            self.workers[name] = address
+        for index in range(len(self.addresses)):
+            self.start(index)
+        await self.until_listening(0)
+        await self.file(self.first_ticket())
+        await self.until_owned()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        for process in [*self.running.values(), *self._others]:
+            process.kill()
+            process.wait()
+        await self.client.close()
+        await self.operator.close()
+        self.directory.cleanup()
+
+    def start(self, index):
+        """Start an entry process at its address."""
+        path = pathlib.Path(self.directory.name) / f"entry-{index}.json"
+        path.write_text(json.dumps(self._settings(index)))
+        self.running[index] = self._spawn("serve", "--config", str(path))
+
+    def signal(self, index, number):
+        """Send a signal to an entry process."""
+        os.kill(self.running[index].pid, number)
+
+    def kill(self, index):
+        """End an entry process without notice."""
+        process = self.running.pop(index)
+        process.kill()
+        process.wait()
+
+    async def replace(self, indexes):
+        """Stop entry processes gracefully, start new ones and wait for them."""
+        for index in indexes:
+            self.signal(index, signal.SIGTERM)
+        codes = []
+        for index in indexes:
+            process = self.running.pop(index)
+            codes.append(await asyncio.to_thread(process.wait, READY_S))
+        for index in indexes:
+            self.start(index)
+        await self.until_owned()
+        return codes
+
+    async def file(self, ticket, index=0):
+        """File a ticket at an entry process."""
+        url = f"http://{self.addresses[index]}/v1/tickets"
+        reply = await self.operator.post(url, ticket, 10.0)
+        assert reply.status == 200, reply
+        return reply.body
+
+    def first_ticket(self):
+        vms = [
+            {"name": name, "data_centre": "dc1", "rack": "r1", "address": address}
+            for name, address in self.workers.items()
+        ]
+        group = {"kind": "vm_group", "name": "booking", "vms": vms}
+        service = {"kind": "service", "name": "booking", "team": "booking"}
+        policy = {"kind": "policy", "shards_per_data_centre": self.shards}
+        objects = [
+            {**group, "cpu": "16 cores", "memory": "32 GB"},
+            {**service, "replicas": 8, "cpu": "8 cores", "memory": "8 GB"},
+            policy,
+        ]
+        return {"format": 1, "uid": "first", "author": "ops", "objects": objects}
+
+    async def until_listening(self, index):
+        """Wait until an entry process answers."""
+        url = f"http://{self.addresses[index]}/healthz"
+        await self._until(lambda: self._get(url))
+
+    async def until_owned(self):
+        """Wait until all entry processes are ready and all shards have owners."""
+        await self._until(self._owned)
+
+    async def shards_of(self, index):
+        """Return the shards of an entry process; None if it is not ready."""
+        found = await self._get(f"http://{self.addresses[index]}/readyz")
+        return found["shards"] if found and found["ready"] else None
+
+    async def owner(self):
+        """Return the index of an entry process that owns a shard."""
+        for index in self.running:
+            if await self.shards_of(index):
+                return index
+        raise AssertionError("no entry process owns a shard")
+
+    async def fault(self, address, **fault):
+        """Set faults of a stand-in."""
+        await self.client.post(f"http://{address}/standin/fault", fault, 5.0)
+
+    async def records(self):
+        """Return what ran on the workers, and the number of refused overfillings."""
+        address = next(iter(self.workers.values()))
+        found = await self.client.get(f"http://{address}/standin/record", 10.0)
+        return found.body["records"], found.body["overcommits"]
+
+    async def _owned(self):
+        found = [await self.shards_of(index) for index in self.running]
+        if None in found:
+            return False
+        return sum(map(len, found)) == self.shards
+
+    async def _get(self, url):
+        try:
+            return (await self.client.get(url, 1.0)).body
+        except PoplaryardError:
+            return None
+
+    async def _until(self, condition):
+        until = _clock.now() + READY_S
+        while not await condition():
+            assert _clock.now() < until, "the processes did not become ready"
+            await asyncio.sleep(0.05)
+
+    def _settings(self, index):
+        others = [item for item in self.addresses if item != self.addresses[index]]
+        return {
+            "process": f"entry-{index}",
+            "cell": "booking",
+            "data_centre": "dc1",
+            "listen": self.addresses[index],
+            "platform": self.platform,
+            "peers": {"dc1": others},
+            "keys": {
+                "callers": {"app": CALLER_KEY},
+                "operators": {"ops": OPERATOR_KEY},
+                "peer": "peer-key-1",
+            },
+        }
+
+    def _spawn(self, *args, pipe=False):
+        log = open(pathlib.Path(self.directory.name) / "log", "ab")  # noqa: SIM115
+        environment = {**os.environ, "PYTHONPATH": str(_SOURCE)}
+        process = subprocess.Popen(
+            [sys.executable, "-m", "poplaryard", *args],
+            env=environment,
+            stdout=subprocess.PIPE if pipe else log,
+            stderr=log,
+            text=True,
+        )
+        log.close()
+        return process
+
+
+class Callers:
+    """Callers that ask until they have an answer that says what happened."""
+
+    def __init__(self, processes):
+        self.processes = processes
+        self.answers = {}
+        self._tasks = []
+
+    def ask(self, number):
+        """Start one caller; every third request must run at most once."""
+        body = {
+            "id": f"r{number}",
+            "target": "booking",
+            "payload": {"run_ms": 20, "echo": number},
+            "timeout_s": ANSWER_S,
+        }
+        if number % 3 == 0:
+            key = f"pass-{number % 7}"
+            issued_at = _clock.wall()
+            body |= {"idempotent": False, "issued_at": issued_at, "exclusive_key": key}
+        self._tasks.append(asyncio.create_task(self._ask(number, body)))
+
+    async def run(self, first, count, gap_s=0.025):
+        """Start callers one after another."""
+        for number in range(first, first + count):
+            self.ask(number)
+            await asyncio.sleep(gap_s)
+
+    async def finish(self):
+        """Wait for all callers."""
+        await asyncio.gather(*self._tasks)
+
+    async def _ask(self, number, body):
+        addresses = self.processes.addresses
+        until = _clock.now() + ANSWER_S
+        turn = number
+        while _clock.now() < until:
+            url = f"http://{addresses[turn % len(addresses)]}/v1/requests"
+            turn += 1
+            try:
+                # Short, so that a caller leaves an entry process that is paused.
+                reply = await self.processes.client.post(url, body, 10.0)
+            except PoplaryardError:
+                await asyncio.sleep(0.1)
+                continue
+            self.answers[number] = reply.body
+            if reply.body["outcome"] != "not_run":
+                return
+            await asyncio.sleep(0.1)
+
+
+def broken_promises(answers, records, overcommits, expected):
+    """Return what the answers and the workers' records show to be broken."""
+    found = []
+    if overcommits:
+        found.append(f"P1: {overcommits} starts would have overfilled a worker")
+    spans = {}
+    runs = {}
+    for item in records:
+        runs[item["request_id"]] = runs.get(item["request_id"], 0) + 1
+        if item["exclusive_key"]:
+            end = item["ended"] or float("inf")
+            spans.setdefault(item["exclusive_key"], []).append((item["started"], end))
+    for key, times in spans.items():
+        times.sort()
+        overlaps = zip(times, times[1:], strict=False)
+        if any(one[1] > other[0] for one, other in overlaps):
+            found.append(f"P2: {key} ran in two places at once")
+    for number in range(expected):
+        found += _broken(number, answers.get(number), runs.get(f"r{number}", 0))
+    return found
+
+
+def _broken(number, answer, runs):
+    once = number % 3 == 0
+    if answer is None:
+        return [f"P3: {number} has no answer"]
+    if answer["code"] == Code.OK:
+        whole = [part["echo"] for part in answer["parts"]] == [number]
+        found = [] if whole else [f"P3: {number} has another's answer: {answer}"]
+    elif answer["outcome"] == "not_run":
+        found = [f"P4: {number} ran but is said not to have"] if runs else []
+        found.append(f"{number} was never served: {answer}")
+    else:
+        # Only work that may not run twice may end with an unknown outcome.
+        found = [] if once else [f"{number} could have run again: {answer}"]
+    if once and runs > 1:
+        found.append(f"P5: {number} ran {runs} times")
+    return found
