--- a/src/poplaryard/entry.py
+++ b/src/poplaryard/entry.py
@@ -184,7 +184,7 @@
         pending = self._open.get(answer.request_id)
         if pending is None:
             return
-        pending.unresolved.pop(source, None)
+        self._resolve(pending, source, answer.code)
         if answer.outcome is not Outcome.NOT_RUN:
             self._settle(pending, answer)
         elif answer.code in _REROUTED:
@@ -203,8 +203,7 @@
         if code is not Code.PEER_UNREACHABLE:
             pending.sent_at = 0.0
             return
-        pending.unresolved[process] -= 1
-        pending.unresolved += Counter()  # drops the counts that are zero
+        self._resolve(pending, process, code)
         if process == pending.owner:
             self._retry_later(pending, code)
 
@@ -233,7 +232,8 @@
         pending.last, pending.owner = code, ""
         if code in _REROUTED and now + RETRY_WAIT_S < pending.work.deadline:
             pending.retry_at = now + RETRY_WAIT_S
-            asyncio.get_running_loop().call_at(pending.retry_at, self._retry, pending)
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETRY_WAIT_S, self._retry, pending)
         else:
             self._finish(pending, code)
 
@@ -241,11 +241,25 @@
         if pending.fut.done() or not pending.retry_at:
             return
         now = _clock.now()
-        if self._budget.take(now):
+        if now >= pending.work.deadline:
+            self._finish(pending, pending.last)
+        elif self._budget.take(now):
             self._send(pending, now)
         else:
             self._retry_later(pending, pending.last)
 
+    def _resolve(self, pending: _Pending, process: str, code: Code) -> None:
+        """Note that a process has said what became of a request.
+
+        A refusal of one message says nothing about the same request sent before, which
+        the process may have taken while it still owned the shard.
+        """
+        if code in _REROUTED:
+            pending.unresolved[process] -= 1
+            pending.unresolved += Counter()  # drops the counts that are zero
+        else:
+            pending.unresolved.pop(process, None)
+
     def _finish(self, pending: _Pending, code: Code) -> None:
         """Answer a request here; never "not run" if an owner may have taken it."""
         if pending.unresolved and code.outcome is Outcome.NOT_RUN:
--- /dev/null
+++ b/tests/test_standin_worker.py
@@ -0,0 +1,155 @@
+import asyncio
+
+import testtools
+
+from poplaryard.codes import Code
+from poplaryard.messages import (
+    AttemptState,
+    StartAttempt,
+    StopAttempt,
+    StopMode,
+    Work,
+    WorkKind,
+)
+from poplaryard.resources import Resources
+from poplaryard.standin_worker import CONNECTIONS, SLOTS, Faults, WorkerVm
+
+FULL = Resources(16_000, 32_768, 0)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+def start(attempt="a1", epoch=1, valid_until_ms=200_000, executor="", **work):
+    kind = WorkKind.REQUEST if executor else WorkKind.SERVICE
+    work = Work(f"r-{attempt}", **{"kind": kind, **work})
+    return StartAttempt("vm", attempt, epoch, valid_until_ms, work, 0, executor)
+
+
+class WorkerVmTest(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = Clock()
+        self.vm = WorkerVm("vm", FULL, self.clock)
+
+    def code(self, *args, **fields):
+        return self.vm.start(start(*args, **fields)).code
+
+    def test_lower_epochs_are_refused(self):
+        """Guards against a stand-in without G1, which leaves take-over untested."""
+        self.assertTrue(self.vm.claim(2).accepted)
+        self.assertEqual(Code.STALE_EPOCH, self.code(epoch=1))
+        self.assertFalse(self.vm.claim(1).accepted)
+        self.vm.set_faults(Faults(ignore_epochs=True))
+        self.assertEqual(Code.OK, self.code(epoch=1))
+
+    def test_late_and_repeated_starts_are_refused(self):
+        """Guards against a stand-in without G2 and G3."""
+        self.assertEqual(Code.START_EXPIRED, self.code(valid_until_ms=99_999))
+        self.assertEqual(Code.OK, self.code())
+        self.assertEqual(Code.ATTEMPT_REPEATED, self.code())
+
+    def test_an_overfilling_start_is_refused_and_counted(self):
+        """Guards against a broken P1 that no record shows."""
+        self.assertEqual(Code.OK, self.code(need=FULL))
+        self.assertEqual(Code.WORKER_FULL, self.code("a2", need=Resources(1)))
+        self.assertEqual(1, self.vm.overcommits)
+
+    def test_tasks_end_with_their_lease(self):
+        """Guards against a stand-in without G4."""
+        asyncio.run(self._lease())
+
+    async def _lease(self):
+        self.code()
+        self.clock.now += 3.0
+        await self.vm.poll(1, 0, 0.0)
+        self.clock.now += 3.0
+        self.vm.expire()
+        self.assertEqual(AttemptState.RUNNING, self.vm.claim(1).attempts[0].state)
+        self.clock.now += 1.5
+        self.vm.expire()
+        self.assertEqual("stopped", self.vm.records[0].state)
+
+    def test_claims_tell_running_and_ended_attempts(self):
+        """Guards against a stand-in without G5."""
+        self.code("a1")
+        self.code("a2")
+        self.vm.stop(StopAttempt("vm", "a1", 1, StopMode.CHECKPOINT))
+        states = {item.attempt_id: item.state for item in self.vm.claim(2).attempts}
+        self.assertEqual(
+            {"a1": AttemptState.CHECKPOINTED, "a2": AttemptState.RUNNING}, states
+        )
+        self.clock.now += 601.0
+        self.assertEqual(1, len(self.vm.claim(2).attempts))
+
+    def test_reports_are_kept_until_they_are_acknowledged(self):
+        """Guards against an answer lost with the reply to a poll."""
+        asyncio.run(self._reports())
+
+    async def _reports(self):
+        self.code()
+        self.vm.stop(StopAttempt("vm", "a1", 1))
+        for _ in range(2):
+            reply, number = await self.vm.poll(1, 0, 0.0)
+            self.assertEqual(1, len(reply.attempts))
+        self.assertEqual((), (await self.vm.poll(1, number, 0.0))[0].attempts)
+        self.vm.set_faults(Faults(duplicate_reports=True, leaving=True))
+        self.code("a2")
+        self.vm.stop(StopAttempt("vm", "a2", 1))
+        _, number = await self.vm.poll(1, number, 0.0)
+        reply, _ = await self.vm.poll(1, number, 0.0)
+        self.assertEqual((1, True), (len(reply.attempts), reply.leaving))
+
+    def test_a_claim_ends_the_poll_of_the_old_owner(self):
+        """Guards against an old owner that renews leases after a take-over."""
+        asyncio.run(self._claimed())
+
+    async def _claimed(self):
+        poll = asyncio.create_task(self.vm.poll(1, 0, 60.0))
+        await asyncio.sleep(0)
+        self.vm.claim(2)
+        reply, _ = await asyncio.wait_for(poll, 10.0)
+        self.assertEqual(2, reply.epoch)
+
+    def test_executors_have_slots_and_connections(self):
+        """Guards against an executor that takes any number of requests."""
+        asyncio.run(self._executor())
+
+    async def _executor(self):
+        self.assertEqual(Code.WORKER_FULL, self.code("r", executor="gone"))
+        self.code("e1")
+        payload = {"run_ms": 60_000}
+        codes = [
+            self.code(f"q{index}", executor="e1", payload=payload)
+            for index in range(CONNECTIONS + 1)
+        ]
+        self.assertEqual([Code.OK] * CONNECTIONS + [Code.WORKER_FULL], codes)
+        self.assertEqual(SLOTS, self.vm._running["e1"].busy)
+        self.vm.stop(StopAttempt("vm", "e1", 1, StopMode.DRAIN))
+        self.assertIn("e1", self.vm._running)
+        self.vm.stop(StopAttempt("vm", "q0", 1))
+        self.assertEqual(SLOTS, self.vm._running["e1"].busy)
+        self.vm.stop(StopAttempt("vm", "e1", 1))
+
+    def test_failing_and_paused_workers(self):
+        """Guards against faults that leave no trace in the answer."""
+        asyncio.run(self._faults())
+
+    async def _faults(self):
+        self.vm.set_faults(Faults(fail_all=True))
+        self.code("e1")
+        self.code("q1", executor="e1", payload={"echo": 1})
+        reply, _ = await self.vm.poll(1, 0, 10.0)
+        self.assertEqual(AttemptState.FAILED, reply.attempts[0].state)
+        self.vm.set_faults(Faults(paused=True))
+        self.code("q2", executor="e1")
+        await asyncio.sleep(0.01)
+        self.clock.now += 60.0
+        self.vm.set_faults(Faults())
+        await asyncio.sleep(0.01)
+        self.assertEqual("stopped", self.vm.records[-1].state)
