--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -220,6 +220,10 @@
 
     def _answer(self, answer: Answer) -> None:
         """Send an answer to every process that has a caller waiting for it."""
+        if answer.code is Code.DUPLICATE_MISMATCH:
+            # Meant for the caller of the other body alone; the first one still waits.
+            self._deliver(answer.reply_to, answer)
+            return
         self._answers[answer.request_id] = answer
         if len(self._answers) > ANSWERS_KEPT:
             self._answers.popitem(last=False)
--- /dev/null
+++ b/tests/test_shards.py
@@ -0,0 +1,132 @@
+import asyncio
+import random
+
+import testtools
+
+from poplaryard import shards
+from poplaryard.clock import SystemClock
+from poplaryard.codes import Code
+from poplaryard.messages import Authority, Submit
+from poplaryard.resources import Resources
+from poplaryard.shards import ShardTask
+from poplaryard.standin_worker import WorkerVm
+from poplaryard.takeover import EpochRefused
+
+from .builders import configuration, work
+
+
+class LocalWorkers:
+    """Worker interface on stand-ins, without sockets."""
+
+    def __init__(self, config):
+        self.vms = {vm.name: WorkerVm(vm.name, vm.capacity) for vm in config.vms("dc1")}
+
+    async def claim(self, address, vm, epoch):
+        return self.vms[vm].claim(epoch)
+
+    async def start(self, address, starts):
+        return [self.vms[item.vm].start(item) for item in starts]
+
+    async def stop(self, address, stops):
+        for item in stops:
+            self.vms[item.vm].stop(item)
+
+    async def poll(self, address, vm, epoch, seen, wait_s):
+        return await self.vms[vm].poll(epoch, seen, wait_s)
+
+
+class ShardTaskTest(testtools.TestCase):
+    def run_shard(self, scenario, epoch=1):
+        config = configuration(vms=2, replicas=2)
+        self.workers = LocalWorkers(config)
+        self.delivered, self.notices = [], []
+
+        async def run():
+            deliver = lambda target, msg: self.delivered.append((target, msg))  # noqa: E731
+            task = ShardTask(
+                "dc1/0",
+                "p#1",
+                self.workers,
+                deliver,
+                self.notices.append,
+                random.Random(1),
+            )
+            task.post(Authority("dc1/0", epoch, SystemClock().now() + 60.0))
+            task.configure(config, {vm.name: vm for vm in config.vms("dc1")})
+            task.start()
+            await asyncio.wait_for(scenario(task), 20)
+            await task.stop()
+
+        asyncio.run(run())
+
+    async def until(self, condition):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+    def submit(self, name, reply_to, **fields):
+        deadline = SystemClock().now() + 15.0
+        return Submit(work(name, deadline=deadline, **fields), reply_to)
+
+    def test_every_asking_process_gets_the_answer(self):
+        """Guards against an answer that goes only to the first or the last asker."""
+
+        async def scenario(task):
+            payload = {"echo": 7, "run_ms": 50}
+            task.submit(self.submit("r1", "p#1", payload=payload))
+            task.submit(self.submit("r1", "q#1", payload=payload), again=True)
+            await self.until(lambda: len(self.delivered) == 2)
+            self.assertEqual({"p#1", "q#1"}, {target for target, _ in self.delivered})
+            self.assertEqual([7, 7], [m.parts[0]["echo"] for _, m in self.delivered])
+            self.assertEqual(0, task.in_progress)
+            self.assertIn("answered", task.look_up("r1", "x#1"))
+            self.assertEqual("x#1", self.delivered[-1][0])
+            self.assertIsNone(task.look_up("r9", ""))
+
+        self.run_shard(scenario)
+
+    def test_another_body_under_the_same_id_is_refused_alone(self):
+        """Guards against one caller's mistake that answers another's request."""
+
+        async def scenario(task):
+            task.submit(self.submit("r1", "p#1", payload={"run_ms": 50}))
+            task.submit(self.submit("r1", "q#1", payload={"run_ms": 51}))
+            await self.until(lambda: "p#1" in dict(self.delivered))
+            codes = {target: msg.code for target, msg in reversed(self.delivered)}
+            expected = {"p#1": Code.OK, "q#1": Code.DUPLICATE_MISMATCH}
+            self.assertEqual(expected, codes)
+
+        self.run_shard(scenario)
+
+    def test_a_full_queue_refuses_only_new_work(self):
+        """Guards against "not run" for work that was taken before."""
+
+        async def scenario(task):
+            self.patch(shards, "QUEUE_LIMIT", 0)
+            task.submit(self.submit("r1", "p#1"), again=True)
+            self.assertEqual([], self.delivered)
+            task.submit(self.submit("r2", "p#1"))
+            self.assertEqual(Code.QUEUE_FULL, self.delivered[0][1].code)
+
+        self.run_shard(scenario)
+
+    def test_a_higher_epoch_at_a_worker_is_reported(self):
+        """Guards against an owner that does not learn that it was replaced."""
+
+        async def scenario(task):
+            for vm in self.workers.vms.values():
+                vm.claim(9)
+            await self.until(lambda: EpochRefused("dc1/0", 1) in self.notices)
+
+        self.run_shard(scenario)
+
+    def test_a_vm_that_leaves_gets_no_new_work(self):
+        """Guards against requests sent to a VM that the list says is leaving (P6)."""
+
+        async def scenario(task):
+            await self.until(lambda: task.scheduler.snapshot().replicas == 2)
+            task.vm_leaving("dc1-vm000", True)
+            task.vm_gone("dc1-vm001")
+            await self.until(lambda: task.scheduler.snapshot().usable == 0)
+
+        self.run_shard(scenario)
+        self.assertEqual(Resources(8000, 8192), self.workers.vms["dc1-vm000"].used())
