--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -174,7 +174,7 @@
         self.finder = Finder(
             self.process,
             self.peers,
-            self.dispatcher.owners_of,
+            self._may_know,
             self.dispatcher.look_up,
         )
         self.centres = Centres(
@@ -229,6 +229,11 @@
 
     # Messages between the parts
 
+    def _may_know(self, request_id: str) -> tuple[set[str], bool]:
+        """Return who may know a request, and whether these are all."""
+        owners, complete = self.dispatcher.owners_of(request_id)
+        return owners | set(self.ownership_task.live_members()), complete
+
     def _owner_of(self, shard: str) -> str | Code:
         if shard.rpartition("/")[0] != self.settings.data_centre:
             return self.centres.owner_of(shard)
--- a/src/poplaryard/context.py
+++ b/src/poplaryard/context.py
@@ -88,7 +88,7 @@
             return True
         known = await self._finder.explain(request_id) is not None
         if known:
-            self._dispatcher.cancel_everywhere(request_id)
+            self._dispatcher.cancel_at(self._finder.may_know(request_id), request_id)
         return known
 
     async def explain(self, request_id: str) -> str:
--- a/src/poplaryard/demo_cell.py
+++ b/src/poplaryard/demo_cell.py
@@ -5,6 +5,7 @@
 
 from .app import Application
 from .client import HttpClient, Reply
+from .messages import WorkKind
 from .resources import Resources
 from .settings import Keys, Limits, Settings
 from .standin_platform_http import PlatformHost
@@ -142,6 +143,11 @@
         """Return all worker stand-ins."""
         return [vm for host in self._hosts.values() for vm in host.vms.values()]
 
+    def requests_ran(self) -> int:
+        """Return how many requests and job tasks workers have started."""
+        records = (record for vm in self.workers() for record in vm.records)
+        return sum(record.kind != WorkKind.SERVICE for record in records)
+
     def fail(self, name: str) -> None:
         """Make a worker stop answering, as if its VM had failed."""
         self.worker(name).set_faults(Faults(paused=True))
--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/dispatch.py
@@ -124,8 +124,8 @@
             self.entry.on_answer(sender, msg)
         elif isinstance(msg, Submit):
             self._receive_submit(envelope, msg)
-        elif isinstance(msg, Cancel) and envelope.shard in self.shards:
-            self.shards[envelope.shard].post(msg)
+        elif isinstance(msg, Cancel):
+            self._receive_cancel(envelope.shard, msg)
 
     def undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
         """Take back a message that did not reach a peer, or perhaps not."""
@@ -136,20 +136,39 @@
         """Return what the shards here know of a request."""
         request_id, reply_to = question.request_id, question.reply_to
         found = [task.look_up(request_id, reply_to) for task in self.shards.values()]
+        found.append(self._look_up_entry(request_id, reply_to))
         return [LookupReply(request_id, text) for text in found if text is not None]
 
-    def owners_of(self, request_id: str) -> set[str]:
-        """Return the owners that may know a request: all here, and its home."""
+    def _look_up_entry(self, request_id: str, reply_to: str) -> str | None:
+        """Answer for a request that a caller has open here, if it has no owner yet."""
+        fut = self.entry.wait_for(request_id)
+        if fut is None or reply_to == self.process:
+            return None
+        if reply_to:
+            fut.add_done_callback(lambda done: self.deliver(reply_to, done.result()))
+        return "The request waits until its shard has an owner that answers."
+
+    def owners_of(self, request_id: str) -> tuple[set[str], bool]:
+        """Return the owners that may know a request, and whether these are all."""
         shards = {*self.local_shards(), self.map.home(request_id)} - {""}
-        found = map(self._owner_of, shards)
-        return {owner for owner in found if not isinstance(owner, Code)}
-
-    def cancel_everywhere(self, request_id: str) -> None:
-        """Send a cancellation to all owners that may know a request."""
-        for shard in self.local_shards():
-            owner = self._owner_of(shard)
-            if not isinstance(owner, Code):
-                self.cancel(owner, shard, Cancel(request_id))
+        found = [self._owner_of(shard) for shard in shards]
+        owners = {owner for owner in found if not isinstance(owner, Code)}
+        return owners, Code.NOT_OWNER not in found
+
+    def cancel_at(self, processes: t.Iterable[str], request_id: str) -> None:
+        """Send a cancellation to processes that may know a request."""
+        for process in processes:
+            self.cancel(process, "", Cancel(request_id))
+
+    def _receive_cancel(self, shard: str, msg: Cancel) -> None:
+        """Cancel a request in one shard, or wherever it is known here."""
+        if shard:
+            tasks = [self.shards[shard]] if shard in self.shards else []
+        else:
+            tasks = list(self.shards.values())
+            self.entry.cancel(msg.request_id)
+        for task in tasks:
+            task.post(msg)
 
     def _send(self, process: str, envelope: Envelope) -> None:
         if process == self.process:
--- /dev/null
+++ b/tests/test_centres.py
@@ -0,0 +1,72 @@
+import asyncio
+
+import testtools
+
+from poplaryard.centres import FRESH_S, RETRY_S, Centres, OwnersView
+from poplaryard.clock import VirtualClock
+from poplaryard.codes import Code
+from poplaryard.peers import CallResult
+
+
+class CentresTest(testtools.TestCase):
+    """Views of other data centres; the test is the peer table."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = VirtualClock(100.0)
+        self.asked, self.answers, self.learned = [], {}, {}
+        self.changes = []
+        listed = {"dc2": ["a:1", "a:2"]}
+        self.centres = Centres(listed, self, self.clock, lambda: self.changes.append(1))
+
+    def learn(self, process, address):
+        self.learned[process] = address
+
+    async def call(self, address, batch, timeout_s):
+        self.asked.append(address)
+        view = self.answers.get(address)
+        if view is None:
+            return CallResult.UNKNOWN
+        self.centres.receive(view)
+        return CallResult.DELIVERED
+
+    def owner(self):
+        """Ask for the owner of a shard, and again when the calls have ended."""
+
+        async def run():
+            self.centres.owner_of("dc2/0")
+            await asyncio.gather(*self.centres._tasks)
+            return self.centres.owner_of("dc2/0")
+
+        return asyncio.run(run())
+
+    def test_view_is_asked_for_when_needed_and_kept(self):
+        """Guards against calls for each request, and against calls at rest."""
+        self.answers["a:2"] = OwnersView("dc2", {"dc2/0": "q#1"}, {"q#1": "a:3"})
+        self.assertEqual("q#1", self.owner())
+        self.assertEqual(["a:1", "a:2"], self.asked)
+        self.assertEqual("a:3", self.learned["q#1"])
+        self.assertEqual("q#1", self.owner())
+        self.assertEqual((2, 1), (len(self.asked), len(self.changes)))
+        self.clock.advance(FRESH_S + 1.0)
+        del self.answers["a:2"]
+        self.answers["a:3"] = OwnersView("dc2", {"dc2/0": "q#2"}, {})
+        self.assertEqual("q#2", self.owner())
+
+    def test_a_cut_off_data_centre_is_told_at_once(self):
+        """Guards against callers who wait for a home that cannot be reached."""
+        self.assertIs(Code.HOME_UNREACHABLE, self.owner())
+        self.owner()
+        self.assertEqual(2, len(self.asked))
+        self.answers["a:1"] = OwnersView("dc2", {"dc2/0": "q#1"}, {})
+        self.clock.advance(RETRY_S + 0.1)
+        self.assertEqual("q#1", self.owner())
+
+    def test_a_silent_owner_is_asked_about_again(self):
+        """Guards against a view kept after its owner has died."""
+        self.answers["a:1"] = OwnersView("dc2", {"dc2/0": "q#1"}, {})
+        self.owner()
+        self.answers["a:1"] = OwnersView("dc2", {}, {})
+        self.centres.doubt("q#1")
+        self.clock.advance(RETRY_S + 0.1)
+        self.assertIs(Code.NOT_OWNER, self.owner())
