--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -51,6 +51,11 @@
 # Wait of a candidate for each candidate that ranks before it.
 RANK_WAIT_S = 0.2
 
+# Additional wait of a candidate that the old owner did not know. Its take-over has to wait
+# for every claim and knows no VM that left before it started, so that it answers more
+# requests "unknown outcome" than that of an older member.
+JOINER_WAIT_S = 1.0
+
 # Time between two acquisitions of one process: at most 2 shards per second.
 ACQUIRE_S = 0.5
 
@@ -425,6 +430,9 @@
         if successor == self.process:
             return 0.0
         waits = acquisition.rank(shard, self.process, live) * RANK_WAIT_S
+        owner = entry.owner if entry else ""
+        if owner and not self._was_known_to(owner, self.record):
+            waits += JOINER_WAIT_S
         return waits + (SUCCESSOR_S if successor in live else 0.0)
 
     def _may_take(self, now: float, shard: str) -> bool:
