--- a/src/poplaryard/lanes.py
+++ b/src/poplaryard/lanes.py
@@ -95,12 +95,16 @@
 
 
 def lane_of(entry: Pending, short_s: float) -> Lane:
-    """Return the lane of an entry by priority, length, place and need."""
+    """Return the lane of an entry by priority, length, place and need.
+
+    Work is long if its class is known to be, or if even the least run time that its
+    declaration allows is: a class of short work has stragglers.
+    """
     work = entry.work
-    expected_s = entry.expected_s or work.declared_s / _DECLARED_ERROR
+    learned_s = entry.expected_s if entry.expected_s != work.declared_s else 0.0
     return Lane(
         work.priority,
-        expected_s > short_s,
+        max(learned_s, work.declared_s / _DECLARED_ERROR) > short_s,
         place_of(work),
         unit_of(work),
         work.checkpointable,
--- a/src/poplaryard/quota.py
+++ b/src/poplaryard/quota.py
@@ -8,17 +8,23 @@
 
 __all__ = ["Quotas"]
 
+# Share of the capacity that borrowers leave free while a team below its share waits.
+# That team may wait for another reason than room, so borrowing must not stop at once.
+_LENT_LAST = 0.1
+
 
 class Quotas:
     """Capacity held by each team against its fair share.
 
-    A team may borrow beyond its fair share while no team below its own share waits.
+    A team may borrow beyond its fair share. While a team below its own share waits,
+    borrowers leave the last of the capacity to it.
     """
 
     def __init__(self) -> None:
         self._teams: dict[str, TeamSpec] = {}
         self._total = ZERO
         self._held: dict[str, Resources] = {}
+        self._used = ZERO
         self._waiting: dict[str, int] = {}
         self._active_weight = 0.0
         self._least: list[tuple[float, str]] = []
@@ -40,10 +46,12 @@
         """Account capacity given to a team."""
         self._activate(team)
         self._held[team] = self._held.get(team, ZERO) + need
+        self._used = self._used + need
 
     def release(self, team: str, need: Resources) -> None:
         """Account capacity that a team gave back."""
         self._held[team] = self._held[team] - need
+        self._used = self._used - need
         if self._held[team] == ZERO:
             del self._held[team]
             self._deactivate(team)
@@ -85,6 +93,8 @@
 
     def allowed(self, team: str, need: Resources) -> bool:
         """Tell whether a team may get `need` now."""
+        if need == ZERO:
+            return True
         after = self.held(team) + need
         spec = self._teams.get(team)
         limit = spec.limit if spec else None
@@ -92,6 +102,9 @@
             return False
         if after.dominant_share(self._total) <= self.fair_share(team):
             return True
+        used = (self._used + need).dominant_share(self._total)
+        if used <= 1.0 - _LENT_LAST:
+            return True
         least = self.least_waiting()
         return least is None or least == team or self.over_share(least) > 0.0
 
