Send changes to peers in a form that they can decode

Cause: a trial over 6 HTTP processes showed that only the watchers and the filing process got a ticket: the wire decodes a tuple by the type of its first item, so every peer refused the batch. Change: Delta.objects leaves its values as JSON; a process that knows of a newer number for 1 s and gets it from no peer reads the store itself.

--- a/src/poplaryard/head.py
+++ b/src/poplaryard/head.py
@@ -232,12 +232,13 @@
     Attributes
     ----------
     objects : mapping
-        Object key to its reference and value; a value of None removes the object.
+        Object key to its reference and value; a value of None removes the object. The
+        pair is a list once it was sent to a peer.
     """
 
     base: int
     number: int
-    objects: t.Mapping[str, tuple[str, dict[str, t.Any] | None]]
+    objects: t.Mapping[str, t.Any]
     horizon: int = 0
 
 
--- a/src/poplaryard/rollout.py
+++ b/src/poplaryard/rollout.py
@@ -46,6 +46,9 @@
 POLL_S = 1.0
 # A process that hears from no watcher for this long reads the store itself.
 LONELY_S = 2.0
+# A process that knows of a newer number for this long and gets it from no peer reads
+# the store itself.
+LAG_S = 1.0
 REPORT_S = 1.0
 ASK_AGAIN_S = 0.5
 _SHOWN_BEHIND = 8
@@ -84,6 +87,7 @@
         self._next_poll = 0.0
         self._next_report = 0.0
         self._heard_watcher = -LONELY_S
+        self._lag_since: float | None = None
         self._asked: dict[str, float] = {}
         self._pending: tuple[float, Head] | None = None
         self._turn = 0
@@ -181,6 +185,7 @@
 
     def _adopt(self, now: float, state: ConfigState) -> Configure:
         self.state = state
+        self._lag_since = None
         self.in_force_since = now
         self.ready = True
         if self._pending is not None and self._pending[1].number <= self.number:
@@ -233,7 +238,11 @@
             self.confirmed[peer] = number
         if peer in self.watchers:
             self._heard_watcher = now
-        return self._ask(now, peer) if number > self.number else []
+        if number <= self.number:
+            return []
+        if self._lag_since is None:
+            self._lag_since = now
+        return self._ask(now, peer)
 
     def _on_delta(self, now: float, msg: PeerDelta) -> list[RolloutOutput]:
         number = msg.delta.number
@@ -284,7 +293,9 @@
             out.append(LoadConfig(self._pending[1]))
             self._pending = None
         lonely = now - self._heard_watcher > LONELY_S
-        if now >= self._next_poll and (self._watching or lonely or not self.ready):
+        lagging = self._lag_since is not None and now - self._lag_since > LAG_S
+        reads = self._watching or lonely or lagging or not self.ready
+        if now >= self._next_poll and reads:
             self._next_poll = now + POLL_S
             out.append(LoadConfig())
             if not self.ready:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,3 +1,4 @@
+import json
 import random
 
 import testtools
@@ -11,10 +12,12 @@
     rule,
 )
 
+from poplaryard import config_io, wire
 from poplaryard.head import ConfigState, Delta, Head
 from poplaryard.messages import Configure, Tick
 from poplaryard.rollout import (
     AskState,
+    CentreReport,
     HeadSeen,
     LoadConfig,
     Loaded,
@@ -305,6 +308,17 @@
                     lonely.handle(world.now, Loaded(world.states[-1]))
         self.assertEqual(4, lonely.number)
 
+    def test_process_whose_peers_send_nothing_readable_reads_the_store(self):
+        """Guards against a change that never arrives while heartbeats do."""
+        world = self.world()
+        rollout = world.rollouts["dc1-p3"]
+        out = []
+        for _ in range(20):
+            world.now += 0.1
+            rollout.handle(world.now, PeerNumber("dc1-p0", 4))
+            out += rollout.handle(world.now, Tick())
+        self.assertIn(LoadConfig(), out)
+
     def test_data_centre_without_store_learns_from_another(self):
         """Guards against one data centre staying behind while it is cut off."""
         world = self.world()
@@ -350,6 +364,21 @@
         self.assertEqual([Send("dc1-p0", AskState("x", 0))], out)
         self.assertEqual(0, rollout.number)
 
+    def test_messages_to_peers_survive_their_encoding(self):
+        """Guards against a change that is sent but that no peer can read."""
+        world = self.world()
+        world.accept("a", 0)
+        delta = world.states[-1].delta(2)
+        report = CentreReport("p0", "dc1", 4, 3, ("p1",), passed_on=True)
+        for msg in (AskState("p0", 0), report, PeerDelta("p0", delta)):
+            self.assertIsInstance(msg, config_io.PEER_MESSAGES)
+            text = json.dumps(wire.encode(msg, 0.0))
+            found = wire.decode(json.loads(text), 0.0)
+            if isinstance(msg, PeerDelta):
+                self.assertEqual(world.states[-1], world.states[2].after(found.delta))
+            else:
+                self.assertEqual(msg, found)
+
     def test_unreadable_change_is_counted(self):
         """Guards against a newer peer's object kind ending the process."""
         rollout = self.world().rollouts["dc1-p3"]
