--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -51,9 +51,9 @@
 # Wait of a candidate for each candidate that ranks before it.
 RANK_WAIT_S = 0.2
 
-# Additional wait of a candidate that the old owner did not know. Its take-over has to wait
-# for every claim and knows no VM that left before it started, so that it answers more
-# requests "unknown outcome" than that of an older member.
+# Additional wait of a candidate that the old owner did not know. Its take-over has to
+# wait for every claim and knows no VM that left before it started, so that it answers
+# more requests "unknown outcome" than that of an older member.
 JOINER_WAIT_S = 1.0
 
 # Time between two acquisitions of one process: at most 2 shards per second.
