--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -120,8 +120,7 @@
             self._capacity_changed = False
             self._replicas.share_out()
             self._backlog.configure()
-        if state.room_freed or type(msg) is Tick:
-            self._replicas.reconcile(now)
+        self._replicas.reconcile(now, type(msg) is Tick)
         self._backlog.run(now)
         return state.out
 
@@ -222,6 +221,7 @@
         work, state = msg.work, self._state
         open_tasks = self._results.ledger.open_tasks(work.request_id)
         job = Job(work, msg.reply_to, now, deque(open_tasks))
+        job.ran = not state.all_known(now, msg.wall, work)
         state.add_job(job)
         self._results.take_running(job)
         if work.deadline <= now:
