--- a/src/poplaryard/attempts.py
+++ b/src/poplaryard/attempts.py
@@ -1,65 +1,83 @@
 """Attempts of one shard, and what a worker's claim reply says about them."""
 
 import typing as t
+from dataclasses import replace
 
+from .fencing import lease_wait_s
 from .fleet import Fleet, Vm
 from .jobs import Attempt
-from .messages import ClaimReply
-from .resources import Resources
+from .messages import ClaimReply, Work
+from .quota import Quotas
+from .resources import ZERO, Resources
 from .services import ReplicaPool
 
 __all__ = ["AttemptTable", "Fate", "fate", "lost_after"]
 
-# Task lease of 4 s and 10% for the difference in rate of two clocks.
-LEASE_WAIT_S = 4.4
-
 
 class Fate(t.NamedTuple):
     """Attempts that a claimed worker does not report."""
 
-    not_run: list[Attempt]
     lost: list[Attempt]
     in_doubt: list[Attempt]
 
 
-def fate(vm: Vm, attempts: t.Iterable[Attempt], reply: ClaimReply) -> Fate:
+def fate(now: float, vm: Vm, attempts: t.Iterable[Attempt], reply: ClaimReply) -> Fate:
     """Sort the attempts that a claim reply does not name by what became of them.
 
     A start that is still valid may arrive after the reply was written. A confirmation
     that is newer than the claim may be newer than the reply. Both stay in doubt until
-    the next claim.
+    the next claim. An attempt that is not in doubt does not run any more, but may have
+    run: a worker that was restarted has forgotten its attempts.
     """
     named = {report.attempt_id for report in reply.attempts}
-    found = Fate([], [], [])
+    found = Fate([], [])
     for attempt in attempts:
         if attempt.attempt_id in named:
             continue
         if attempt.confirmed:
-            old = attempt.confirmed_at < vm.claim_sent_at
-            (found.lost if old else found.in_doubt).append(attempt)
-        elif reply.clock_ms > attempt.valid_until_ms:
-            found.not_run.append(attempt)
+            over = attempt.confirmed_at < vm.claim_sent_at
         else:
-            found.in_doubt.append(attempt)
+            # The clock of a restarted worker may have begun anew.
+            over = reply.clock_ms > attempt.valid_until_ms
+            over = over or now > attempt.latest_start + lease_wait_s()
+        (found.lost if over else found.in_doubt).append(attempt)
     return found
 
 
 def lost_after(attempt: Attempt, lost_at: float) -> float:
     """Return the time at which an attempt on an unreachable worker has ended.
 
-    Its lease was renewed at `lost_at` at the latest, or began with a late start.
+    Its lease was renewed at `lost_at`, or began with a late start. A renewal that was
+    sent before `lost_at` and read by a paused worker just before the lease ended would
+    extend it once more; only an exclusive key must wait for that too, as idempotent
+    work may run twice and other work is not run again.
     """
     begun = lost_at if attempt.confirmed else max(lost_at, attempt.latest_start)
-    return begun + LEASE_WAIT_S
+    leases = 2 if attempt.work.exclusive_key else 1
+    return begun + leases * lease_wait_s()
 
 
 class AttemptTable:
-    """Attempts in progress with the charge and the executor slot that each holds."""
+    """Attempts in progress with the charge and the executor slot that each holds.
+
+    Attributes
+    ----------
+    keys : dict of str to int
+        Attempts in progress by exclusive key.
+    freed_keys : list of str
+        Exclusive keys that became free since they were last looked at.
+    preemptible : dict of str to int
+        Attempts that may be preempted by VM.
+    """
 
-    def __init__(self, fleet: Fleet, pools: dict[str, ReplicaPool]):
+    def __init__(self, fleet: Fleet, pools: dict[str, ReplicaPool], quotas: Quotas):
+        self._quotas = quotas
         self._fleet = fleet
         self._pools = pools
         self._attempts: dict[str, Attempt] = {}
+        self.keys: dict[str, int] = {}
+        self.freed_keys: list[str] = []
+        self.preemptible: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._attempts)
@@ -79,6 +97,13 @@
         """Charge an attempt to its VM, and to its executor if it has one."""
         self._attempts[attempt.attempt_id] = attempt
         self._fleet.charge(vm, attempt.attempt_id, amount)
+        attempt.charged = amount
+        if amount != ZERO:
+            self._quotas.charge(attempt.work.team, amount)
+        if attempt.work.exclusive_key:
+            _count(self.keys, attempt.work.exclusive_key, 1)
+        if attempt.preemptible:
+            _count(self.preemptible, vm.name, 1)
         pool = self._pools.get(attempt.work.target)
         if pool is None:
             return
@@ -87,6 +112,14 @@
         elif attempt.executor:
             pool.take(attempt.executor)
 
+    def describe(self, attempt: Attempt, work: Work) -> None:
+        """Take the whole request of an attempt that an earlier owner started."""
+        if attempt.preemptible:
+            _count(self.preemptible, attempt.vm, -1)
+        attempt.work = replace(work, exclusive_key=attempt.work.exclusive_key)
+        if attempt.preemptible:
+            _count(self.preemptible, attempt.vm, 1)
+
     def confirm(self, now: float, attempt: Attempt) -> bool:
         """Note that the worker started an attempt; return False if that was known."""
         if attempt.confirmed:
@@ -103,6 +136,14 @@
         if attempt is None:
             return None
         self._fleet.release(attempt.vm, attempt_id)
+        if attempt.charged != ZERO:
+            self._quotas.release(attempt.work.team, attempt.charged)
+        if attempt.work.exclusive_key:
+            _count(self.keys, attempt.work.exclusive_key, -1)
+            if attempt.work.exclusive_key not in self.keys:
+                self.freed_keys.append(attempt.work.exclusive_key)
+        if attempt.preemptible:
+            _count(self.preemptible, attempt.vm, -1)
         pool = self._pools.get(attempt.work.target)
         if pool is None:
             return attempt
@@ -111,3 +152,9 @@
         elif attempt.executor:
             pool.give_back(attempt.executor)
         return attempt
+
+
+def _count(counts: dict[str, int], key: str, step: int) -> None:
+    counts[key] = counts.get(key, 0) + step
+    if not counts[key]:
+        del counts[key]
--- a/src/poplaryard/bench.py
+++ b/src/poplaryard/bench.py
@@ -9,6 +9,9 @@
 # Benchmark name to "module:attribute".
 _BENCHMARKS: dict[str, str] = {
     "placement": "bench_placement:placement",
+    "policy": "bench_policy:policy",
+    "scale": "bench_scale:scale",
+    "tickets": "bench_tickets:tickets_bench",
 }
 
 
