--- a/src/poplaryard/bench.py
+++ b/src/poplaryard/bench.py
@@ -10,6 +10,8 @@
 _BENCHMARKS: dict[str, str] = {
     "placement": "bench_placement:placement",
     "policy": "bench_policy:policy",
+    "scale": "bench_scale:scale",
+    "tickets": "bench_tickets:tickets_bench",
 }
 
 
