Follow take-overs in the entry process

Ruled out: the fuzzer did not see it because its own node built the Takeover itself. Before: the new test timed out. After: the old id is answered unknown, a fresh one runs. Conclusion: the real path and the fuzzer's node now follow the same object.

--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -20,6 +20,7 @@
 from .config_io import PEER_MESSAGES, ConfigTask
 from .context import CallerContext
 from .dispatch import Dispatcher
+from .exceptions import PoplaryardError
 from .logs import logger
 from .lookup import Finder, Lookup, LookupReply
 from .messages import AuditEvent, Authority, Configure
@@ -39,8 +40,9 @@
 from .rollout import Members, Rollout
 from .server import HttpServer
 from .settings import Settings
+from .shards import ShardTask
 from .store_http import HttpStore
-from .takeover import EpochRefused
+from .takeover import EpochRefused, VmListRead
 from .upkeep import UpkeepTask
 from .vmlist import VmListTask
 from .web import new_starlette
@@ -56,6 +58,7 @@
 NOT_READY_S = 1.0
 # Time given to the hand-over; a store that is down must not hold up a planned stop.
 LEAVE_S = 5.0
+LIST_RETRY_S = 1.0
 
 Hook: t.TypeAlias = t.Callable[[], t.Awaitable[None]]
 
@@ -170,6 +173,7 @@
             self.peers.send,
             self._shard_notice,
             limits.requests_in_flight,
+            lambda: self.ownership_task.ownership.state == "held",
         )
         self.finder = Finder(
             self.process,
@@ -210,7 +214,6 @@
         self.vm_list = VmListTask(
             self.store,
             data_centre,
-            lambda: bool(self.dispatcher.shards),
             self.dispatcher.vm_leaving,
             self.dispatcher.vm_gone,
         )
@@ -302,14 +305,29 @@
 
     def _take(self, taken: ShardTaken) -> None:
         logger.info("shard taken", extra={"shard": taken.shard, "epoch": taken.epoch})
-        task = self.dispatcher.take(taken.shard)
-        task.post(t.cast(t.Any, taken))
+        task = self.dispatcher.take(taken)
+        self._spawn(self._read_list_for(task))
         notice = OwnerNotice(taken.shard, self.process, taken.epoch)
         self._owner_notice(notice)
         for name in self.ownership_task.live_members():
             if name != self.process:
                 self.peers.send(name, Envelope(notice))
 
+    async def _read_list_for(self, task: ShardTask) -> None:
+        """Read configuration and VM list after a take-over, which then is complete.
+
+        The old owner may have used a VM that this process did not know of yet.
+        """
+        while self.dispatcher.shards.get(task.shard) is task:
+            try:
+                await self.config_task.refresh()
+                await self.vm_list.read()
+            except PoplaryardError:
+                await asyncio.sleep(LIST_RETRY_S * random.uniform(1.0, 2.0))
+            else:
+                task.post(VmListRead())
+                return
+
     def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
         task = asyncio.create_task(call)
         self._releases.add(task)
--- a/src/poplaryard/config_io.py
+++ b/src/poplaryard/config_io.py
@@ -118,6 +118,10 @@
         if not self._loading or command.head is not None:
             self._spawn(self._load_config(command))
 
+    async def refresh(self) -> None:
+        """Read the head from the store now; raises `PoplaryardError` if it cannot."""
+        self.handle(Loaded(await self._loader.refresh(None)))
+
     async def _load_config(self, command: LoadConfig) -> None:
         self._loading = True
         try:
--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/dispatch.py
@@ -3,11 +3,13 @@
 import random
 import typing as t
 
+from .clock import SystemClock
 from .codes import Code
 from .configuration import Configuration
 from .entry import Entry
 from .lookup import Lookup, LookupReply
 from .messages import Answer, Authority, Cancel, Message, Submit, Work
+from .ownership_messages import ShardTaken
 from .peers import Envelope
 from .shard_map import ShardMap
 from .shards import ShardTask
@@ -15,6 +17,8 @@
 
 __all__ = ["Dispatcher"]
 
+_clock = SystemClock()
+
 OwnerOf: t.TypeAlias = t.Callable[[str], str | Code]
 Send: t.TypeAlias = t.Callable[[str, Envelope], None]
 
@@ -31,6 +35,8 @@
         Takes the process id of a peer and an envelope for it.
     notice : callable
         Takes what the shards report besides answers: audit events, refused epochs.
+    holds_lease : callable
+        Tells whether this process holds its store lease.
     """
 
     def __init__(
@@ -42,6 +48,7 @@
         send: Send,
         notice: t.Callable[[t.Any], None],
         requests_limit: int,
+        holds_lease: t.Callable[[], bool] = lambda: True,
     ):
         self.process = process
         self.map = ShardMap(data_centre)
@@ -51,11 +58,19 @@
         self._owner_of = owner_of
         self._send_peer = send
         self._notice = notice
+        self._holds_lease = holds_lease
         self._rng = random.Random()
+        # Last wall-clock time at which a VM left each shard, as far as is known.
+        self._departed: dict[str, float] = {}
+        self._started = _clock.wall()
 
     def configure(self, config: Configuration) -> None:
         """Apply a newer configuration."""
+        before = {shard: set(self.map.vms_of(shard)) for shard in self.map.local()}
         self.map.configure(config)
+        for shard, vms in before.items():
+            if vms - set(self.map.vms_of(shard)):
+                self._departed[shard] = _clock.wall()
         for task in self.shards.values():
             self._configure_shard(task)
 
@@ -63,12 +78,21 @@
         """Return the names of the shards of this data centre."""
         return self.map.local()
 
-    def take(self, shard: str) -> ShardTask:
+    def take(self, taken: ShardTaken) -> ShardTask:
         """Start to serve a shard; it places nothing until it is given authority."""
+        shard = taken.shard
         task = ShardTask(
-            shard, self.process, self._workers, self.deliver, self._notice, self._rng
+            shard,
+            self.process,
+            self._workers,
+            self.deliver,
+            self._notice,
+            self._rng,
+            self._holds_lease,
         )
         self.shards[shard] = task
+        vms = self.map.vms_of(shard)
+        task.take_over(taken, vms, self._departed.get(shard, self._started))
         self._configure_shard(task)
         task.start()
         return task
@@ -96,6 +120,9 @@
 
     def vm_gone(self, name: str) -> None:
         """Pass on that a VM is no longer listed."""
+        for shard in self.map.local():
+            if name in self.map.vms_of(shard):
+                self._departed[shard] = _clock.wall()
         for task in self.shards.values():
             task.vm_gone(name)
 
--- a/src/poplaryard/shard_map.py
+++ b/src/poplaryard/shard_map.py
@@ -22,6 +22,7 @@
         self._cell: list[str] = []
         self._shard_of: dict[str, str] = {}
         self._able: dict[tuple[str, Resources], list[str]] = {}
+        self._vms: dict[str, dict[str, VmSpec]] = {}
 
     def configure(self, config: Configuration) -> None:
         """Take a newer configuration."""
@@ -29,6 +30,7 @@
             self._shard_of.clear()
         self.config = config
         self._able.clear()
+        self._vms.clear()
         count = config.policy.shards_per_data_centre
         centres = sorted({*config.data_centres(), self.data_centre})
         self._names = {dc: tuple(routing.shard_names(dc, count)) for dc in centres}
@@ -57,8 +59,10 @@
 
     def vms_of(self, shard: str) -> dict[str, VmSpec]:
         """Return the VMs of a shard of this data centre by name."""
-        found = self.config.vms(self.data_centre)
-        return {vm.name: vm for vm in found if self._shard(vm) == shard}
+        if not self._vms:
+            for vm in self.config.vms(self.data_centre):
+                self._vms.setdefault(self._shard(vm), {})[vm.name] = vm
+        return self._vms.get(shard, {})
 
     def _shard(self, vm: VmSpec) -> str:
         shard = self._shard_of.get(vm.name)
--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -26,8 +26,9 @@
     VmGone,
     VmUpdate,
 )
+from .ownership_messages import ShardTaken
 from .scheduler import ShardScheduler
-from .takeover import EpochRefused
+from .takeover import EpochRefused, Takeover, VmListRead
 from .workers import Workers
 
 __all__ = ["ShardTask"]
@@ -56,6 +57,8 @@
         Takes a process id and the answer that goes to it.
     notice : callable
         Takes audit events, and `EpochRefused` when a worker knows a higher epoch.
+    holds_lease : callable
+        Tells whether this process holds its store lease, and so may claim new VMs.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         deliver: Deliver,
         notice: t.Callable[[t.Any], None],
         rng: random.Random,
+        holds_lease: t.Callable[[], bool] = lambda: True,
     ):
         self.shard = shard
         self.scheduler = ShardScheduler(shard, process, rng)
@@ -73,7 +77,7 @@
         self._workers = workers
         self._deliver = deliver
         self._notice = notice
-        self._inbox: deque[Message] = deque()
+        self._inbox: deque[Message | VmListRead] = deque()
         self._wake = asyncio.Event()
         self._authority = AuthorityCell(shard)
         self._links: dict[str, WorkerLink] = {}
@@ -82,6 +86,8 @@
         self._answers: OrderedDict[str, Answer] = OrderedDict()
         self._tasks: list[asyncio.Task[None]] = []
         self._busy_until = 0.0
+        self._holds_lease = holds_lease
+        self._takeover: Takeover | None = None
 
     @property
     def authority(self) -> Authority:
@@ -93,6 +99,33 @@
         """Number of requests that have not been answered."""
         return len(self._waiting)
 
+    def take_over(
+        self, taken: ShardTaken, vms: t.Iterable[str], listed_since: float
+    ) -> None:
+        """Follow a take-over; call this before `start`.
+
+        Parameters
+        ----------
+        vms : iterable of str
+            Names of the shard's VMs as this process knows them.
+        listed_since : float
+            Wall-clock time since which no VM is known to have left the shard.
+        """
+        now = _clock.now()
+        self._takeover = Takeover(
+            taken.shard,
+            taken.epoch,
+            now,
+            _clock.wall(),
+            vms,
+            known=taken.known,
+            first=taken.first,
+            listed_since=listed_since,
+            list_read=False,
+            wait_s=taken.wait_s,
+        )
+        self.scheduler.take_over(now, self._takeover)
+
     def start(self) -> None:
         """Start the task."""
         self._tasks = [
@@ -108,7 +141,7 @@
         for link in self._links.values():
             link.close()
 
-    def post(self, msg: Message) -> None:
+    def post(self, msg: Message | VmListRead) -> None:
         """Queue a message that must not be lost: reports, configuration, authority.
 
         The number of attempts and workers bounds these; only submits are refused.
@@ -187,8 +220,10 @@
             await asyncio.sleep(BUSY_TICK_S if busy else IDLE_TICK_S)
             self.post(Tick())
 
-    def _handle(self, msg: Message) -> None:
+    def _handle(self, msg: Message | VmListRead) -> None:
         now = _clock.now()
+        if self._takeover is not None:
+            self._takeover.claims_new = self._holds_lease()
         if isinstance(msg, Submit):
             self._busy_until = now + _BUSY_AFTER_MESSAGE_S
             self._waiting.setdefault(msg.work.request_id, set()).add(msg.reply_to)
--- a/src/poplaryard/takeover.py
+++ b/src/poplaryard/takeover.py
@@ -138,9 +138,11 @@
             return True
         return self.state == "lapsed" and issued_at > self._taken_wall + self._skew_s
 
-    def _claims(self, now: float) -> list[t.Any]:
-        held_back = set() if self.claims_new else self._new
-        due = [v for v, at in self._missing.items() if at <= now and v not in held_back]
+    def _claims(self, now: float, among: set[str] | None = None) -> list[t.Any]:
+        names = set(self._missing) if among is None else among
+        if not self.claims_new:
+            names -= self._new
+        due = [v for v, at in self._missing.items() if at <= now and v in names]
         for vm in due:
             self._missing[vm] = now + CLAIM_RETRY_S
         return [ClaimWorker(vm, self.epoch) for vm in due]
@@ -167,7 +169,8 @@
             if message.vm.name not in self._missing:
                 self._missing[message.vm.name] = 0.0
                 self._new.add(message.vm.name)
-            return self._claims(now)
+            # The others may not be known to the scheduler yet; a tick claims them.
+            return self._claims(now, {message.vm.name})
         if isinstance(message, VmGone):
             self._gone(now, message.vm)
         return []
--- a/src/poplaryard/vmlist.py
+++ b/src/poplaryard/vmlist.py
@@ -1,6 +1,7 @@
 """Platform's list of live and leaving VMs, which lags behind reality."""
 
 import asyncio
+import contextlib
 import typing as t
 from dataclasses import dataclass
 
@@ -30,10 +31,11 @@
 class VmListTask:
     """Polls the list and tells what has changed.
 
+    Every process polls, also one that owns no shard: it may take one over, and then has
+    to know when a VM last left.
+
     Parameters
     ----------
-    wanted : callable
-        Tells whether anyone needs the list now; if not, no call is made.
     changed : callable
         Takes the name of a VM and whether it is leaving.
     gone : callable
@@ -44,13 +46,11 @@
         self,
         source: VmList,
         data_centre: str,
-        wanted: t.Callable[[], bool],
         changed: t.Callable[[str, bool], None],
         gone: t.Callable[[str], None],
     ):
         self._source = source
         self._data_centre = data_centre
-        self._wanted = wanted
         self._changed = changed
         self._gone = gone
         self._listed: dict[str, ListedVm] = {}
@@ -73,15 +73,13 @@
 
     async def _run(self) -> None:
         while True:
-            if self._wanted():
-                await self._poll()
+            with contextlib.suppress(PoplaryardError):
+                await self.read()
             await asyncio.sleep(POLL_S)
 
-    async def _poll(self) -> None:
-        try:
-            found = await self._source.vms(self._data_centre)
-        except PoplaryardError:
-            return
+    async def read(self) -> None:
+        """Read the list now; raises `PoplaryardError` if it cannot be read."""
+        found = await self._source.vms(self._data_centre)
         before, self._listed = self._listed, {vm.name: vm for vm in found}
         for vm in found:
             if before.get(vm.name) != vm:
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 import random
 
 import testtools
@@ -7,10 +8,11 @@
 from poplaryard.clock import SystemClock
 from poplaryard.codes import Code
 from poplaryard.messages import Authority, Submit
+from poplaryard.ownership_messages import ShardTaken
 from poplaryard.resources import Resources
 from poplaryard.shards import ShardTask
 from poplaryard.standin_worker import WorkerVm
-from poplaryard.takeover import EpochRefused
+from poplaryard.takeover import EpochRefused, VmListRead
 
 from .builders import configuration, work
 
@@ -36,7 +38,7 @@
 
 
 class ShardTaskTest(testtools.TestCase):
-    def run_shard(self, scenario, epoch=1):
+    def run_shard(self, scenario, epoch=1, taken=None):
         config = configuration(vms=2, replicas=2)
         self.workers = LocalWorkers(config)
         self.delivered, self.notices = [], []
@@ -51,6 +53,9 @@
                 self.notices.append,
                 random.Random(1),
             )
+            if taken is not None:
+                names = [vm.name for vm in config.vms("dc1")]
+                task.take_over(taken, names, SystemClock().wall())
             task.post(Authority("dc1/0", epoch, SystemClock().now() + 60.0))
             task.configure(config, {vm.name: vm for vm in config.vms("dc1")})
             task.start()
@@ -84,6 +89,24 @@
 
         self.run_shard(scenario)
 
+    def test_an_id_from_before_a_take_over_is_not_run_again(self):
+        """Guards against a second run of what an old owner ran on a VM that left."""
+
+        async def scenario(task):
+            wall = SystemClock().wall()
+            for name, issued_at in (("old", wall - 1.0), ("fresh", wall + 5.5)):
+                msg = self.submit(name, "p#1", idempotent=False, issued_at=issued_at)
+                task.submit(dataclasses.replace(msg, wall=wall + 1.0))
+            await asyncio.sleep(0.2)
+            self.assertEqual([], self.delivered)
+            task.post(VmListRead())
+            await self.until(lambda: len(self.delivered) == 2)
+            codes = {msg.request_id: msg.code for _, msg in self.delivered}
+            self.assertEqual({"old": Code.UNKNOWN_OUTCOME, "fresh": Code.OK}, codes)
+
+        taken = ShardTaken("dc1/0", 2, "q#1", known=False, wait_s=60.0)
+        self.run_shard(scenario, epoch=2, taken=taken)
+
     def test_another_body_under_the_same_id_is_refused_alone(self):
         """Guards against one caller's mistake that answers another's request."""
 
--- a/tests/test_vmlist.py
+++ b/tests/test_vmlist.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 import testtools
 
@@ -27,14 +28,14 @@
         task = VmListTask(
             Source(),
             "dc1",
-            lambda: True,
             lambda name, leaving: told.append((name, leaving)),
             told.append,
         )
 
         async def polls():
             while lists:
-                await task._poll()
+                with contextlib.suppress(StoreDown):
+                    await task.read()
 
         asyncio.run(polls())
         expected = [("a", False), ("b", False), ("b", True), "a"]
