--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -22,7 +22,7 @@
 from .dispatch import Dispatcher
 from .logs import logger
 from .lookup import Finder, Lookup, LookupReply
-from .messages import AuditEvent, Authority, Configure
+from .messages import Answer, AuditEvent, Authority, Configure
 from .monitoring import Monitor
 from .operator_context import OperatorDesk
 from .operators import operator_routes
@@ -167,7 +167,7 @@
             self.settings.data_centre,
             HttpWorkers(worker_client),
             self._owner_of,
-            self.peers.send,
+            self._send,
             self._shard_notice,
             limits.requests_in_flight,
         )
@@ -266,6 +266,11 @@
             self.dispatcher.receive(sender, envelope)
         return None
 
+    def _send(self, process: str, envelope: Envelope) -> None:
+        answer = isinstance(envelope.message, Answer)
+        if not (answer and self.peers.reply(process, envelope.message)):
+            self.peers.send(process, envelope)
+
     def _undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
         self.centres.doubt(process)
         self.dispatcher.undelivered(process, envelope, code)
--- a/src/poplaryard/peers.py
+++ b/src/poplaryard/peers.py
@@ -16,13 +16,18 @@
 from .clock import SystemClock
 from .codes import Code
 from .exceptions import PoplaryardError
+from .messages import Submit
 
 __all__ = ["CallResult", "Envelope", "PeerTable", "peer_routes"]
 
 BATCH_MESSAGES = 256
 BATCH_WAIT_S = 0.002
-# Calls open at once to one peer; a batch gathers while these are under way.
-CALLS_PER_PEER = 4
+# Calls open at once to one peer; beyond these, messages wait for the next call.
+CALLS_PER_PEER = 24
+# Time for which the reply to a call is held for the answers to its requests. An answer
+# that comes with the reply saves a call of its own, which costs more than half a
+# millisecond of processor time on both sides together.
+HOLD_S = 0.02
 CALL_TIMEOUT_S = 2.0
 # A batch of full requests: 256 messages of 256 KB would not be bounded.
 BATCH_BYTES_LIMIT = 8 * 1024 * 1024
@@ -72,12 +77,31 @@
         self.limit = limit
         self.in_flight = 0
         self.calls = 0
+        self.gathering = False
 
     def take(self) -> list[Envelope]:
         count = min(BATCH_MESSAGES, len(self.waiting))
         return [self.waiting.popleft() for _ in range(count)]
 
 
+class _Held:
+    """Reply to a call that waits for answers."""
+
+    def __init__(self, count: int):
+        self.messages: list[t.Any] = []
+        self.done = asyncio.Event()
+        self._count = count
+
+    def add(self, message: t.Any) -> None:
+        """Take an answer; the reply leaves when all are there, or soon."""
+        self.messages.append(message)
+        if len(self.messages) >= self._count:
+            self.done.set()
+        elif len(self.messages) == 1:
+            loop = asyncio.get_running_loop()
+            loop.call_later(BATCH_WAIT_S, self.done.set)
+
+
 class PeerTable:
     """Sends messages to peers, many per call.
 
@@ -113,6 +137,7 @@
         self._limit = limit
         self._addresses: dict[str, str] = {}
         self._outboxes: dict[str, _Outbox] = {}
+        self._held: dict[str, deque[_Held]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self.sent_batches = 0
         self.sent_messages = 0
@@ -135,11 +160,37 @@
             self._failed(process, envelope, Code.PEER_UNREACHABLE)
             return
         outbox.waiting.append(envelope)
-        if outbox.calls < CALLS_PER_PEER and self._worth_a_call(outbox):
+        if not outbox.gathering and outbox.calls < CALLS_PER_PEER:
             outbox.calls += 1
-            task = asyncio.create_task(self._flush(process, outbox))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._spawn(self._flush(process, outbox))
+
+    def reply(self, process: str, message: t.Any) -> bool:
+        """Send a message with the reply to a call of a peer that is being held."""
+        held = self._held.get(process)
+        if not held:
+            return False
+        held[0].add(message)
+        return True
+
+    async def hold(self, process: str, count: int) -> list[t.Any]:
+        """Hold the reply to a call until its answers are there.
+
+        It is held for the answers to `count` requests, for at most `HOLD_S`, and for
+        no longer than `BATCH_WAIT_S` after the first one.
+        """
+        held = _Held(count)
+        calls = self._held.setdefault(process, deque())
+        calls.append(held)
+        timer = asyncio.get_running_loop().call_later(HOLD_S, held.done.set)
+        await held.done.wait()
+        timer.cancel()
+        calls.remove(held)
+        return held.messages
+
+    def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def drain(self, timeout_s: float) -> None:
         """Wait until all messages have left, at most `timeout_s` seconds."""
@@ -152,20 +203,20 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    @staticmethod
-    def _worth_a_call(outbox: _Outbox) -> bool:
-        """Tell whether a call should start: the first one, or one for a full batch."""
-        return outbox.calls == 0 or len(outbox.waiting) >= BATCH_MESSAGES
-
     async def _flush(self, process: str, outbox: _Outbox) -> None:
+        """Gather messages for a call and send them; then those that have waited."""
         try:
+            outbox.gathering = True
             await asyncio.sleep(BATCH_WAIT_S)
+            outbox.gathering = False
             while batch := outbox.take():
                 outbox.in_flight += len(batch)
                 try:
                     await self._send(process, batch)
                 finally:
                     outbox.in_flight -= len(batch)
+                if outbox.gathering:
+                    return
         finally:
             outbox.calls -= 1
 
@@ -245,15 +296,23 @@
         if not peers.is_me(found["to"]):
             return Response(status_code=Code.STALE_EPOCH.status)
         peers.learn(found["from"], found["address"])
-        return _replies(peers, found["from"], envelopes)
+        replies = _received(peers, found["from"], envelopes)
+        requests = sum(isinstance(item.message, Submit) for item in envelopes)
+        if requests:
+            replies += await peers.hold(found["from"], requests)
+        return _reply(replies)
 
     return [Route("/peer/v1/batch", batch, methods=["POST"])]
 
 
-def _replies(peers: PeerTable, sender: str, envelopes: list[Envelope]) -> Response:
-    replies = [msg for item in envelopes for msg in peers.receive(sender, item) or ()]
+def _received(peers: PeerTable, sender: str, envelopes: list[Envelope]) -> list[t.Any]:
+    """Take the messages of a batch; return what goes back at once."""
+    return [msg for item in envelopes for msg in peers.receive(sender, item) or ()]
+
+
+def _reply(messages: list[t.Any]) -> Response:
     now = _clock.now()
-    body = {"messages": [wire.encode(msg, now) for msg in replies]} if replies else {}
+    body = {"messages": [wire.encode(msg, now) for msg in messages]} if messages else {}
     data = json.dumps(body, separators=(",", ":")).encode()
     return Response(data, media_type="application/json")
 
