--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -23,7 +23,7 @@
 from .exceptions import PoplaryardError
 from .logs import logger
 from .lookup import Finder, Lookup, LookupReply
-from .messages import AuditEvent, Authority, Configure
+from .messages import Answer, AuditEvent, Authority, Configure
 from .monitoring import Monitor
 from .operator_context import OperatorDesk
 from .operators import operator_routes
@@ -170,7 +170,7 @@
             self.settings.data_centre,
             HttpWorkers(worker_client),
             self._owner_of,
-            self.peers.send,
+            self._send,
             self._shard_notice,
             limits.requests_in_flight,
             lambda: self.ownership_task.ownership.state == "held",
@@ -269,6 +269,11 @@
             self.dispatcher.receive(sender, envelope)
         return None
 
+    def _send(self, process: str, envelope: Envelope) -> None:
+        answer = isinstance(envelope.message, Answer)
+        if not (answer and self.peers.reply(process, envelope.message)):
+            self.peers.send(process, envelope)
+
     def _undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
         self.centres.doubt(process)
         self.dispatcher.undelivered(process, envelope, code)
