Split ownership; pass on that a shard's ownership is uncertain

Cause: an owner two terms back may still have authority if the one between did not claim every worker; and the old owner's promises were forgotten before the take-over was judged, so that members were treated as joined later. Change: lease, assignment and heartbeats are modules of their own; the record marks a shard uncertain until ShardSettled; a take-over is judged when sent.

--- a/src/poplaryard/acquisition.py
+++ b/src/poplaryard/acquisition.py
@@ -5,7 +5,21 @@
 from .record import Record
 from .routing import ranked
 
-__all__ = ["counts", "free_owner", "least_loaded", "live_members", "rank", "successors"]
+__all__ = [
+    "counts",
+    "free_owner",
+    "least_loaded",
+    "live_members",
+    "rank",
+    "successors",
+    "wait_s",
+]
+
+# Wait of a candidate for each candidate that ranks before it.
+RANK_WAIT_S = 0.2
+
+# Time for which others leave a released shard to its named successor.
+SUCCESSOR_S = 2.0
 
 
 def live_members(record: Record, ended_leases: t.Container[str]) -> list[str]:
@@ -30,6 +44,16 @@
     return None
 
 
+def wait_s(record: Record, shard: str, process: str, live: t.Collection[str]) -> float:
+    """Return how long a process waits before it takes a free shard."""
+    entry = record.shards.get(shard)
+    successor = entry.successor if entry and not entry.owner else ""
+    if successor == process:
+        return 0.0
+    waits = rank(shard, process, live) * RANK_WAIT_S
+    return waits + (SUCCESSOR_S if successor in live else 0.0)
+
+
 def rank(shard: str, process: str, members: t.Iterable[str]) -> int:
     """Return the place of a process among the candidates for a shard."""
     return ranked(shard, members).index(process)
--- /dev/null
+++ b/src/poplaryard/assignment.py
@@ -0,0 +1,176 @@
+"""View of the assignment record, and the one write of it that is in flight."""
+
+import random
+import typing as t
+from dataclasses import dataclass
+
+from . import acquisition
+from .lease import RETRY_S
+from .ownership_messages import (
+    ReadRecord,
+    RecordSeen,
+    RecordWritten,
+    ShardTaken,
+    WriteRecord,
+)
+from .record import Record
+
+__all__ = ["Assignment", "Write"]
+
+# Interval at which every process reads the record, should both watchers fail silently.
+READ_S = 10.0
+
+
+@dataclass(slots=True)
+class Write:
+    """Write of the record that is in flight.
+
+    Attributes
+    ----------
+    takes : tuple of ShardTaken
+        Notices for the shards that the write takes.
+    victim : str
+        Owner whose shard the write takes. It gets no promise until the write is
+        resolved, because the write may take effect after the promise was given.
+    doubtful : bool
+        Whether a copy of the write was sent whose outcome is unknown.
+    """
+
+    record: Record
+    version: int
+    takes: tuple[ShardTaken, ...] = ()
+    victim: str = ""
+    doubtful: bool = False
+
+
+class Assignment:
+    """Record as last seen, ended leases, and reads and writes.
+
+    Attributes
+    ----------
+    write : Write or None
+        Write in flight.
+    write_at : float
+        Time before which nothing is written.
+    """
+
+    def __init__(self, process: str, rng: random.Random):
+        self.view = RecordSeen(Record(), -1, frozenset())
+        self.ended_leases: set[str] = set()
+        self.write: Write | None = None
+        self.write_at = 0.0
+        self._process = process
+        self._rng = rng
+        self._reading = False
+        self._read_at = 0.0
+
+    @property
+    def record(self) -> Record:
+        """Record as last seen."""
+        return self.view.record
+
+    def live_members(self) -> list[str]:
+        """Return the members whose lease has not been seen to end."""
+        return acquisition.live_members(self.record, self.ended_leases)
+
+    def free_owner(self, shard: str) -> str | None:
+        """Return the last owner of a shard that may be taken, else None."""
+        return acquisition.free_owner(self.record, shard, self.ended_leases)
+
+    def jitter(self) -> float:
+        """Spread the members' calls over a time that grows with their number."""
+        return self._rng.uniform(0.0, 0.1 * max(1, len(self.record.members)))
+
+    def read_due(self, now: float) -> bool:
+        """Tell whether the record is to be read again."""
+        return now >= self._read_at
+
+    def may_write(self, now: float) -> bool:
+        """Tell whether a write may be sent."""
+        return self.write is None and now >= self.write_at and self.view.version >= 0
+
+    def read(self, now: float) -> list[t.Any]:
+        """Return the command to read, unless a read is under way."""
+        if self._reading:
+            return []
+        self._reading = True
+        self._read_at = now + READ_S * self._rng.uniform(0.8, 1.2)
+        return [ReadRecord()]
+
+    def read_ended(self) -> None:
+        """Note that a read has been answered or has failed."""
+        self._reading = False
+
+    def learn(self, seen: RecordSeen) -> Write | None:
+        """Take a record; return the write in flight if this record resolves it."""
+        leases = {member.lease for member in seen.record.members.values()}
+        self.ended_leases = (self.ended_leases & leases) | (leases - seen.live)
+        self.view = seen
+        write = self.write
+        if write is None or seen.version <= write.version:
+            return None
+        self.write = None
+        return write
+
+    def written(self, message: RecordWritten, lease: str) -> RecordSeen | None:
+        """Return the record as written, or None if a later one was seen."""
+        if self.write is None or message.version <= self.view.version:
+            return None
+        live = self.view.live | {lease}
+        return RecordSeen(self.write.record, message.version, live)
+
+    def again(self) -> list[t.Any]:
+        """Repeat a write of unknown outcome once a read shows no effect of it.
+
+        Whichever copy lands first makes the others fail.
+        """
+        write = self.write
+        if write is None or not write.doubtful or self.view.version != write.version:
+            return []
+        return [WriteRecord(write.record, write.version)]
+
+    def conflicted(self, now: float) -> list[t.Any]:
+        """Note a conflict; the winner may be an earlier copy of the same write."""
+        if self.write is not None and not self.write.doubtful:
+            self.write = None
+        self.write_at = now + self.jitter()
+        return self.read(now)
+
+    def failed(self, now: float) -> list[t.Any]:
+        """Note that the store was not reached."""
+        self._reading = False
+        if self.write is not None and not self.write.doubtful:
+            self.write = None
+        return self._retry_later(now)
+
+    def unknown(self, now: float) -> list[t.Any]:
+        """Note that the write may or may not take effect."""
+        if self.write is not None:
+            self.write.doubtful = True
+        return self._retry_later(now)
+
+    def send(
+        self, record: Record, takes: tuple[ShardTaken, ...] = (), victim: str = ""
+    ) -> list[t.Any]:
+        """Return the command to write a record."""
+        record = self._tidied(record)
+        version = self.view.version
+        self.write = Write(record, version, takes, victim)
+        return [WriteRecord(record, version)]
+
+    def _retry_later(self, now: float) -> list[t.Any]:
+        self.write_at = now + self._rng.uniform(*RETRY_S)
+        self._read_at = min(self._read_at, self.write_at)
+        return []
+
+    def _tidied(self, record: Record) -> Record:
+        """Leave out members whose lease has ended and that own nothing."""
+        owners = {entry.owner for entry in record.shards.values()}
+        gone = [
+            name
+            for name, member in record.members.items()
+            if member.lease in self.ended_leases
+            and name not in owners
+            and name != self._process
+        ]
+        return record.without_members(gone) if gone else record
--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -38,6 +38,7 @@
     SendHeartbeat,
     ShardReleased,
     ShardsConfigured,
+    ShardSettled,
     ShardTaken,
     WatchRecord,
     WriteRecord,
@@ -75,6 +76,7 @@
     decisions: FuzzShard
     takeover: Takeover
     epoch: int
+    settled: bool = False
     authority: Authority | None = None
     exclusive_until: float = float("-inf")
     claimed: set[str] = field(default_factory=set)
@@ -138,6 +140,9 @@
         for name, shard in list(self.shards.items()):
             shard.takeover.claims_new = leased
             self.give_shard(name, Tick())
+            if shard.takeover.state == "complete" and not shard.settled:
+                shard.settled = True
+                self.give(ShardSettled(name, shard.epoch))
         if now >= self._list_at and self.world.list_up:
             self._read_list()
         if now >= self._poll_at:
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -11,6 +11,7 @@
 from .fuzz_node import Node, Ticket
 from .fuzz_store import FakeStore
 from .fuzz_worker import FakeWorker
+from .heartbeats import Heartbeats
 from .messages import (
     Answer,
     Submit,
@@ -18,7 +19,7 @@
 )
 from .oracle import Oracle
 from .outcome import Ledger, Registered
-from .ownership_messages import Heartbeat, ProvenDead
+from .ownership_messages import Heartbeat, HeartbeatReply, ProvenDead
 from .resources import Resources
 from .routing import home_shard, key_of, shard_names, shard_of_vm
 from .takeover import Takeover
@@ -170,11 +171,12 @@
         if self.lacks("promises"):
             ownership.promises.given_until = lambda owner: float("-inf")
         if self.lacks("promise_in_flight"):
-            ownership._promise = functools.partial(_promise_always, ownership)
+            heartbeats = ownership._heartbeats
+            heartbeats.reply = functools.partial(_promise_always, heartbeats)
         if self.lacks("known"):
-            ownership._was_known_to = lambda owner, before: True
+            ownership._is_known = lambda old, before: True
         if self.lacks("lease_end"):
-            ownership._free = lambda shard: ownership.owner_of(shard)
+            ownership._assignment.free_owner = ownership.owner_of
 
     def weaken_takeover(self, takeover: Takeover) -> None:
         """Take mechanisms out of a take-over."""
@@ -311,6 +313,7 @@
     return ledger.register(now, now, work)
 
 
-def _promise_always(ownership: t.Any, now: float, message: Heartbeat) -> bool:
-    ownership.promises.give(now, message.sender)
-    return True
+def _promise_always(
+    heartbeats: t.Any, now: float, message: Heartbeat, view: t.Any, _: str
+) -> HeartbeatReply:
+    return Heartbeats.reply(heartbeats, now, message, view, "")
--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 
 from . import acquisition
+from .assignment import Assignment, Write
 from .fencing import lease_wait_s, shortened
-from .membership import Membership
+from .heartbeats import Heartbeats
+from .lease import LEASE_TTL_S, Lease
 from .messages import Authority, Tick
 from .ownership_messages import (
-    GrantLease,
     Heartbeat,
     HeartbeatReply,
     LeaseFailed,
@@ -18,23 +19,19 @@
     Leave,
     PeerMissed,
     ProvenDead,
-    ReadRecord,
     RecordConflict,
     RecordFailed,
     RecordSeen,
     RecordUnknown,
     RecordWritten,
-    RenewLease,
     RevokeLease,
-    SendHeartbeat,
     ShardReleased,
     ShardsConfigured,
+    ShardSettled,
     ShardTaken,
     WatchRecord,
-    WriteRecord,
 )
-from .promises import Promises
-from .record import Record
+from .record import Record, ShardOwner
 from .statechart import load_chart
 from .takeover import EpochRefused
 
@@ -42,26 +39,9 @@
 
 _CHART = load_chart("lease")
 
-LEASE_TTL_S = 6.0
-RENEW_S = 2.0
-
-# Shortest and longest wait before a call to a store that did not answer is repeated.
-RETRY_S = (0.5, 2.5)
-
-# Wait of a candidate for each candidate that ranks before it.
-RANK_WAIT_S = 0.2
-
-# Additional wait of a candidate that the old owner did not know. Its take-over has to wait
-# for every claim and knows no VM that left before it started, so that it answers more
-# requests "unknown outcome" than that of an older member.
-JOINER_WAIT_S = 1.0
-
 # Time between two acquisitions of one process: at most 2 shards per second.
 ACQUIRE_S = 0.5
 
-# Time for which others leave a released shard to its named successor.
-SUCCESSOR_S = 2.0
-
 # Longest authority given at a time, and renewed with each tick: as long as that of a
 # store lease, so that a worker's view of it never depends on the source.
 AUTHORITY_S = shortened(LEASE_TTL_S)
@@ -72,28 +52,13 @@
 # Time without a confirmed renewal after which promises of all members are sought.
 AT_RISK_S = 2.5
 
-# Interval at which every process reads the record, should both watchers fail silently.
-READ_S = 10.0
-
-
-@dataclass(slots=True)
-class _Write:
-    record: Record
-    version: int
-    before: Record
-    # Epochs of the shards that the write takes.
-    takes: dict[str, int]
-    # Owner whose shard the write takes; it gets no promise until the write is resolved,
-    # because the write may take effect after the promise was given.
-    victim: str = ""
-    # A copy of the write was sent whose outcome is unknown.
-    doubtful: bool = False
-
 
 @dataclass(slots=True)
 class _Owned:
     epoch: int
     announced: Authority | None = None
+    # No earlier owner has authority over the shard any more.
+    settled: bool = False
 
 
 class Ownership:
@@ -117,37 +82,26 @@
         self.process = process
         self._address = address
         self._rng = rng
-        self._lease = ""
-        self._lease_until = float("-inf")
-        self._confirmed_at = float("-inf")
-        self._awaiting_lease = False
-        self._lease_call_at = 0.0
-        self._view = RecordSeen(Record(), -1, frozenset())
-        self._ended_leases: set[str] = set()
-        self._read_at = 0.0
-        self._reading = False
-        self._write: _Write | None = None
-        self._write_at = 0.0
+        self._lease = Lease(rng)
+        self._assignment = Assignment(process, rng)
         self._acquire_at = 0.0
         self._balance_at = 0.0
         self._shards: tuple[str, ...] = ()
-        self._config_number = 0
         self._owned: dict[str, _Owned] = {}
         self._refused: dict[str, int] = {}
         self._releasing: dict[str, str] = {}
         self._free_since: dict[str, float] = {}
-        self._heard_serial: dict[str, int] = {}
-        self._promised_serial: dict[str, int] = {}
         self._watching = False
         self._leaving = False
-        self.promises = Promises()
-        self.membership = Membership(process, rng)
+        self._heartbeats = Heartbeats(process, rng)
+        self.promises = self._heartbeats.promises
+        self.membership = self._heartbeats.membership
         self.state = _CHART.initial
 
     @property
     def record(self) -> Record:
         """Assignment record as last seen."""
-        return self._view.record
+        return self._assignment.record
 
     @property
     def owned(self) -> dict[str, int]:
@@ -168,54 +122,26 @@
 
     def _tick(self, now: float, _: Tick) -> list[t.Any]:
         out = self._authorities(now)
-        out += self._lease_calls(now)
+        if self.state != "left":
+            out += self._lease.calls(now)
         out += self._record_calls(now)
-        out += self._heartbeats(now)
+        out += self._send_heartbeats(now)
         return out
 
-    def _lease_calls(self, now: float) -> list[t.Any]:
-        if self._awaiting_lease or now < self._lease_call_at or self.state == "left":
-            return []
-        self._awaiting_lease = True
-        if self._lease:
-            return [RenewLease(self._lease)]
-        return [GrantLease(LEASE_TTL_S)]
-
     def _lease_granted(self, now: float, message: LeaseGranted) -> list[t.Any]:
         if self.state == "left":
             return [RevokeLease(message.lease)]
-        self._lease = message.lease
-        self._confirm(now, message.sent_at)
-        return self._authorities(now) + self._read(now)
+        self._lease.granted(message)
+        return self._authorities(now) + self._assignment.read(now)
 
     def _lease_renewed(self, now: float, message: LeaseRenewed) -> list[t.Any]:
-        if message.lease != self._lease:
-            return []
-        self._confirm(now, message.sent_at)
+        self._lease.renewed(message)
         return self._authorities(now)
 
-    def _confirm(self, now: float, sent_at: float) -> None:
-        self._awaiting_lease = False
-        self._confirmed_at = max(self._confirmed_at, sent_at)
-        until = sent_at + shortened(LEASE_TTL_S)
-        self._lease_until = max(self._lease_until, until)
-        self._lease_call_at = sent_at + RENEW_S * self._rng.uniform(0.95, 1.05)
-
     def _lease_failed(self, now: float, message: LeaseFailed) -> list[t.Any]:
-        if message.lease not in ("", self._lease):
-            return []
-        self._awaiting_lease = False
-        self._lease_call_at = now + self._rng.uniform(*RETRY_S)
-        if message.lapsed:
-            self._lease = ""
-            self._lease_until = float("-inf")
-            self._lease_call_at = now + self._jitter()
+        self._lease.failed(now, message, self._assignment.jitter())
         return self._authorities(now)
 
-    def _jitter(self) -> float:
-        """Spread the members' calls over a time that grows with their number."""
-        return self._rng.uniform(0.0, 0.1 * max(1, len(self.record.members)))
-
     # Authority
 
     def _full_until(self) -> float:
@@ -227,9 +153,9 @@
     def _leased_until(self) -> float:
         """End of the authority by the store lease, once the record names the lease."""
         me = self.record.members.get(self.process)
-        if me is None or me.lease != self._lease:
+        if me is None or me.lease != self._lease.name:
             return float("-inf")
-        return self._lease_until
+        return self._lease.until
 
     def _authorities(self, now: float) -> list[t.Any]:
         if not self._owned:
@@ -248,7 +174,7 @@
     def _note_state(self, now: float, full: float) -> None:
         if self.state == "left":
             return
-        if self._lease_until > now and (not self._owned or self._leased_until() > now):
+        if self._lease.until > now and (not self._owned or self._leased_until() > now):
             event = "confirm"
         elif not self._owned:
             event = "lapse"
@@ -258,45 +184,27 @@
 
     # Record
 
-    def _read(self, now: float) -> list[t.Any]:
-        if self._reading:
-            return []
-        self._reading = True
-        self._read_at = now + READ_S * self._rng.uniform(0.8, 1.2)
-        return [ReadRecord()]
-
     def _record_seen(self, now: float, seen: RecordSeen) -> list[t.Any]:
-        self._reading = False
-        out = self._learn(now, seen)
-        write = self._write
-        if write is not None and write.doubtful and self._view.version == write.version:
-            # The same write again: whichever copy lands first makes the other fail.
-            out.append(WriteRecord(write.record, write.version))
-        return out
+        self._assignment.read_ended()
+        return self._learn(now, seen) + self._assignment.again()
 
     def _learn(self, now: float, seen: RecordSeen) -> list[t.Any]:
-        if seen.version < self._view.version:
+        if seen.version < self._assignment.view.version:
             return []
-        leases = {member.lease for member in seen.record.members.values()}
-        self._ended_leases = (self._ended_leases & leases) | (leases - seen.live)
-        self._view = seen
-        self.membership.set_members(seen.record.members)
-        self.promises.forget(now, seen.record.members)
-        out = self._drop_lost() + self._resolve_write()
+        write = self._assignment.learn(seen)
+        self._heartbeats.set_members(now, seen.record)
+        out = self._drop_lost() + (self._won(write) if write else [])
         return out + self._authorities(now) + self._watch(now)
 
-    def _resolve_write(self) -> list[t.Any]:
-        """Take the shards that the write has won, once a later record is seen."""
-        write = self._write
-        if write is None or self._view.version <= write.version:
-            return []
-        self._write = None
+    def _won(self, write: Write) -> list[t.Any]:
+        """Take the shards that a resolved write has won."""
         mine = self.record.owned_by(self.process)
         out: list[t.Any] = []
-        for shard, epoch in write.takes.items():
+        for taken in write.takes:
+            shard, epoch = taken.shard, taken.epoch
             if mine.get(shard) == epoch and self._refused.get(shard) != epoch:
                 self._owned[shard] = _Owned(epoch)
-                out.append(self._taken(shard, epoch, write.before))
+                out.append(taken)
         return out
 
     def _drop_lost(self) -> list[t.Any]:
@@ -305,61 +213,43 @@
         lost = [k for k, item in self._owned.items() if mine.get(k) != item.epoch]
         return [ShardReleased(shard, self._owned.pop(shard).epoch) for shard in lost]
 
-    def _taken(self, shard: str, epoch: int, before: Record) -> ShardTaken:
-        old = before.shards.get(shard)
-        wait = lease_wait_s()
+    def _taken(self, shard: str, epoch: int) -> ShardTaken:
+        """Return the notice for a take-over, which the record before it decides."""
+        old = self.record.shards.get(shard)
         if old is None:
             return ShardTaken(shard, epoch, "", True, 0.0, first=True)
-        if not old.owner:
-            # A start sent just before the release is valid for up to a lease.
-            left = old.successor == self.process
-            until = LEASE_TTL_S + wait
-            return ShardTaken(shard, epoch, "", True, until, handed_over=left)
-        if self.promises.is_dead(old.owner):
-            return ShardTaken(shard, epoch, old.owner, True, LEASE_TTL_S + wait)
-        known = self._was_known_to(old.owner, before)
-        return ShardTaken(shard, epoch, old.owner, known, wait)
-
-    def _was_known_to(self, owner: str, before: Record) -> bool:
-        """Tell whether an old owner needed this member's promise."""
-        me, old = before.members.get(self.process), before.members.get(owner)
-        if me is None:
+        known = self._is_known(old, self.record)
+        wait = lease_wait_s()
+        if not old.owner or self.promises.is_dead(old.owner):
+            # A start sent just before the end is valid for up to a lease.
+            wait += LEASE_TTL_S
+        left = not old.owner and old.successor == self.process
+        return ShardTaken(shard, epoch, old.owner, known, wait, handed_over=left)
+
+    def _is_known(self, old: ShardOwner, before: Record) -> bool:
+        """Tell whether all authority over a shard has ended or soon ends."""
+        if old.uncertain:
             return False
-        seen = max(self._promised_serial.get(owner, -1), old.joined if old else -1)
-        return seen >= me.joined
+        if not old.owner or self.promises.is_dead(old.owner):
+            return True
+        return self._heartbeats.was_known_to(old.owner, before)
 
     def _record_written(self, now: float, message: RecordWritten) -> list[t.Any]:
-        write = self._write
-        if write is None or message.version <= self._view.version:
-            return []
-        live = self._view.live | {self._lease}
-        return self._learn(now, RecordSeen(write.record, message.version, live))
+        seen = self._assignment.written(message, self._lease.name)
+        return self._learn(now, seen) if seen else []
 
     def _record_conflict(self, now: float, _: RecordConflict) -> list[t.Any]:
-        if self._write is not None and not self._write.doubtful:
-            self._write = None
-        self._write_at = now + self._jitter()
-        return self._read(now)
+        return self._assignment.conflicted(now)
 
     def _record_failed(self, now: float, _: RecordFailed) -> list[t.Any]:
-        self._reading = False
-        if self._write is not None and not self._write.doubtful:
-            self._write = None
-        return self._retry_later(now)
+        return self._assignment.failed(now)
 
     def _record_unknown(self, now: float, _: RecordUnknown) -> list[t.Any]:
-        if self._write is not None:
-            self._write.doubtful = True
-        return self._retry_later(now)
-
-    def _retry_later(self, now: float) -> list[t.Any]:
-        self._write_at = now + self._rng.uniform(*RETRY_S)
-        self._read_at = min(self._read_at, self._write_at)
-        return []
+        return self._assignment.unknown(now)
 
     def _watch(self, now: float) -> list[t.Any]:
         """Watch the record if this is one of the two lowest live members."""
-        live = acquisition.live_members(self.record, self._ended_leases)
+        live = self._assignment.live_members()
         avoided = self.membership.avoided(now)
         wanted = self.process in [name for name in live if name not in avoided][:2]
         if wanted == self._watching:
@@ -368,84 +258,72 @@
         return [WatchRecord(wanted)]
 
     def _record_calls(self, now: float) -> list[t.Any]:
-        if now >= self._read_at and self.state != "left":
-            return self._read(now)
-        if self._write is not None or now < self._write_at or self._view.version < 0:
-            return []
-        if not self._lease or self._lease_until <= now:
+        if self._assignment.read_due(now) and self.state != "left":
+            return self._assignment.read(now)
+        if not self._assignment.may_write(now) or self._lease.until <= now:
             return []
         me = self.record.members.get(self.process)
-        if me is None or me.lease != self._lease:
+        if me is None or me.lease != self._lease.name:
             return self._join()
         if self._leaving:
             return self._leave_calls()
-        return self._release_calls(now) or self._acquire(now) or self._balance(now)
-
-    def _send_write(
-        self, record: Record, takes: dict[str, int] | None = None, victim: str = ""
-    ) -> list[t.Any]:
-        record = self._tidied(record)
-        version = self._view.version
-        self._write = _Write(record, version, self.record, takes or {}, victim)
-        return [WriteRecord(record, version)]
-
-    def _tidied(self, record: Record) -> Record:
-        """Leave out members whose lease has ended and that own nothing."""
-        owners = {entry.owner for entry in record.shards.values()}
-        gone = [
-            name
-            for name, member in record.members.items()
-            if member.lease in self._ended_leases
-            and name not in owners
-            and name != self.process
-        ]
-        return record.without_members(gone) if gone else record
+        return (
+            self._release_calls()
+            or self._acquire(now)
+            or self._settle()
+            or self._balance(now)
+        )
 
     def _join(self) -> list[t.Any]:
         if self._leaving and not self.record.owned_by(self.process):
             return self._revoke()
-        record = self.record.with_member(self.process, self._address, self._lease)
-        return self._send_write(record)
+        record = self.record.with_member(self.process, self._address, self._lease.name)
+        return self._assignment.send(record)
 
     def _acquire(self, now: float) -> list[t.Any]:
         self._note_free(now)
         if now < self._acquire_at:
             return []
-        live = acquisition.live_members(self.record, self._ended_leases)
+        live = self._assignment.live_members()
         for shard, since in self._free_since.items():
-            if now >= since + self._wait(shard, live) and self._may_take(now, shard):
+            wait = acquisition.wait_s(self.record, shard, self.process, live)
+            if now >= since + wait and self._may_take(now, shard):
                 return self._take(now, shard)
         return []
 
     def _note_free(self, now: float) -> None:
-        free = [s for s in self._shards if self._free(s) is not None]
+        free = [s for s in self._shards if self._assignment.free_owner(s) is not None]
         self._free_since = {s: self._free_since.get(s, now) for s in free}
 
-    def _free(self, shard: str) -> str | None:
-        return acquisition.free_owner(self.record, shard, self._ended_leases)
-
-    def _wait(self, shard: str, live: list[str]) -> float:
-        entry = self.record.shards.get(shard)
-        successor = entry.successor if entry and not entry.owner else ""
-        if successor == self.process:
-            return 0.0
-        waits = acquisition.rank(shard, self.process, live) * RANK_WAIT_S
-        owner = entry.owner if entry else ""
-        if owner and not self._was_known_to(owner, self.record):
-            waits += JOINER_WAIT_S
-        return waits + (SUCCESSOR_S if successor in live else 0.0)
-
     def _may_take(self, now: float, shard: str) -> bool:
-        owner = self._free(shard)
+        owner = self._assignment.free_owner(shard)
         if owner == self.process:
             return False
         return not owner or self.promises.given_until(owner) <= now
 
     def _take(self, now: float, shard: str) -> list[t.Any]:
         self._acquire_at = now + ACQUIRE_S
-        record = self.record.taken(shard, self.process)
-        epoch = record.shards[shard].epoch
-        return self._send_write(record, {shard: epoch}, self._free(shard) or "")
+        old = self.record.shards.get(shard)
+        uncertain = old is not None and not self._is_known(old, self.record)
+        record = self.record.taken(shard, self.process, uncertain)
+        taken = self._taken(shard, record.shards[shard].epoch)
+        victim = self._assignment.free_owner(shard) or ""
+        return self._assignment.send(record, (taken,), victim)
+
+    def _shard_settled(self, now: float, message: ShardSettled) -> list[t.Any]:
+        owned = self._owned.get(message.shard)
+        if owned is not None and owned.epoch == message.epoch:
+            owned.settled = True
+        return []
+
+    def _settle(self) -> list[t.Any]:
+        """Write that no earlier owner has authority over shards any more."""
+        done = [
+            shard
+            for shard, owned in self._owned.items()
+            if owned.settled and self.record.shards[shard].uncertain
+        ]
+        return self._assignment.send(self.record.settled(done)) if done else []
 
     # Release
 
@@ -457,7 +335,7 @@
         mine = self.record.owned_by(self.process)
         if not mine:
             return self._revoke()
-        live = acquisition.live_members(self.record, self._ended_leases)
+        live = self._assignment.live_members()
         others = [name for name in live if name != self.process]
         chosen = acquisition.successors(self.record, others, mine)
         return self._give_up(chosen)
@@ -470,15 +348,13 @@
             owned = self._owned.pop(shard, None)
             if owned is not None:
                 out.append(ShardReleased(shard, owned.epoch, successor))
-        return out + self._send_write(self.record.released(chosen))
+        return out + self._assignment.send(self.record.released(chosen))
 
     def _revoke(self) -> list[t.Any]:
-        lease, self._lease = self._lease, ""
-        self._lease_until = float("-inf")
         self.state = _CHART.step(self.state, "leave")
-        return [RevokeLease(lease)] if lease else []
+        return self._lease.revoke()
 
-    def _release_calls(self, now: float) -> list[t.Any]:
+    def _release_calls(self) -> list[t.Any]:
         mine = self.record.owned_by(self.process)
         old = {
             shard: "" for shard in mine if self._shards and shard not in self._shards
@@ -492,7 +368,7 @@
         if now < self._balance_at or len(self._owned) < 2 or self._free_since:
             return []
         self._balance_at = now + BALANCE_S * self._rng.uniform(0.8, 1.2)
-        live = set(acquisition.live_members(self.record, self._ended_leases))
+        live = set(self._assignment.live_members())
         usable = live - self.membership.avoided(now)
         shard = min(self._owned)
         successor = acquisition.least_loaded(self.record, usable, shard)
@@ -507,77 +383,40 @@
             return []
         del self._owned[message.shard]
         self._refused[message.shard] = message.epoch
-        return [ShardReleased(message.shard, message.epoch), *self._read(now)]
+        return [
+            ShardReleased(message.shard, message.epoch),
+            *self._assignment.read(now),
+        ]
 
     def _configured(self, now: float, message: ShardsConfigured) -> list[t.Any]:
         self._shards = message.shards
-        self._config_number = message.config_number
+        self._heartbeats.config_number = message.config_number
         return self._record_calls(now)
 
     # Heartbeats
 
-    def _heartbeats(self, now: float) -> list[t.Any]:
-        at_risk = bool(self._owned) and now - self._confirmed_at > AT_RISK_S
-        targets = self.membership.targets(now, at_risk)
-        return [self._send_heartbeat(now, name) for name in targets]
-
-    def _send_heartbeat(self, now: float, name: str) -> SendHeartbeat:
-        heartbeat = Heartbeat(
-            sender=self.process,
-            to=name,
-            sent_at=now,
-            owner=bool(self._owned),
-            record_serial=self.record.serial,
-            config_number=self._config_number,
-            record=self._news_for(name),
-            suspects=self.membership.suspects(),
-            refuted=self.membership.refuted,
-        )
-        return SendHeartbeat(name, self.record.members[name].address, heartbeat)
-
-    def _news_for(self, name: str) -> RecordSeen | None:
-        behind = self._heard_serial.get(name, -1) < self.record.serial
-        return self._view if behind and self._view.version > 0 else None
+    def _send_heartbeats(self, now: float) -> list[t.Any]:
+        owner = bool(self._owned)
+        at_risk = owner and now - self._lease.confirmed_at > AT_RISK_S
+        view = self._assignment.view
+        return [*self._heartbeats.due(now, view, owner=owner, everyone=at_risk)]
 
     def _heartbeat(self, now: float, message: Heartbeat) -> list[t.Any]:
         if message.to != self.process:
             return []
         out = self._hear(now, message)
-        promised = message.owner and self._promise(now, message)
-        reply = HeartbeatReply(
-            sender=self.process,
-            to=message.sender,
-            sent_at=message.sent_at,
-            promised=promised,
-            record_serial=self.record.serial,
-            config_number=self._config_number,
-            record=self._news_for(message.sender),
-            suspects=self.membership.suspects(),
-            refuted=self.membership.refuted,
-        )
-        return [*out, reply]
-
-    def _promise(self, now: float, message: Heartbeat) -> bool:
-        owner = message.sender
-        if self._write is not None and self._write.victim == owner:
-            return False
-        self.promises.give(now, owner)
-        seen = self._promised_serial.get(owner, -1)
-        self._promised_serial[owner] = max(seen, message.record_serial)
-        return True
+        write = self._assignment.write
+        victim = write.victim if write else ""
+        view = self._assignment.view
+        return [*out, self._heartbeats.reply(now, message, view, victim)]
 
     def _heartbeat_reply(self, now: float, message: HeartbeatReply) -> list[t.Any]:
         if message.to != self.process:
             return []
-        if message.promised:
-            self.promises.receive(message.sent_at, message.sender)
         return self._hear(now, message) + self._authorities(now)
 
     def _hear(self, now: float, message: Heartbeat | HeartbeatReply) -> list[t.Any]:
-        self.membership.heard(message.sender, message.refuted)
-        self.membership.rumours(now, message.suspects)
-        seen = self._heard_serial.get(message.sender, -1)
-        self._heard_serial[message.sender] = max(seen, message.record_serial)
+        self._heartbeats.hear(now, message)
         return self._learn(now, message.record) if message.record else []
 
     def _peer_missed(self, now: float, message: PeerMissed) -> list[t.Any]:
@@ -621,5 +460,6 @@
     RecordUnknown: Ownership._record_unknown,
     RecordWritten: Ownership._record_written,
     ShardsConfigured: Ownership._configured,
+    ShardSettled: Ownership._shard_settled,
     Tick: Ownership._tick,
 }
--- a/src/poplaryard/ownership_messages.py
+++ b/src/poplaryard/ownership_messages.py
@@ -55,6 +55,7 @@
     "ShardReleased",
     "ShardTaken",
     "ShardsConfigured",
+    "ShardSettled",
     "WatchRecord",
     "WriteRecord",
 ]
@@ -217,6 +218,14 @@
     config_number: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ShardSettled:
+    """The take-over of a shard is complete: every worker was claimed under `epoch`."""
+
+    shard: str
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class GrantLease:
     """Command: get a lease and bind the member key to it."""
@@ -282,7 +291,8 @@
     first : bool
         Whether the shard never had an owner.
     handed_over : bool
-        Whether the shard was left to this process, whose peer sends the ledger.
+        Whether the shard was left to this process. Only if the old owner also sends its
+        whole ledger, and its own take-over was complete, is `Takeover` told so.
     """
 
     shard: str
@@ -324,4 +334,5 @@
     | ProvenDead
     | Leave
     | ShardsConfigured
+    | ShardSettled
 )
--- a/src/poplaryard/record.py
+++ b/src/poplaryard/record.py
@@ -36,11 +36,16 @@
         Process id; empty if the shard was released.
     successor : str
         Member that may take a released shard at once; empty for any.
+    uncertain : bool
+        Whether an earlier owner may still have authority, because it did not know the
+        process that took the shard from it. It holds for later owners as well, until
+        one of them has claimed every worker.
     """
 
     owner: str
     epoch: int
     successor: str = ""
+    uncertain: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,10 +80,11 @@
         members = {k: v for k, v in self.members.items() if k not in left}
         return replace(self, members=members)
 
-    def taken(self, shard: str, process: str) -> "Record":
+    def taken(self, shard: str, process: str, uncertain: bool = False) -> "Record":
         """Return the next record, in which the process owns the shard."""
         epoch = self.epoch + 1
-        shards = {**self.shards, shard: ShardOwner(process, epoch)}
+        owner = ShardOwner(process, epoch, uncertain=uncertain)
+        shards = {**self.shards, shard: owner}
         return replace(self, serial=self.serial + 1, epoch=epoch, shards=shards)
 
     def released(self, shards: t.Mapping[str, str]) -> "Record":
@@ -89,6 +95,11 @@
         }
         return replace(self, serial=self.serial + 1, shards={**self.shards, **changed})
 
+    def settled(self, shards: t.Iterable[str]) -> "Record":
+        """Return the next record, in which the shards' owners are certain."""
+        changed = {s: replace(self.shards[s], uncertain=False) for s in shards}
+        return replace(self, serial=self.serial + 1, shards={**self.shards, **changed})
+
     def owned_by(self, process: str) -> dict[str, int]:
         """Return the shards that the process owns and the epoch of each."""
         found = self.shards.items()
