--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -39,6 +39,11 @@
 
 _CHART = load_chart("lease")
 
+# Additional wait of a candidate that the old owner did not know. Its take-over has to
+# wait for every claim and knows no VM that left before it started, so that it answers
+# more requests "unknown outcome" than that of an older member.
+JOINER_WAIT_S = 1.0
+
 # Time between two acquisitions of one process: at most 2 shards per second.
 ACQUIRE_S = 0.5
 
@@ -286,11 +291,17 @@
             return []
         live = self._assignment.live_members()
         for shard, since in self._free_since.items():
-            wait = acquisition.wait_s(self.record, shard, self.process, live)
-            if now >= since + wait and self._may_take(now, shard):
+            if now >= since + self._wait_s(shard, live) and self._may_take(now, shard):
                 return self._take(now, shard)
         return []
 
+    def _wait_s(self, shard: str, live: list[str]) -> float:
+        wait = acquisition.wait_s(self.record, shard, self.process, live)
+        owner = self.owner_of(shard)
+        if owner and not self._heartbeats.was_known_to(owner, self.record):
+            return wait + JOINER_WAIT_S
+        return wait
+
     def _note_free(self, now: float) -> None:
         free = [s for s in self._shards if self._assignment.free_owner(s) is not None]
         self._free_since = {s: self._free_since.get(s, now) for s in free}
