--- a/src/poplaryard/fuzz.py
+++ b/src/poplaryard/fuzz.py
@@ -9,7 +9,14 @@
 from .fuzz_node import Ticket
 from .fuzz_worker import PollWorker
 from .fuzz_world import MECHANISMS, World
-from .messages import AttemptState, Cancel, StartAttempt, Submit, Work
+from .messages import (
+    AttemptState,
+    Cancel,
+    StartAttempt,
+    Submit,
+    Work,
+    WorkKind,
+)
 from .ownership_messages import Leave, WriteRecord
 from .resources import Resources
 from .routing import key_of
@@ -39,10 +46,14 @@
 class Fuzzer:
     """One episode: a world, and the actions that the random source picks."""
 
-    def __init__(self, seed: int, without: frozenset[str] = frozenset()):
+    def __init__(
+        self, seed: int, without: frozenset[str] = frozenset(), scheduler: str = "small"
+    ):
         self.rng = random.Random(seed)
         self.duel = self.rng.random() < 0.5
-        self.world = World(self.rng, without, small=self.duel)
+        self.world = World(
+            self.rng, without, small=self.duel, real_scheduler=scheduler == "real"
+        )
         self._works: list[tuple[Work, int, str]] = []
         self._held: list[t.Any] = []
         self._names = list(ACTIONS)
@@ -181,6 +192,7 @@
         size = rng.choice((500, 1000, 2000, 4000))
         return Work(
             f"r{world.next_id()}",
+            kind=WorkKind.BATCH,
             tasks=rng.choice((1, 1, 1, 2, 3)),
             need=Resources(size, rng.choice((100, size)), 0),
             idempotent=idempotent,
@@ -419,7 +431,12 @@
 }
 
 
-def run(seed: int, steps: int, without: frozenset[str] = frozenset()) -> dict[str, int]:
+def run(
+    seed: int,
+    steps: int,
+    without: frozenset[str] = frozenset(),
+    scheduler: str = "small",
+) -> dict[str, int]:
     """Run episodes; raise `Failure` when a promise is broken.
 
     Returns
@@ -430,7 +447,7 @@
     done = starts = answers = episode = 0
     while done < steps:
         episode_seed = seed * 1_000_003 + episode
-        fuzzer = Fuzzer(episode_seed, without)
+        fuzzer = Fuzzer(episode_seed, without, scheduler)
         try:
             for _ in range(min(EPISODE_STEPS, steps - done)):
                 done += 1
@@ -452,12 +469,21 @@
     type=click.Choice(sorted(MECHANISMS)),
     help="Safety mechanism to take out.",
 )
+@click.option(
+    "--scheduler",
+    default="small",
+    show_default=True,
+    type=click.Choice(["small", "real"]),
+    help="Owner of the shards: the built-in placement or ShardScheduler.",
+)
 @click.option("--trace", default=60, show_default=True, help="Actions to print.")
-def main(seed: int, steps: int, without: tuple[str, ...], trace: int) -> None:
+def main(
+    seed: int, steps: int, without: tuple[str, ...], scheduler: str, trace: int
+) -> None:
     """Try to break the promises; print seed, trace and the broken promise."""
     began = time.monotonic()
     try:
-        counts = run(seed, steps, frozenset(without))
+        counts = run(seed, steps, frozenset(without), scheduler)
     except Failure as exc:
         for line in exc.trace[-trace:]:
             click.echo(line)
--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from .fencing import valid_until_ms
+from .fuzz_scheduler import RealShard
 from .fuzz_shard import FuzzShard
 from .fuzz_store import failure, time_out
 from .fuzz_worker import PollWorker
@@ -73,7 +74,7 @@
 
 @dataclass(slots=True)
 class _Shard:
-    decisions: FuzzShard
+    decisions: FuzzShard | RealShard
     takeover: Takeover
     epoch: int
     settled: bool = False
@@ -210,7 +211,11 @@
             list_read=self.world.lacks("list_read"),
         )
         self.world.weaken_takeover(takeover)
-        shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
+        shard: FuzzShard | RealShard
+        if self.world.real_scheduler:
+            shard = RealShard(out.shard, self.name, takeover, self.now())
+        else:
+            shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
         self.world.weaken_ledger(shard.ledger)
         self.shards[out.shard] = _Shard(shard, takeover, out.epoch)
         for vm, leaving in vms:
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -80,13 +80,20 @@
         Names from `MECHANISMS` that are taken out.
     small : bool
         Whether to build one data centre with one shard and few processes.
+    real_scheduler : bool
+        Whether shards are owned by `ShardScheduler` and not by `FuzzShard`.
     """
 
     def __init__(
-        self, rng: random.Random, without: frozenset[str], small: bool = False
+        self,
+        rng: random.Random,
+        without: frozenset[str],
+        small: bool = False,
+        real_scheduler: bool = False,
     ):
         self.rng = rng
         self.without = without
+        self.real_scheduler = real_scheduler
         self.oracle = Oracle()
         self.real = 0.0
         self.list_up = True
