--- a/src/poplaryard/results.py
+++ b/src/poplaryard/results.py
@@ -27,6 +27,9 @@
 # A stop whose effect is not reported is sent again after this time.
 STOP_AGAIN_S = 1.0
 
+# Answers in place of "not run" if the ledger knows that some attempt may have run.
+_MAY_HAVE_RUN = {Code.EXPIRED: Code.TIMED_OUT, Code.CANCELLED: Code.STOPPED}
+
 
 class Results:
     """Settles the attempts of a shard and answers its jobs, each once.
@@ -104,8 +107,7 @@
         job = self._state.jobs.get(report.request_id)
         if job is not None:
             job.attempts.add(attempt.attempt_id)
-            if report.task in job.pending:
-                job.pending.remove(report.task)
+            self._state.withdraw(job, report.task)
             self._state.attempts.describe(attempt, job.work)
 
     def take_running(self, job: Job) -> None:
@@ -127,9 +129,8 @@
         job = self._state.jobs.get(report.request_id)
         if job is None:
             return
-        open_tasks = self.ledger.open_tasks(job.request_id)
-        if report.task not in open_tasks and report.task in job.pending:
-            job.pending.remove(report.task)
+        if report.task not in self.ledger.open_tasks(job.request_id):
+            self._state.withdraw(job, report.task)
             job.ran = True
         if answer is not None:
             self._send(now, job, answer)
@@ -193,7 +194,7 @@
         """Answer a job that has not run."""
         answer = self.ledger.not_run(now, job.request_id, code)
         if answer is None:
-            self._end_job(now, job, Code.UNKNOWN_OUTCOME)
+            self._end_job(now, job, _MAY_HAVE_RUN.get(code, Code.UNKNOWN_OUTCOME))
             return
         if detail or retry_after_s:
             detail = detail or answer.detail
@@ -251,5 +252,6 @@
         self._again(now, job, task)
 
     def _again(self, now: float, job: Job, task: int) -> None:
-        job.pending.append(task)
+        if task not in job.pending:
+            job.pending.append(task)
         self._requeue(now, job)
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -33,12 +33,10 @@
 from .resources import Resources
 from .results import Results
 from .state import ShardState
-from .takeover import Takeover
+from .takeover import Takeover, VmListRead
 
 __all__ = ["ShardScheduler", "Snapshot"]
 
-_TAKEOVER_INPUTS = frozenset({Tick, VmUpdate, VmGone, ClaimReply})
-
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
@@ -101,11 +99,12 @@
             Submit: self._on_submit,
             Tick: self._on_tick,
             VmGone: self._claims.gone,
+            VmListRead: lambda now, msg: None,
             VmUpdate: self._on_vm_update,
             WorkerUnreachable: self._on_unreachable,
         }
 
-    def handle(self, now: float, msg: Message) -> list[Message]:
+    def handle(self, now: float, msg: Message | VmListRead) -> list[Message]:
         """Take one message and return the messages that follow from it."""
         handler = self._handlers.get(type(msg))
         if handler is None:
@@ -113,24 +112,23 @@
         state = self._state
         state.out = []
         handler(now, msg)
-        if state.takeover is not None and type(msg) in _TAKEOVER_INPUTS:
-            self._advance_takeover(now, msg)
+        self._claims.advance(now, msg)
         self._results.send_stops(now)
         if self._capacity_changed:
             self._capacity_changed = False
             self._replicas.share_out()
             self._backlog.configure()
-        if state.room_freed or type(msg) is Tick:
-            self._replicas.reconcile(now)
+        self._replicas.reconcile(now, type(msg) is Tick)
         self._backlog.run(now)
         return state.out
 
-    def take_over(self, takeover: Takeover) -> None:
-        """Follow a take-over, which says when exclusive work may be served.
+    def take_over(self, now: float, takeover: Takeover) -> None:
+        """Follow a take-over, which claims workers and says what may be served.
 
-        Without it, exclusive work waits until every VM of the shard was claimed.
+        Call it before the first `Authority` of its epoch. Without it, exclusive work
+        waits until every VM of the shard was claimed.
         """
-        self._state.takeover = takeover
+        self._claims.take_over(now, takeover)
 
     def explain(self, request_id: str) -> str:
         """Return one sentence that says where a request stands."""
@@ -167,14 +165,6 @@
     def _requeue(self, now: float, job: Job) -> None:
         self._backlog.requeue(now, job)
 
-    def _advance_takeover(self, now: float, msg: Message) -> None:
-        takeover = t.cast(Takeover, self._state.takeover)
-        # `Claims` sends the claims and repeats them also for workers lost later, and
-        # the caller of `handle` sees a refused epoch itself.
-        takeover.handle(now, msg)
-        if takeover.serves_exclusive():
-            self._state.room_freed = True
-
     def _on_configure(self, now: float, msg: Configure) -> None:
         if msg.config.number >= self._state.config.number:
             self._state.config = msg.config
@@ -197,7 +187,9 @@
         self._replicas.leaves(now, vm)
         self._backlog.gangs.vm_lost(vm)
         for attempt in self._state.attempts.on_vm(vm):
-            if attempt.work.checkpointable and attempt.stop_mode is None:
+            work = attempt.work
+            stoppable = work.idempotent and not work.exclusive_key
+            if work.checkpointable and stoppable and attempt.stop_mode is None:
                 self._state.stop(now, attempt, StopMode.CHECKPOINT)
         self._state.room_freed = True
 
@@ -220,6 +212,7 @@
         work, state = msg.work, self._state
         open_tasks = self._results.ledger.open_tasks(work.request_id)
         job = Job(work, msg.reply_to, now, deque(open_tasks))
+        job.ran = not state.all_known(now, msg.wall, work)
         state.add_job(job)
         self._results.take_running(job)
         if work.deadline <= now:
