Observe the status regularly

Change: OperatorDesk has start and stop hooks that look at the status every 2 s. Conclusion: the application has to register both hooks.

--- a/src/poplaryard/operator_context.py
+++ b/src/poplaryard/operator_context.py
@@ -6,10 +6,8 @@
 from .acceptance import Acceptance, FileResult
 from .audit import AuditFilter, AuditLog, AuditWriter
 from .clock import Clock
-from .compaction import Compactor
 from .config_loader import read_head, read_ticket
 from .configuration import Configuration
-from .exceptions import PoplaryardError
 from .head import Head
 from .messages import AuditEvent
 from .rollout import HeadSeen, Rollout
@@ -19,10 +17,8 @@
 
 __all__ = ["OperatorDesk"]
 
-# Interval of the audit log's check for a group that is due.
-UPKEEP_S = 1.0
-# Interval at which the first watcher sees whether a snapshot is due.
-COMPACT_S = 10.0
+# An alarm's begin is known to this accuracy.
+OBSERVE_S = 2.0
 
 
 class OperatorDesk:
@@ -58,9 +54,7 @@
         self._writer = writer
         self._facts = facts
         self._board = StatusBoard()
-        self._compactor = Compactor(store, acceptance.loader)
-        self._next_compaction = 0.0
-        self.failed_compactions = 0
+        self._observer: asyncio.Task[None] | None = None
 
     def config(self) -> Configuration | None:
         """Return the configuration in force here; None if there is none yet."""
@@ -111,24 +105,17 @@
         """Return matching audit events, oldest first."""
         return await self._writer.search(wanted)
 
-    async def run(self) -> None:
-        """Flush the audit log and write snapshots until cancelled."""
+    async def start(self) -> None:
+        """Look at the status regularly, so that alarms show since when they stand."""
+        self._observer = asyncio.create_task(self._observe())
+
+    async def stop(self) -> None:
+        """Stop looking at the status."""
+        if self._observer is not None:
+            self._observer.cancel()
+            await asyncio.gather(self._observer, return_exceptions=True)
+
+    async def _observe(self) -> None:
         while True:
-            await asyncio.sleep(UPKEEP_S)
-            await self.upkeep()
-
-    async def upkeep(self) -> None:
-        """Do what is due; a fault of the store is met again at the next call."""
-        await self._writer.flush_if_due()
-        now = self._clock.now()
-        first = self._rollout.watchers[:1] == (self._rollout.process,)
-        if first and now >= self._next_compaction:
-            self._next_compaction = now + COMPACT_S
-            try:
-                await self._compactor.run()
-            except PoplaryardError:
-                self.failed_compactions += 1
-
-    async def close(self) -> None:
-        """Flush what the audit log still holds."""
-        await self._writer.flush_if_due(force=True)
+            self.status()
+            await asyncio.sleep(OBSERVE_S)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -28,7 +28,7 @@
         self.rollout.handle(0.0, Loaded(self.filer.loader.state))
         self.log = AuditLog()
         writer = AuditWriter(self.store, self.clock, self.log, "dc1", "p0")
-        desk = OperatorDesk(
+        self.desk = OperatorDesk(
             {"anna": _KEY, "bo": "operator-key-2"},
             self.store,
             self.clock,
@@ -39,7 +39,7 @@
             writer,
             lambda: {"queued": 3},
         )
-        self.app = Starlette(routes=operator_routes(desk))
+        self.app = Starlette(routes=operator_routes(self.desk))
         self.loads = []
 
     def notify(self, msg):
@@ -116,13 +116,20 @@
         asyncio.run(run())
 
     def test_status_has_the_screen(self):
-        """Guards against a status route that lacks facts of the application."""
+        """Guards against a screen without the application's facts or a begin."""
 
         async def run():
             desk = Desk()
             _, found = await desk.call("GET", "/v1/status")
             self.assertIn("3 tasks wait", found["text"])
             self.assertEqual([], found["alarms"])
+            desk.rollout.store_ok = False
+            await desk.desk.start()
+            await asyncio.sleep(0)
+            await desk.desk.stop()
+            desk.clock.advance(60)
+            _, found = await desk.call("GET", "/v1/status")
+            self.assertIn("store-down, for 60 seconds", found["text"])
 
         asyncio.run(run())
 
