Build the zip application from the lock file

Cause: `make binary` failed without a dist folder and would have fetched a build tool. Change: make the folder, build without isolation, constrain to the lock file; hypothesis is only needed for tests.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,9 @@
 	$(BIN)/poplaryard fuzz --seed 1 --steps 100000
 
 binary: $(STAMP)
+	mkdir -p dist
 	$(BIN)/shiv --quiet --console-script poplaryard --output-file dist/poplaryard.pyz \
-		--reproducible .
+		--reproducible --no-build-isolation --constraint requirements.lock .
 
 clean:
 	rm -rf $(VENV) build dist
