--- a/src/poplaryard/ejection.py
+++ b/src/poplaryard/ejection.py
@@ -3,10 +3,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from .chart import load
+from .statechart import load_chart
 
 __all__ = ["Ejector"]
 
+_CHART = load_chart("ejection")
+
 _WINDOW = 10
 _MIN_SAMPLES = 5
 _FAILED_SHARE = 0.5
@@ -23,7 +25,7 @@
     """Recent results of one VM and its state in the chart."""
 
     group: str = ""
-    state: str = "closed"
+    state: str = _CHART.initial
     since: float = 0.0
     cool_s: float = _COOL_S
     probes: int = 0
@@ -38,7 +40,6 @@
     """
 
     def __init__(self) -> None:
-        self._next = _next_states()
         self._vms: dict[str, _Health] = {}
         self._sizes: dict[str, int] = {}
         self._out: dict[str, int] = {}
@@ -112,18 +113,9 @@
 
     def _move(self, now: float, health: _Health, trigger: str) -> None:
         was_out = health.state in ("open", "half_open")
-        health.state = self._next.get((health.state, trigger), health.state)
+        health.state = _CHART.step(health.state, trigger)
         is_out = health.state in ("open", "half_open")
         health.since, health.probes = now, 0
         health.results.clear()
         change = int(is_out) - int(was_out)
         self._out[health.group] = self._out.get(health.group, 0) + change
-
-
-def _next_states() -> dict[tuple[str, str], str]:
-    """Return the chart as a table; a model per VM would cost several KB each."""
-    return {
-        (source, trigger): str(found[0].dest)
-        for trigger, event in load("ejection").events.items()
-        for source, found in event.transitions.items()
-    }
