Spread keyless work over shards by their number of VMs

Cause: with 20 VMs in 6 shards, shards hold 1 to 7 VMs but got equal shares of work. Change: the request id chooses a VM, and the work goes to that VM's shard.

--- a/src/poplaryard/shard_map.py
+++ b/src/poplaryard/shard_map.py
@@ -1,5 +1,8 @@
 """Which shard each VM belongs to, and which shards can hold a piece of work."""
 
+import hashlib
+import typing as t
+
 from . import routing
 from .configuration import Configuration, VmSpec
 from .messages import Work, WorkKind
@@ -52,8 +55,8 @@
         key = routing.key_of(work)
         if key:
             return self.home(key)
-        able = self._able_shards(work) or self.local()
-        return routing.home_shard(work.request_id, able) if able else ""
+        able: t.Sequence[str] = self._able_shards(work) or self.local()
+        return able[_spread(work.request_id, len(able))] if able else ""
 
     def vms_of(self, shard: str) -> dict[str, VmSpec]:
         """Return the VMs of a shard of this data centre by name."""
@@ -68,7 +71,11 @@
         return shard
 
     def _able_shards(self, work: Work) -> list[str]:
-        """Return the shards with a VM for the work: here if any, else anywhere."""
+        """Return the shard of each VM for the work: here if any, else anywhere.
+
+        A shard with more VMs is listed more often and so gets more work; shards of a
+        data centre with few VMs differ widely in size.
+        """
         group, need = work.group, work.need
         if work.kind is WorkKind.REQUEST:
             spec = self.config.services.get(work.target)
@@ -88,4 +95,11 @@
             vm for item in chosen for vm in item.vms if need.fits_in(vm.capacity)
         ]
         near = [vm for vm in fitting if vm.data_centre == self.data_centre]
-        return sorted({self._shard(vm) for vm in near or fitting})
+        chosen_vms = sorted(near or fitting, key=lambda vm: vm.name)
+        return [self._shard(vm) for vm in chosen_vms]
+
+
+def _spread(text: str, count: int) -> int:
+    """Return a number below `count`, the same in every process."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % count
--- a/tests/test_shard_map.py
+++ b/tests/test_shard_map.py
@@ -1,3 +1,5 @@
+from collections import Counter
+
 import testtools
 
 from poplaryard.configuration import Policy
@@ -24,6 +26,14 @@
         job = work(kind=WorkKind.BATCH, target="", need=Resources(10**6))
         self.assertIn(self.map.shard_for(job), self.map.local())
 
+    def test_shards_get_work_in_proportion_to_their_vms(self):
+        """Guards against a shard of one VM that gets as much as one of seven."""
+        self.map.configure(configuration(vms=20, policy=Policy(4)))
+        found = Counter(self.map.shard_for(work(f"r{n}")) for n in range(4000))
+        for shard in self.map.local():
+            expected = 200 * len(self.map.vms_of(shard))
+            self.assertAlmostEqual(expected, found[shard], delta=150)
+
     def test_home_of_a_key_does_not_depend_on_vms(self):
         """Guards against two homes of a key while a ticket comes into force (P2)."""
         other = ShardMap("dc1")
