--- a/src/poplaryard/backlog.py
+++ b/src/poplaryard/backlog.py
@@ -9,18 +9,18 @@
 from .admission import Admission
 from .codes import Code
 from .estimate import Estimator
-from .gangs import QUANTILE, Gangs
+from .gangs import Gangs
 from .jobs import Attempt, Job
 from .lanes import Lane, Pending, lane_of
 from .messages import Priority, WorkKind
 from .parking import Parking
-from .placement import BatchTask, Choice, RequestTask, Task, choose
 from .preemption import Preemptor
 from .queues import WaitQueues
 from .reasons import Reasons
-from .resources import ZERO, Resources
+from .resources import Resources
 from .results import Results
-from .state import ShardState, Start
+from .starter import Starter
+from .state import ShardState
 
 __all__ = ["Backlog"]
 
@@ -49,6 +49,9 @@
         self.reasons = Reasons(state)
         self._queues = WaitQueues(state.config.policy, self._state.quotas.share)
         self._admission = Admission(state.config.policy)
+        self._starter = Starter(
+            state, results, estimator, self.gangs, self._queues, self._admission
+        )
         self._parking = Parking()
         self._sequence = itertools.count()
         self._gang_queue: list[tuple[int, int, str]] = []
@@ -218,7 +221,7 @@
     def _block(self, job: Job, lane: Lane) -> None:
         """Note what cannot start either, now that a job could not."""
         team = job.work.team
-        if not self._state.quotas.allowed(team, self._charge(job)):
+        if not self._state.quotas.allowed(team, self._starter.charge(job)):
             self._blocked.add((lane, team))
         elif not self._waits_alone(job):
             self._blocked.add(lane)
@@ -228,7 +231,9 @@
         if job.held:
             return True
         is_batch = job.work.kind is WorkKind.BATCH
-        return is_batch and (self.gangs.active or self._charge(job) != job.work.need)
+        return is_batch and (
+            self.gangs.active or self._starter.charge(job) != job.work.need
+        )
 
     def _place(self, now: float, job: Job, entry: Pending) -> bool:
         """Start what fits of a job; return True if it waits in the queue no more."""
@@ -284,44 +289,20 @@
     def _place_task(self, now: float, job: Job, task: int, entry: Pending) -> bool:
         if task in job.held:
             return False
-        charge = self._charge(job)
+        charge = self._starter.charge(job)
         if not self._state.quotas.allowed(job.work.team, charge):
             job.reason = self.reasons.over_quota(job)
             return False
         if not self._queues.may_start(now, entry):
             job.reason = self.reasons.kept_for_short(job)
             return False
-        choice = self._choose(now, job, charge)
+        choice = self._starter.choose(now, job, charge)
         if choice is None:
             job.reason = self.reasons.no_room(job, charge)
             if job.work.priority is Priority.URGENT:
                 self._preempt(now, job, task, charge)
             return False
-        return self._start(now, job, task, choice, charge)
-
-    def _choose(self, now: float, job: Job, charge: Resources) -> Choice | None:
-        work, fleet, rng = job.work, self._state.fleet, self._state.rng
-        task: Task
-        if work.kind is WorkKind.REQUEST:
-            task = RequestTask(pool=self._state.pools.get(work.target))
-            return choose(task, fleet, rng)
-        if not self._within_headroom(job, charge):
-            return None
-        task = BatchTask(charge, work.group)
-        choice = choose(task, fleet, rng)
-        if choice is not None or not self.gangs.active:
-            return choice
-        run_time_s = self._estimator.run_time_s(work, QUANTILE)
-        vm = self.gangs.backfill(now, charge, work.group, run_time_s)
-        return Choice(vm) if vm else None
-
-    def _within_headroom(self, job: Job, charge: Resources) -> bool:
-        """Tell whether the share kept free for peaks stays free."""
-        headroom = self._state.config.policy.headroom
-        if not headroom or job.work.priority is Priority.URGENT:
-            return True
-        after = self._state.fleet.used + charge
-        return after.dominant_share(self._state.fleet.total) <= 1.0 - headroom
+        return self._starter.start(now, job, task, choice, charge)
 
     def _pass_gangs(self, now: float) -> None:
         if "gangs" in self._blocked:
@@ -338,13 +319,13 @@
             return False
         if self._parked(now, job):
             return True
-        charge = self._charge(job)
+        charge = self._starter.charge(job)
         whole = charge.times(len(job.pending))
         if not self._state.quotas.allowed(job.work.team, whole):
             job.reason = self.reasons.over_quota(job)
             return False
         if self.gangs.hold_all(job, charge):
-            self._start_all_held(now, job)
+            self._starter.start_all_held(now, job)
             return True
         reserved = self.gangs.reserve(now, job, charge)
         job.reason = self.reasons.gang_waits(job, reserved)
@@ -367,54 +348,21 @@
                 self._state.unhold_all(job)
                 self._gang_back(job)
             else:
-                self._start_all_held(now, job)
+                self._starter.start_all_held(now, job)
         for request_id, job in list(self._urgent.items()):
             for task, name in list(job.held.items()):
                 vm = self._state.fleet.vms.get(name)
                 if vm is None or not vm.usable:
                     self._state.unhold(job, task)
                 elif not vm.overcommitted and not self._must_wait(job):
-                    self._start_one_held(now, job, task)
+                    self._starter.start_held(now, job, task)
             if not job.held:
                 del self._urgent[request_id]
-
-    def _start_all_held(self, now: float, job: Job) -> None:
-        for task in list(job.held):
-            self._start_one_held(now, job, task)
-
-    def _start_one_held(self, now: float, job: Job, task: int) -> None:
-        vm = self._state.fleet.vms[job.held[task]]
-        amount = self._state.unhold(job, task)
-        if self._start(now, job, task, Choice(vm), amount):
-            job.pending.remove(task)
             if not job.pending:
                 self._remove(now, job)
 
-    def _start(
-        self, now: float, job: Job, task: int, choice: Choice, charge: Resources
-    ) -> bool:
-        start = Start(choice.vm, job.work, task, charge, choice.executor)
-        attempt = self._state.start(now, start)
-        if attempt is None:
-            return False
-        self._results.ledger.started(now, job.request_id, attempt.attempt_id, task)
-        entry = t.cast(Pending, job.entry)
-        is_request = job.work.kind is WorkKind.REQUEST
-        held = None if is_request else charge
-        self._queues.started(now, attempt.attempt_id, entry, held)
-        self._admission.started(now, job.work)
-        self._results.budget.first(now)
-        job.attempts.add(attempt.attempt_id)
-        return True
-
     def _ended(self, now: float, attempt: Attempt) -> None:
         self._queues.ended(now, attempt.attempt_id)
 
     def _closed(self, now: float, job: Job) -> None:
         self._remove(now, job)
-
-    def _charge(self, job: Job) -> Resources:
-        if job.work.kind is WorkKind.REQUEST:
-            return ZERO
-        limit = self._state.fleet.roomiest(job.work.need, job.work.group)
-        return self._estimator.charge(job.work, limit or ZERO)
