Split a service's replicas over data centres and shards

Cause: every shard of a data centre ran the whole part of its data centre. Change: the largest-remainder rule is applied by data centre, then by shard, with the VM counts of the service's group; counts are kept until groups or policy change. Figures: a test with two data centres and six shards adds up to the ticket's 7.

--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -1,9 +1,12 @@
 """Reconciliation of service replicas with the ticket in force."""
 
-from .configuration import Configuration, ServiceSpec
+import typing as t
+
+from .configuration import Configuration, Policy, ServiceSpec, VmGroupSpec
 from .fleet import Vm
 from .messages import StopMode, Work, WorkKind
 from .placement import ReplicaTask, choose
+from .routing import shard_names, shard_of_vm
 from .services import CLOSE_AFTER_S, ReplicaPool, split
 from .state import ShardState, Start
 
@@ -17,11 +20,21 @@
 CLAIMS_WAIT_S = 1.0
 
 
+class _Sizes(t.NamedTuple):
+    """Number of VMs by data centre, and by shard of the own data centre."""
+
+    centres: dict[str, int]
+    shards: dict[str, int]
+
+
 class Replicas:
     """Starts, replaces and drains the replicas of one shard."""
 
     def __init__(self, state: ShardState):
         self._state = state
+        self._groups: t.Mapping[str, VmGroupSpec] = {}
+        self._policy = Policy()
+        self._sizes: dict[str, _Sizes] = {}
 
     def configure(self, config: Configuration) -> None:
         """Take the services of a new configuration."""
@@ -34,13 +47,20 @@
 
     def share_out(self) -> None:
         """Compute the part of each service's replicas that this shard runs."""
-        config = self._state.config
-        vms = self._state.fleet.vms.values()
-        own = next((vm.spec.data_centre for vm in vms), "")
-        weights = {name: len(config.vms(name)) for name in config.data_centres()}
+        config, shard = self._state.config, self._state.shard
+        if config.vm_groups != self._groups or config.policy != self._policy:
+            self._groups, self._policy = config.vm_groups, config.policy
+            self._sizes = _shard_sizes(config, shard.rpartition("/")[0])
         for name, pool in self._state.pools.items():
             spec = config.services.get(name)
-            pool.want(split(spec.replicas, weights).get(own, 0) if spec else 0)
+            pool.want(self._part(spec) if spec else 0)
+
+    def _part(self, spec: ServiceSpec) -> int:
+        """Return this shard's part: by data centre first, then by shard."""
+        sizes, shard = self._sizes.get(spec.group, _Sizes({}, {})), self._state.shard
+        centre = shard.rpartition("/")[0]
+        of_centre = split(spec.replicas, sizes.centres).get(centre, 0)
+        return split(of_centre, sizes.shards).get(shard, 0)
 
     def leaves(self, now: float, vm: Vm) -> None:
         """Replace the replicas on a VM that leaves."""
@@ -98,6 +118,26 @@
         return self._state.start(now, start) is not None
 
 
+def _shard_sizes(config: Configuration, centre: str) -> dict[str, _Sizes]:
+    """Return the sizes by VM group; ``""`` stands for all VMs."""
+    shards = shard_names(centre, config.policy.shards_per_data_centre)
+    found = {"": _Sizes({}, {})}
+    for group in config.vm_groups.values():
+        sizes = found.setdefault(group.name, _Sizes({}, {}))
+        for vm in group.vms:
+            _count(sizes.centres, vm.data_centre)
+            _count(found[""].centres, vm.data_centre)
+            if vm.data_centre == centre:
+                shard = shard_of_vm(vm.name, shards)
+                _count(sizes.shards, shard)
+                _count(found[""].shards, shard)
+    return found
+
+
+def _count(counts: dict[str, int], key: str) -> None:
+    counts[key] = counts.get(key, 0) + 1
+
+
 def _work_of(spec: ServiceSpec) -> Work:
     return Work(
         request_id=f"service/{spec.name}",
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -1,5 +1,7 @@
+import random
 from dataclasses import replace
 
+from poplaryard.configuration import Policy
 from poplaryard.messages import (
     AttemptState,
     Configure,
@@ -9,8 +11,11 @@
     VmUpdate,
     WorkKind,
 )
+from poplaryard.replicas import Replicas
+from poplaryard.routing import shard_names
 from poplaryard.services import split
-from tests.builders import configuration, work
+from poplaryard.state import ShardState
+from tests.builders import configuration, vm_spec, work
 from tests.shard import Shard
 
 
@@ -20,6 +25,24 @@
     assert split(3, {}) == {}
 
 
+def test_shards_and_data_centres_run_the_replicas_of_the_ticket_together():
+    """Guards against each shard running all replicas of a service."""
+    policy = Policy(shards_per_data_centre=3)
+    config = configuration(vms=12, replicas=7, policy=policy)
+    group = config.vm_groups["booking"]
+    other = tuple(vm_spec(n, data_centre="dc2", group="booking") for n in range(4))
+    groups = {"booking": replace(group, vms=group.vms + other)}
+    config = replace(config, vm_groups=groups)
+    total = 0
+    for shard in shard_names("dc1", 3) + shard_names("dc2", 3):
+        state = ShardState(shard, random.Random(1), config)
+        replicas = Replicas(state)
+        replicas.configure(config)
+        replicas.share_out()
+        total += state.pools["booking"].wanted
+    assert total == 7
+
+
 def scaled(config, replicas, number):
     service = replace(config.services["booking"], replicas=replicas)
     return replace(config, number=number, services={"booking": service})
