Make room for replicas and for teams below their share

Cause: a service that grew in a full cell waited for batch work to end, and shares were not reclaimed. Change: both checkpoint the batch work whose loss is least; what cannot be checkpointed is left alone. A share is reclaimed after 1 s of waiting. Conclusion: service growth takes precedence over batch work at a peak.

--- a/src/poplaryard/backlog.py
+++ b/src/poplaryard/backlog.py
@@ -33,6 +33,9 @@
 # Largest number of jobs for which other work is being preempted.
 PREEMPTING = 256
 
+# Time for which work waits before its team's share is reclaimed from others.
+RECLAIM_AFTER_S = 1.0
+
 # Queued work is handed back this long after the authority has lapsed.
 HAND_BACK_S = 1.0
 
@@ -152,8 +155,34 @@
                 self._results.refuse(now, job, Code.EXCLUSIVE_PAUSED, retry_after_s=1.0)
         for attempt_id in self._queues.to_yield(now):
             self.preemptor.checkpoint(now, attempt_id)
+        self._reclaim(now)
         self._state.room_freed = True
 
+    def _reclaim(self, now: float) -> None:
+        """Checkpoint work of a team above its share for a team below its own."""
+        quotas = self._state.quotas
+        team = quotas.least_waiting()
+        if team is None or quotas.over_share(team) or len(self._urgent) >= PREEMPTING:
+            return
+        for entry in self._queues.candidates(now, PASS_LIMIT):
+            job = self._state.jobs.get(entry.work.request_id)
+            waits = job is not None and job.work.team == team and not job.held
+            if not waits or job is None or job.work.kind is not WorkKind.BATCH:
+                continue
+            if now < job.arrived + RECLAIM_AFTER_S or not job.pending:
+                continue
+            charge = self._starter.charge(job)
+            if quotas.allowed(team, charge) and self.preemptor.make_room(
+                now,
+                job,
+                job.pending[0],
+                charge,
+                checkpoint_only=True,
+                accept=lambda attempt: quotas.over_share(attempt.work.team) > 0.0,
+            ):
+                self._urgent[job.request_id] = job
+            return
+
     def _hand_back(self, now: float) -> None:
         """Answer work that has not run once this process cannot start it."""
         if now < self._state.authority.until + HAND_BACK_S:
--- a/src/poplaryard/preemption.py
+++ b/src/poplaryard/preemption.py
@@ -91,6 +91,7 @@
         need: Resources,
         *,
         checkpoint_only: bool = False,
+        accept: t.Callable[[Attempt], bool] = lambda attempt: True,
     ) -> bool:
         """Hold room for a task on the VM where least is lost; False if there is none.
 
@@ -98,10 +99,12 @@
         ----------
         checkpoint_only : bool
             Whether only attempts that can be checkpointed may be ended.
+        accept : callable
+            Tells whether an attempt may be ended for this task.
         """
         best: tuple[Vm, Victims] | None = None
         for vm in self._candidates(need, job.work.group):
-            victims = self._victims(now, vm, need)
+            victims = self._victims(now, vm, need, accept)
             if victims is None or (checkpoint_only and victims.stopped):
                 continue
             if best is None or victims[:2] < best[1][:2]:
@@ -114,7 +117,7 @@
 
     def clear(self, now: float, vm: Vm) -> None:
         """End attempts so that what is held on a VM gets its room."""
-        victims = self._victims(now, vm, ZERO)
+        victims = self._victims(now, vm, ZERO, lambda attempt: True)
         if victims is not None:
             self._end(now, victims.attempts)
 
@@ -131,8 +134,15 @@
             if attempt is not None:
                 self._stop(now, attempt, StopMode.STOP, STOP_AGAIN_S)
 
-    def _victims(self, now: float, vm: Vm, need: Resources) -> Victims | None:
-        return choose_victims(now, vm, self._state.attempts.on_vm(vm), need)
+    def _victims(
+        self,
+        now: float,
+        vm: Vm,
+        need: Resources,
+        accept: t.Callable[[Attempt], bool],
+    ) -> Victims | None:
+        attempts = filter(accept, self._state.attempts.on_vm(vm))
+        return choose_victims(now, vm, attempts, need)
 
     def _candidates(self, need: Resources, group: str) -> list[Vm]:
         names = list(self._state.attempts.preemptible)
--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -1,11 +1,14 @@
 """Reconciliation of service replicas with the ticket in force."""
 
 import typing as t
+from collections import deque
 
 from .configuration import Configuration, Policy, ServiceSpec, VmGroupSpec
 from .fleet import Vm
+from .jobs import Job
 from .messages import StopMode, Work, WorkKind
 from .placement import ReplicaTask, choose
+from .preemption import Preemptor
 from .routing import shard_names, shard_of_vm
 from .services import CLOSE_AFTER_S, ReplicaPool, split
 from .state import ShardState, Start
@@ -30,8 +33,11 @@
 class Replicas:
     """Starts, replaces and drains the replicas of one shard."""
 
-    def __init__(self, state: ShardState):
+    def __init__(self, state: ShardState, preemptor: Preemptor):
         self._state = state
+        self._preemptor = preemptor
+        self._making_room: dict[str, Job] = {}
+        self._holds = 0
         self._groups: t.Mapping[str, VmGroupSpec] = {}
         self._policy = Policy()
         self._sizes: dict[str, _Sizes] = {}
@@ -94,8 +100,11 @@
                 attempt = self._state.attempts.get(replica.attempt_id)
                 if attempt and now >= attempt.stop_sent_at + DRAIN_AGAIN_S:
                     self._state.stop(now, attempt, StopMode.DRAIN)
-            for _ in range(pool.missing() if settled else 0):
-                if not self._start(now, pool):
+            missing = pool.missing() if settled else 0
+            held = self._start_held(now, pool, missing)
+            missing = (pool.missing() if settled else 0) - held
+            for _ in range(missing):
+                if not self._start(now, pool) and not self._make_room(now, pool):
                     break
             pool.unsettled |= pool.missing() > 0
             if name not in self._state.config.services and not pool.replicas:
@@ -108,6 +117,34 @@
         vms = self._state.fleet.vms.values()
         return all(vm.claimed or vm.lost_at <= now for vm in vms)
 
+    def _start_held(self, now: float, pool: ReplicaPool, missing: int) -> int:
+        """Start replicas whose room has become free; return how many have room held."""
+        job = self._making_room.get(pool.spec.name)
+        if job is None:
+            return 0
+        for task, name in list(job.held.items()):
+            vm = self._state.fleet.vms.get(name)
+            if vm is None or not vm.usable or len(job.held) > missing:
+                self._state.unhold(job, task)
+            elif not vm.overcommitted:
+                amount = self._state.unhold(job, task)
+                self._state.start(now, Start(vm, _work_of(pool.spec), 0, amount))
+                missing -= 1
+        return len(job.held)
+
+    def _make_room(self, now: float, pool: ReplicaPool) -> bool:
+        """Have batch work checkpointed for a replica that fits nowhere."""
+        spec = pool.spec
+        if now < pool.retry_at:
+            return False
+        job = self._making_room.setdefault(
+            spec.name, Job(_work_of(spec), "", now, deque())
+        )
+        self._holds += 1
+        return self._preemptor.make_room(
+            now, job, self._holds, spec.need, checkpoint_only=True
+        )
+
     def _start(self, now: float, pool: ReplicaPool) -> bool:
         spec = pool.spec
         task = ReplicaTask(spec.need, spec.group, pool.racks)
--- a/tests/test_preemption.py
+++ b/tests/test_preemption.py
@@ -2,6 +2,8 @@
 from poplaryard.resources import Resources
 from tests.shard import BIG, Shard, batch, plain
 
+HALF = Resources(8000, 1024, 0)
+
 
 def urgent(request_id="u1", **fields):
     return batch(request_id, priority=Priority.URGENT, **fields)
@@ -49,6 +51,19 @@
     assert "u1" not in running
 
 
+def test_share_of_a_waiting_team_is_reclaimed_from_one_above_its_own():
+    shard = Shard(plain(vms=2))
+    for number in range(4):
+        shard.send(batch(f"a{number}", need=HALF, team="a", checkpointable=True))
+    shard.send(batch("b", need=HALF, team="b"))
+    shard.tick(0.5)
+    assert shard.stops == []
+    shard.tick(0.6)
+    (stop,) = shard.stops
+    shard.end(shard.starts[stop.attempt_id], state=AttemptState.CHECKPOINTED)
+    assert "b" in {s.work.request_id for s in shard.running.values()}
+
+
 def test_least_work_is_lost():
     shard = Shard(plain(vms=2))
     shard.send(batch("old"))
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -11,12 +11,14 @@
     VmUpdate,
     WorkKind,
 )
+from poplaryard.preemption import Preemptor
 from poplaryard.replicas import Replicas
+from poplaryard.resources import Resources
 from poplaryard.routing import shard_names
 from poplaryard.services import split
 from poplaryard.state import ShardState
 from tests.builders import configuration, vm_spec, work
-from tests.shard import Shard
+from tests.shard import Shard, batch
 
 
 def test_split_gives_every_replica_to_exactly_one_shard():
@@ -36,7 +38,7 @@
     total = 0
     for shard in shard_names("dc1", 3) + shard_names("dc2", 3):
         state = ShardState(shard, random.Random(1), config)
-        replicas = Replicas(state)
+        replicas = Replicas(state, Preemptor(state))
         replicas.configure(config)
         replicas.share_out()
         total += state.pools["booking"].wanted
@@ -69,6 +71,19 @@
     assert shard.started(WorkKind.REQUEST)[-1].executor not in drained(shard)
 
 
+def test_growing_service_takes_the_room_of_work_that_can_be_checkpointed():
+    """Guards against a demand peak waiting behind batch work in a full cell."""
+    config = configuration(vms=1, replicas=1, policy=Policy(short_s=1e9))
+    shard = Shard(config)
+    shard.send(batch("b1", need=Resources(8000, 1024, 0), checkpointable=True))
+    shard.send(Configure(scaled(config, 2, 2)))
+    (stop,) = shard.stops
+    assert stop.mode is StopMode.CHECKPOINT
+    shard.end(shard.starts[stop.attempt_id], state=AttemptState.CHECKPOINTED)
+    shard.tick(0.1)
+    assert len(shard.started(WorkKind.SERVICE)) == 2
+
+
 def test_growing_starts_the_missing_replicas():
     config = configuration()
     shard = Shard(config)
