Measure submits during a wave of 10,000 cancellations

Cause: the promise that a wave does not disturb placement had no figure. Change: `bench placement` cancels 10,000 jobs with a submit after every tenth.

--- a/src/poplaryard/bench_placement.py
+++ b/src/poplaryard/bench_placement.py
@@ -26,6 +26,8 @@
 # it, and a policy is judged by how many VMs it puts to use.
 PACKING_LOAD = 0.6
 RACK_SIZE = 5
+# Jobs cancelled at once in one of the runs.
+CANCELLED = 10_000
 PLAIN_SHAPE = Resources(16_000, 32_768, 0)
 # Shapes of section 1.3 of the design page, with the share of each in the cell.
 SHAPES = (
@@ -219,9 +221,22 @@
             "submit_p99_us": round(elapsed[len(elapsed) * 99 // 100] / 1000, 1),
             "answered": bench.answered,
         }
+    found["cancel_wave"] = _measure_wave(vms, seed)
     return found
 
 
+def _measure_wave(vms: int, seed: int) -> dict[str, t.Any]:
+    """Measure submits while many jobs are cancelled, running and waiting ones."""
+    bench = SchedulerBench(_vms(vms, SHAPES), 10 * CANCELLED, seed)
+    elapsed = sorted(bench.cancel_wave(CANCELLED))
+    return {
+        "cancelled": CANCELLED,
+        "submit_p50_us": round(elapsed[len(elapsed) // 2] / 1000, 1),
+        "submit_p99_us": round(elapsed[len(elapsed) * 99 // 100] / 1000, 1),
+        "submit_max_us": round(elapsed[-1] / 1000, 1),
+    }
+
+
 @click.command()
 @click.option("--vms", default=1300, show_default=True, help="VMs of the cell.")
 @click.option("--tasks", default=20_000, show_default=True, help="Timed decisions.")
--- a/src/poplaryard/bench_scheduler.py
+++ b/src/poplaryard/bench_scheduler.py
@@ -13,6 +13,7 @@
     AttemptReport,
     AttemptState,
     Authority,
+    Cancel,
     ClaimReply,
     ClaimWorker,
     Configure,
@@ -33,6 +34,8 @@
 # Tasks that end in one report of a worker.
 REPORT_BATCH = 8
 
+_WAVE_NEED = Resources(1000, 1024, 0)
+
 
 class SchedulerBench:
     """Feeds a shard with work and answers for its workers.
@@ -79,6 +82,25 @@
         for _ in range(count):
             yield Work(f"q{next(self._ids)}", target="service", declared_s=0.1)
 
+    def cancel_wave(self, count: int) -> list[int]:
+        """Cancel `count` jobs in a row, one submit after each tenth cancellation.
+
+        Returns
+        -------
+        list of int
+            Time of each submit in nanoseconds.
+        """
+        jobs = [f"b{next(self._ids)}" for _ in range(count)]
+        for job in jobs:
+            work = Work(job, WorkKind.BATCH, need=_WAVE_NEED, declared_s=1e6)
+            self._give(Submit(work, "bench", 1e9))
+        self.submit_ns.clear()
+        for number, job in enumerate(jobs):
+            self._give(Cancel(job))
+            if number % 10 == 0:
+                self.run(self.batch([_WAVE_NEED]))
+        return self.submit_ns
+
     def _set_up(self, vms: t.Sequence[VmSpec]) -> None:
         service = ServiceSpec("service", "team", len(vms), Resources(1000, 1024, 0))
         config = Configuration(
