--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -347,9 +347,11 @@
             return
         if isinstance(message, VmGone):
             self.shards[shard].claimed.discard(vm)
-        elif message.leaving:
+        elif message.leaving or vm in self._leaving:
+            # A list that lags does not take back what the worker itself has said.
             self._leaving.add(vm)
             self.world.oracle.told_leaving(self.name, vm)
+            message = VmUpdate(message.vm, leaving=True)
         self.give_shard(shard, message)
 
     def _apply(self, message: Ticket) -> None:
