Fuzz stranded owners, slow stores and parted peers

Cause: five removed mechanisms were not noticed. Change: cuts that follow each other, slow stores, VM lists that lag by process, and placement on any VM with room.

--- a/src/poplaryard/fuzz.py
+++ b/src/poplaryard/fuzz.py
@@ -6,7 +6,7 @@
 
 import click
 
-from .fuzz_node import Ticket
+from .fuzz_faults import Faults
 from .fuzz_worker import PollWorker
 from .fuzz_world import MECHANISMS, World
 from .messages import (
@@ -17,7 +17,7 @@
     Work,
     WorkKind,
 )
-from .ownership_messages import Leave, WriteRecord
+from .ownership_messages import WriteRecord
 from .resources import Resources
 from .routing import key_of
 
@@ -29,8 +29,6 @@
 # Virtual time after which a healed world must serve all work again.
 RECOVERY_S = 60.0
 
-MOST_WORKERS = 6
-
 
 class Failure(Exception):
     """Broken promise or error, with the episode's seed, step and last actions."""
@@ -43,12 +41,13 @@
         self.trace = trace
 
 
-class Fuzzer:
+class Fuzzer(Faults):
     """One episode: a world, and the actions that the random source picks."""
 
     def __init__(
         self, seed: int, without: frozenset[str] = frozenset(), scheduler: str = "small"
     ):
+        super().__init__()
         self.rng = random.Random(seed)
         self.duel = self.rng.random() < 0.5
         self.world = World(
@@ -93,6 +92,7 @@
     def _pass(self, seconds: float) -> None:
         world = self.world
         world.real += seconds
+        self.due()
         for worker in world.workers.values():
             if not worker.gone:
                 worker.expire(world.real)
@@ -113,7 +113,8 @@
         count = min(len(self.world.pool), self.rng.randint(5, 60))
         oldest = self.world.pool[:count]
         for item in oldest:
-            if item in self.world.pool:
+            slow = self.world.slow_store and "store/" in (item.to + item.sender)
+            if item in self.world.pool and not (slow and self.rng.random() < 0.95):
                 self.world.deliver(item)
         return str(count)
 
@@ -210,173 +211,6 @@
             self.world.send("caller", node.name, Cancel(work.request_id))
         return token
 
-    # Faults
-
-    def _node(self) -> t.Any:
-        """Return a process, more often than not one that owns a shard."""
-        nodes = [n for n in self.world.nodes.values() if n.alive and not n.left]
-        if self.rng.random() < 0.5:
-            nodes = [n for n in nodes if n.ownership.owned] or nodes
-        return self.rng.choice(nodes) if nodes else None
-
-    def pause(self) -> str | None:
-        """Pause a process, or wake a paused one."""
-        node = self._node()
-        if node is None:
-            return None
-        node.paused = not node.paused
-        return f"{node.name} {node.paused}"
-
-    def kill(self) -> str | None:
-        """End a process without notice, and often start its next incarnation."""
-        node = self._node()
-        if node is None:
-            return None
-        node.alive = False
-        node.paused = False
-        return f"{node.name} {self._restart(node.name, node.dc)}"
-
-    def _restart(self, name: str, dc: str) -> str:
-        if self.rng.random() < 0.2 and len(self.world.nodes) > 1:
-            return ""
-        base, _, number = name.partition("#")
-        again = f"{base}#{int(number) + 1}"
-        self.world.add_node(again, dc)
-        return again
-
-    def leave(self) -> str | None:
-        """Stop a process in a planned way and start another."""
-        node = self._node()
-        if node is None or node.paused:
-            return None
-        node.give(Leave())
-        base, _, number = node.name.partition("#")
-        self.world.add_node(f"{base}x#{number}", node.dc)
-        return node.name
-
-    def store(self) -> str:
-        """Take a store down or bring it back."""
-        dc = self.rng.choice(list(self.world.stores))
-        store = self.world.stores[dc]
-        store.down = not store.down and self.rng.random() < 0.7
-        return f"{dc} {store.down}"
-
-    def cut(self) -> str | None:
-        """Cut two places off from each other."""
-        world = self.world
-        places = [*world.workers, *_places(world.nodes)]
-        places += [f"store/{dc}" for dc in world.stores]
-        pair = frozenset(self.rng.sample(places, 2))
-        world.cuts.add(pair)
-        return f"{sorted(pair)}"
-
-    def isolate(self) -> str | None:
-        """Cut a process off from its store and, at times, from everything."""
-        node = self._node()
-        if node is None:
-            return None
-        name = node.name.partition("#")[0]
-        everything = self.rng.random() < 0.3
-        others = [f"store/{node.dc}"]
-        if everything:
-            others += [n.partition("#")[0] for n in self.world.nodes]
-        self.world.cuts |= {frozenset((name, other)) for other in others}
-        return f"{name} {others}"
-
-    def usurp(self) -> str | None:
-        """Cut an owner off so that another takes over with a worker out of reach."""
-        rng, world = self.rng, self.world
-        node = self._node()
-        if node is None:
-            return None
-        if rng.random() < 0.7:
-            world.cuts.clear()
-        name = node.name.partition("#")[0]
-        peers = [n for n in _places(world.nodes) if n != name]
-        workers = [w.name for w in world.workers.values() if not w.gone]
-        pairs = [(name, f"store/{node.dc}")] if rng.random() < 0.8 else []
-        if rng.random() < 0.7:
-            pairs += [(name, peer) for peer in peers]
-        hidden = rng.sample(workers, min(len(workers), rng.randint(1, 2)))
-        pairs += [(peer, worker) for peer in peers for worker in hidden]
-        if rng.random() < 0.3:
-            joiner = f"{node.dc}-j{world.next_id()}"
-            pairs += [(joiner, name), *((joiner, worker) for worker in hidden)]
-            world.add_node(f"{joiner}#1", node.dc)
-        world.cuts |= {frozenset(pair) for pair in pairs}
-        return str(pairs)
-
-    def mend(self) -> str | None:
-        """Remove one cut."""
-        cuts = self.world.cuts
-        if not cuts:
-            return None
-        pair = self.rng.choice(sorted(cuts, key=sorted))
-        cuts.discard(pair)
-        return str(sorted(pair))
-
-    def heal(self) -> str:
-        """Remove all cuts."""
-        self.world.cuts.clear()
-        return ""
-
-    def worker_leaves(self) -> str | None:
-        """Let a worker or the platform's list say that the VM is leaving."""
-        worker = self._worker()
-        if worker is None:
-            return None
-        if self.rng.random() < 0.5:
-            worker.leaving = True
-        else:
-            self.world.leave_worker(worker.name)
-        return worker.name
-
-    def worker_comes(self) -> str | None:
-        """Add a VM."""
-        live = sum(not worker.gone for worker in self.world.workers.values())
-        if live >= MOST_WORKERS:
-            return None
-        dc = self.rng.choice(list(self.world.stores))
-        name = f"{dc}-vm{self.world.next_id()}"
-        self.world.add_worker(name, dc)
-        return name
-
-    def worker_fails(self) -> str | None:
-        """Lose a VM; at times the list says so and a new one comes."""
-        worker = self._worker()
-        if worker is None:
-            return None
-        worker.fail(self.world.real)
-        if self.rng.random() < 0.5:
-            return worker.name
-        dc = worker.name.partition("-")[0]
-        self.world.unlist_worker(worker.name)
-        self.world.add_worker(f"{dc}-vm{self.world.next_id()}", dc)
-        return worker.name
-
-    def _worker(self) -> t.Any:
-        workers = [w for w in self.world.workers.values() if not w.gone]
-        return self.rng.choice(workers) if workers else None
-
-    def vm_list(self) -> str:
-        """Let the platform's VM list fail or come back."""
-        self.world.list_up = not self.world.list_up
-        return str(self.world.list_up)
-
-    def ticket(self) -> str:
-        """Accept a ticket and send it to all processes."""
-        world = self.world
-        number = world.accepted.number + 1
-        world.accepted = Ticket(number, f"content {number}")
-        world.oracle.ticket(number, world.accepted.content)
-        for node in world.nodes.values():
-            world.send("store", node.name, world.accepted)
-        return str(number)
-
-
-def _places(nodes: t.Iterable[str]) -> list[str]:
-    return sorted({name.partition("#")[0] for name in nodes})
-
 
 # Messages whose delay matters most; they are held back more often than others.
 _TELLING = (PollWorker, StartAttempt, Submit, WriteRecord)
@@ -387,7 +221,9 @@
     "finish": 0.8,
     "hold": 0.5,
     "release": 0.5,
-    "leave": 0.05,
+    "leave": 0.1,
+    "slow_store": 0.1,
+    "strand": 0.04,
     "submit": 8.0,
     "flush": 10.0,
     "heal": 0.08,
@@ -419,6 +255,8 @@
     "leave": (Fuzzer.leave, 0.05),
     "store": (Fuzzer.store, 0.05),
     "cut": (Fuzzer.cut, 0.1),
+    "slow_store": (Fuzzer.slow_store, 0.05),
+    "strand": (Fuzzer.strand, 0.02),
     "usurp": (Fuzzer.usurp, 0.1),
     "mend": (Fuzzer.mend, 0.2),
     "worker_comes": (Fuzzer.worker_comes, 0.05),
--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -59,8 +59,8 @@
 # the ledger has forgotten; answers are kept for this time plus the clock skew.
 COPY_S = 20.0
 
-# The VM list is read this often, and so lags behind.
-LIST_S = 2.0
+# Intervals at which a process reads the VM list, which so lags behind.
+LIST_S = (1.0, 2.0, 8.0)
 POLLS_MISSED = 3
 
 
@@ -113,6 +113,7 @@
         # VMs as this process last read them, and the last time that one left a shard.
         self._listed = world.listed(dc)
         self._listed_since: dict[str, float] = {}
+        self._list_s = rng.choice(LIST_S)
         self._list_at = 0.0
         world.weaken(self)
         self.give(ShardsConfigured(world.shards(dc), 1))
@@ -227,7 +228,7 @@
 
     def _read_list(self) -> None:
         """Read the platform's VM list and hand on what changed."""
-        self._list_at = self.now() + LIST_S
+        self._list_at = self.now() + self._list_s
         listed = self.world.listed(self.dc)
         for vm in sorted(self._listed.keys() - listed.keys()):
             self._vm_message(VmGone(vm))
--- a/src/poplaryard/fuzz_shard.py
+++ b/src/poplaryard/fuzz_shard.py
@@ -1,6 +1,7 @@
-"""Small first-fit owner of one shard over the real ledger and take-over, for `fuzz`."""
+"""Small random-fit owner of one shard over the real ledger, for `fuzz`."""
 
 import itertools
+import random
 import typing as t
 from dataclasses import dataclass, replace
 
@@ -60,7 +61,7 @@
 
 
 class FuzzShard:
-    """Places work on the first VM with room; every rule of safety is the real one.
+    """Places work on any VM with room; every rule of safety is the real one.
 
     Parameters
     ----------
@@ -82,6 +83,7 @@
         self._cancelled: set[str] = set()
         self._authority = Authority(shard, takeover.epoch, float("-inf"), False)
         self._numbers = itertools.count()
+        self._rng = random.Random(takeover.epoch)
 
     def handle(self, now: float, message: t.Any) -> list[t.Any]:
         """Take one message and return commands and answers."""
@@ -322,7 +324,7 @@
         return [StartAttempt(vm, attempt_id, self._takeover.epoch, limit, work, task)]
 
     def _fitting(self, need: Resources) -> str | None:
-        for name, vm in self._vms.items():
+        for name, vm in self._rng.sample(list(self._vms.items()), len(self._vms)):
             if vm.leaving or not vm.reachable or not self._takeover.may_place(name):
                 continue
             used = sum((s.need for s in self._sent.values() if s.vm == name), ZERO)
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -97,6 +97,7 @@
         self.oracle = Oracle()
         self.real = 0.0
         self.list_up = True
+        self.slow_store = False
         self.pool: list[_Item] = []
         self._trace: deque[tuple[float, str, t.Any]] = deque(maxlen=TRACE_LIMIT)
         self.nodes: dict[str, Node] = {}
