Ask the store when the status is read, and word refusals plainly

Cause: processes that do not watch the store did not show an outage; refusals of names and uids quoted patterns. Change: the status route reads the head once; patterns have plain sentences.

--- a/src/poplaryard/operator_context.py
+++ b/src/poplaryard/operator_context.py
@@ -8,9 +8,10 @@
 from .clock import Clock
 from .config_loader import read_head, read_ticket
 from .configuration import Configuration
+from .exceptions import StoreDown, StoreReplyLost
 from .head import Head
 from .messages import AuditEvent
-from .rollout import HeadSeen, Rollout
+from .rollout import HeadSeen, Rollout, StoreFailed
 from .status import Alarm, Health, StatusBoard, health_of, screen
 from .store import Store
 from .tickets import Ticket
@@ -27,7 +28,7 @@
     Parameters
     ----------
     notify : callable
-        Takes `HeadSeen` after an accepted ticket, for the rollout's task.
+        Takes what this learns of the store, for the rollout's task.
     facts : callable
         Returns further fields of `Health`, for example the queue lengths.
     """
@@ -39,7 +40,7 @@
         clock: Clock,
         acceptance: Acceptance,
         rollout: Rollout,
-        notify: t.Callable[[HeadSeen], None],
+        notify: t.Callable[[HeadSeen | StoreFailed], None],
         log: AuditLog,
         writer: AuditWriter,
         facts: t.Callable[[], t.Mapping[str, t.Any]] = dict,
@@ -86,8 +87,18 @@
         """Return an accepted ticket, or None if it is not known."""
         return await read_ticket(self._store, number)
 
-    def status(self) -> tuple[Health, list[Alarm], str]:
-        """Return the health, the alarms, and the screen that tells them."""
+    async def status(self) -> tuple[Health, list[Alarm], str]:
+        """Return the health, the alarms, and the screen that tells them.
+
+        Only the watchers read the store regularly, so it is asked here.
+        """
+        try:
+            self._notify(HeadSeen(await self.head()))
+        except (StoreDown, StoreReplyLost):
+            self._notify(StoreFailed())
+        return self._status()
+
+    def _status(self) -> tuple[Health, list[Alarm], str]:
         wall = self._clock.wall()
         health = health_of(
             self._rollout,
@@ -117,5 +128,5 @@
 
     async def _observe(self) -> None:
         while True:
-            self.status()
+            self._status()
             await asyncio.sleep(OBSERVE_S)
--- a/src/poplaryard/operators.py
+++ b/src/poplaryard/operators.py
@@ -62,7 +62,7 @@
     async def ticket(self, number: int) -> dict[str, t.Any] | None:
         """Return an accepted ticket, or None if it is not known."""
 
-    def status(self) -> tuple[Health, list[Alarm], str]:
+    async def status(self) -> tuple[Health, list[Alarm], str]:
         """Return the health, the alarms, and the screen that tells them."""
 
     async def audit(self, wanted: AuditFilter) -> list[AuditEvent]:
@@ -189,7 +189,7 @@
 
     @operator_key
     async def status(self, request: Request) -> Response:
-        health, alarms, text = self.context.status()
+        health, alarms, text = await self.context.status()
         body = {
             "health": dataclasses.asdict(health),
             "alarms": [dataclasses.asdict(alarm) for alarm in alarms],
--- a/src/poplaryard/ticket_check.py
+++ b/src/poplaryard/ticket_check.py
@@ -286,4 +286,5 @@
 
 def _of(amount: Resources) -> str:
     gpus = f" and {amount.gpus} GPUs" if amount.gpus else ""
-    return f"{amount.cpu_m / 1000:g} cores and {amount.mem_mb / 1024:g} GB{gpus}"
+    cores = "core" if amount.cpu_m == 1000 else "cores"
+    return f"{amount.cpu_m / 1000:g} {cores} and {amount.mem_mb / 1024:g} GB{gpus}"
--- a/src/poplaryard/tickets.py
+++ b/src/poplaryard/tickets.py
@@ -105,7 +105,14 @@
     "extra_forbidden": "is not a known field",
     "union_tag_invalid": "has an unknown kind",
     "union_tag_not_found": "has no kind",
+    "int_type": "must be a whole number without quotes",
+    "string_type": "must be text in quotes",
 }
+_PATTERNS = {
+    "uid": "must have 4 to 80 letters, digits, dots, dashes or underscores",
+    "address": "must be an IP address and a port, such as 10.0.0.1:7000",
+}
+_NAME = "must have 1 to 63 letters, digits, dots, dashes or underscores"
 
 
 def _sentences(exc: pydantic.ValidationError, value: t.Mapping[str, t.Any]) -> str:
@@ -113,6 +120,8 @@
     for error in exc.errors(include_url=False)[:20]:
         where = _place(error["loc"], value)
         what = _PLAIN.get(error["type"]) or _lower(error["msg"])
+        if error["type"] == "string_pattern_mismatch":
+            what = _PATTERNS.get(str(error["loc"][-1]), _NAME)
         lines.append(f"{where} {what}{_hint(error, value)}.")
     return " ".join(lines)
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -123,7 +123,8 @@
             _, found = await desk.call("GET", "/v1/status")
             self.assertIn("3 tasks wait", found["text"])
             self.assertEqual([], found["alarms"])
-            desk.rollout.store_ok = False
+            desk.store.down = True
+            await desk.call("GET", "/v1/status")
             await desk.desk.start()
             await asyncio.sleep(0)
             await desk.desk.stop()
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -66,6 +66,14 @@
             '"replicas"?).',
             self.refusal(service(replcas=3)),
         )
+        self.assertEqual(
+            'In service "a/b", "name" must have 1 to 63 letters, digits, dots, dashes '
+            "or underscores.",
+            self.refusal(service("a/b")),
+        )
+        exc = self.assertRaises(CallError, ticket, "x")
+        self.assertIn("4 to 80 letters", exc.detail)
+        self.assertIn("whole number", self.refusal(service(replicas="2")))
         self.assertIn("is missing", self.refusal({"kind": "team"}))
         self.assertIn("unknown kind", self.refusal({"kind": "teem", "name": "x"}))
         self.assertIn("twice", self.refusal(service(), service()))
