--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from .fencing import valid_until_ms
+from .fuzz_scheduler import RealShard
 from .fuzz_shard import FuzzShard
 from .fuzz_store import failure, time_out
 from .fuzz_worker import PollWorker
@@ -38,6 +39,7 @@
     SendHeartbeat,
     ShardReleased,
     ShardsConfigured,
+    ShardSettled,
     ShardTaken,
     WatchRecord,
     WriteRecord,
@@ -72,9 +74,10 @@
 
 @dataclass(slots=True)
 class _Shard:
-    decisions: FuzzShard
+    decisions: FuzzShard | RealShard
     takeover: Takeover
     epoch: int
+    settled: bool = False
     authority: Authority | None = None
     exclusive_until: float = float("-inf")
     claimed: set[str] = field(default_factory=set)
@@ -138,6 +141,9 @@
         for name, shard in list(self.shards.items()):
             shard.takeover.claims_new = leased
             self.give_shard(name, Tick())
+            if shard.takeover.state == "complete" and not shard.settled:
+                shard.settled = True
+                self.give(ShardSettled(name, shard.epoch))
         if now >= self._list_at and self.world.list_up:
             self._read_list()
         if now >= self._poll_at:
@@ -205,7 +211,11 @@
             list_read=self.world.lacks("list_read"),
         )
         self.world.weaken_takeover(takeover)
-        shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
+        shard: FuzzShard | RealShard
+        if self.world.real_scheduler:
+            shard = RealShard(out.shard, self.name, takeover, self.now())
+        else:
+            shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
         self.world.weaken_ledger(shard.ledger)
         self.shards[out.shard] = _Shard(shard, takeover, out.epoch)
         for vm, leaving in vms:
