Do not assert the order of batches between peers

Cause: test_many_messages_leave_in_few_calls failed in 2 of 12 runs on a busy machine. The trace shows all 1,000 messages, each once, with one batch ahead of another: batches travel on separate connections and no order is promised. Change: compare after sorting by message; that each arrives exactly once and in few calls is still checked.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -76,7 +76,9 @@
             for envelope in sent:
                 one.table.send("two#1", envelope)
             await one.table.drain(10.0)
-            self.assertEqual([("one#1", item) for item in sent], two.received)
+            # Batches travel on connections of their own and may overtake each other.
+            received = sorted(two.received, key=lambda pair: int(pair[1].shard[4:]))
+            self.assertEqual([("one#1", item) for item in sent], received)
             self.assertLessEqual(two.calls, 2 * 1000 // BATCH_MESSAGES)
             self.assertEqual(one.address, two.table.address_of("one#1"))
 
