--- a/src/poplaryard/app.py
+++ b/src/poplaryard/app.py
@@ -12,37 +12,27 @@
 from .acceptance import Acceptance
 from .api import api_routes, bearer_allowed
 from .audit import AuditLog, AuditWriter
-from .centres import AskOwners, Centres, OwnerNotice, OwnersView
+from .centres import Centres
 from .client import HttpClient
 from .clock import Clock, SystemClock
 from .codes import Code
 from .compaction import Compactor
-from .config_io import PEER_MESSAGES, ConfigTask
+from .config_io import ConfigTask
 from .context import CallerContext
 from .dispatch import Dispatcher
-from .exceptions import PoplaryardError
+from .exchange import Exchange
 from .logs import logger
-from .lookup import Finder, Lookup, LookupReply
-from .messages import Answer, AuditEvent, Authority, Configure
+from .lookup import Finder
 from .monitoring import Monitor
 from .operator_context import OperatorDesk
 from .operators import operator_routes
 from .ownership import Ownership
 from .ownership_io import OwnershipTask
-from .ownership_messages import (
-    Heartbeat,
-    HeartbeatReply,
-    ShardReleased,
-    ShardsConfigured,
-    ShardTaken,
-)
-from .peers import Envelope, PeerTable, peer_routes
-from .rollout import Members, Rollout
+from .peers import PeerTable, peer_routes
+from .rollout import Rollout
 from .server import HttpServer
 from .settings import Settings
-from .shards import ShardTask
 from .store_http import HttpStore
-from .takeover import EpochRefused, VmListRead
 from .upkeep import UpkeepTask
 from .vmlist import VmListTask
 from .web import new_starlette
@@ -58,7 +48,6 @@
 NOT_READY_S = 1.0
 # Time given to the hand-over; a store that is down must not hold up a planned stop.
 LEAVE_S = 5.0
-LIST_RETRY_S = 1.0
 
 Hook: t.TypeAlias = t.Callable[[], t.Awaitable[None]]
 
@@ -85,6 +74,7 @@
             HttpClient(WORKER_CONNECTIONS),
             HttpClient(STORE_CONNECTIONS),
         )
+        self.exchange = Exchange(self)
         self._make_parts()
         logs.configure(self.process, settings.log_level, self.ticket)
         self.monitor = Monitor(self)
@@ -161,24 +151,24 @@
             self.process,
             self.address,
             peer_client,
-            self._receive,
-            self._undelivered,
+            self.exchange.receive,
+            self.exchange.undelivered,
             limits.peer_in_flight,
         )
         self.dispatcher = Dispatcher(
             self.process,
             self.settings.data_centre,
             HttpWorkers(worker_client),
-            self._owner_of,
-            self._send,
-            self._shard_notice,
+            self.exchange.owner_of,
+            self.exchange.send,
+            self.exchange.shard_notice,
             limits.requests_in_flight,
             lambda: self.ownership_task.ownership.state == "held",
         )
         self.finder = Finder(
             self.process,
             self.peers,
-            self._may_know,
+            self.exchange.may_know,
             self.dispatcher.look_up,
         )
         self.centres = Centres(
@@ -198,8 +188,8 @@
             self.store,
             self.peers,
             self.clock,
-            self._ownership_notice,
-            self._record_seen,
+            self.exchange.ownership_notice,
+            self.exchange.record_seen,
         )
         self.acceptance = Acceptance(self.store, self.clock)
         loader = self.acceptance.loader
@@ -209,7 +199,7 @@
             self.store,
             self.peers,
             self.clock,
-            self._apply,
+            self.exchange.apply,
         )
         self.vm_list = VmListTask(
             self.store,
@@ -226,146 +216,6 @@
             Compactor(self.store, loader),
             lambda: (self.process,) == self.config_task.rollout.watchers[:1],
         )
-        self._notices: dict[str, OwnerNotice] = {}
-        self._members: Members | None = None
-        self._releases: set[asyncio.Task[None]] = set()
-
-    # Messages between the parts
-
-    def _may_know(self, request_id: str) -> tuple[set[str], bool]:
-        """Return who may know a request, and whether these are all."""
-        owners, complete = self.dispatcher.owners_of(request_id)
-        return owners | set(self.ownership_task.live_members()), complete
-
-    def _owner_of(self, shard: str) -> str | Code:
-        if shard.rpartition("/")[0] != self.settings.data_centre:
-            return self.centres.owner_of(shard)
-        entry = self.ownership_task.ownership.record.shards.get(shard)
-        notice = self._notices.get(shard)
-        if notice is not None and (entry is None or notice.epoch > entry.epoch):
-            return notice.owner
-        return (entry.owner if entry else "") or Code.NOT_OWNER
-
-    def _receive(self, sender: str, envelope: Envelope) -> t.Sequence[t.Any] | None:
-        """Take a message from a peer; return what goes back with the reply."""
-        msg = envelope.message
-        if isinstance(msg, Heartbeat | HeartbeatReply):
-            self.config_task.peer_number(msg.sender, msg.config_number)
-            return self.ownership_task.handle(msg)
-        if isinstance(msg, PEER_MESSAGES):
-            self.config_task.handle(msg)
-        elif isinstance(msg, AskOwners):
-            return self._owners_view(msg)
-        elif isinstance(msg, OwnersView):
-            self.centres.receive(msg)
-        elif isinstance(msg, OwnerNotice):
-            self._owner_notice(msg)
-        elif isinstance(msg, Lookup):
-            return self.dispatcher.look_up(msg)
-        elif isinstance(msg, LookupReply):
-            self.finder.receive(msg)
-        else:
-            self.ownership_task.check_pause()
-            self.dispatcher.receive(sender, envelope)
-        return None
-
-    def _send(self, process: str, envelope: Envelope) -> None:
-        answer = isinstance(envelope.message, Answer)
-        if not (answer and self.peers.reply(process, envelope.message)):
-            self.peers.send(process, envelope)
-
-    def _undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
-        self.centres.doubt(process)
-        self.dispatcher.undelivered(process, envelope, code)
-
-    def _owners_view(self, question: AskOwners) -> list[OwnersView]:
-        if question.data_centre != self.settings.data_centre:
-            return []
-        record = self.ownership_task.ownership.record
-        found = {shard: self._owner_of(shard) for shard in record.shards}
-        owners = {k: v for k, v in found.items() if not isinstance(v, Code)}
-        addresses = {name: item.address for name, item in record.members.items()}
-        return [OwnersView(question.data_centre, owners, addresses)]
-
-    def _owner_notice(self, notice: OwnerNotice) -> None:
-        known = self._notices.get(notice.shard)
-        if known is None or known.epoch < notice.epoch:
-            self._notices[notice.shard] = notice
-            self.dispatcher.entry.owners_changed()
-
-    def _shard_notice(self, notice: t.Any) -> None:
-        if isinstance(notice, EpochRefused):
-            self.ownership_task.handle(notice)
-        elif isinstance(notice, AuditEvent):
-            self._audit(notice)
-
-    def _ownership_notice(self, notice: t.Any) -> None:
-        if isinstance(notice, Authority):
-            self.dispatcher.authority(notice)
-        elif isinstance(notice, ShardTaken):
-            self._take(notice)
-        elif isinstance(notice, ShardReleased):
-            logger.info("shard released", extra={"shard": notice.shard})
-            self._spawn(self.dispatcher.release(notice.shard))
-
-    def _take(self, taken: ShardTaken) -> None:
-        logger.info("shard taken", extra={"shard": taken.shard, "epoch": taken.epoch})
-        task = self.dispatcher.take(taken)
-        self._spawn(self._read_list_for(task))
-        notice = OwnerNotice(taken.shard, self.process, taken.epoch)
-        self._owner_notice(notice)
-        for name in self.ownership_task.live_members():
-            if name != self.process:
-                self.peers.send(name, Envelope(notice))
-
-    async def _read_list_for(self, task: ShardTask) -> None:
-        """Read configuration and VM list after a take-over, which then is complete.
-
-        The old owner may have used a VM that this process did not know of yet.
-        """
-        while self.dispatcher.shards.get(task.shard) is task:
-            try:
-                await self.config_task.refresh()
-                await self.vm_list.read()
-            except PoplaryardError:
-                await asyncio.sleep(LIST_RETRY_S * random.uniform(1.0, 2.0))
-            else:
-                task.post(VmListRead())
-                return
-
-    def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.create_task(call)
-        self._releases.add(task)
-        task.add_done_callback(self._releases.discard)
-
-    def _record_seen(self) -> None:
-        live = tuple(self.ownership_task.live_members())
-        ready = self.config_task.rollout.ready
-        remote = {
-            name: tuple(found)
-            for name, found in self.listed_peers.items()
-            if name != self.settings.data_centre
-        }
-        if not ready:
-            # The listed peers here serve a process that starts during a store outage.
-            remote[""] = tuple(self.listed_peers.get(self.settings.data_centre, ()))
-        members = Members(live or (self.process,), remote)
-        if members != self._members:
-            self._members = members
-            self.config_task.set_members(members)
-        self.dispatcher.entry.owners_changed()
-
-    def _apply(self, configure: Configure) -> None:
-        self.dispatcher.configure(configure.config)
-        shards = self.dispatcher.local_shards()
-        number = configure.config.number
-        logger.info("ticket in force", extra={"number": number})
-        self.ownership_task.handle(ShardsConfigured(shards, number))
-        if number:
-            self._record_seen()
-
-    def _audit(self, event: AuditEvent) -> None:
-        self.audit_log.add(self.clock.now(), event)
 
     # Life cycle
 
@@ -374,7 +224,7 @@
             for address in addresses:
                 if address != self.address:
                     self.peers.learn(address, address)
-        self._record_seen()
+        self.exchange.record_seen()
         self.dispatcher.entry.start()
         self.ownership_task.start()
         self.config_task.start()
@@ -388,6 +238,8 @@
         self.state = "draining"
         await self.ownership_task.leave(LEAVE_S)
         await self.dispatcher.entry.drained(until - self.clock.now())
+        # Shards that could not be handed over still serve requests of other entries.
+        await self.dispatcher.finished(until - self.clock.now())
         await self.peers.drain(max(0.0, until - self.clock.now()))
         await self._server.stop()
 
--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/dispatch.py
@@ -1,5 +1,6 @@
 """Finds the owner of work and passes messages between entry, shards and peers."""
 
+import asyncio
 import random
 import typing as t
 
@@ -103,6 +104,17 @@
         if task is not None:
             await task.stop()
 
+    async def finished(self, timeout_s: float) -> None:
+        """Wait until the shards here have answered every request they have taken."""
+        waits = [
+            asyncio.ensure_future(task.idle.wait()) for task in self.shards.values()
+        ]
+        if not waits:
+            return
+        await asyncio.wait(waits, timeout=max(0.0, timeout_s))
+        for wait in waits:
+            wait.cancel()
+
     async def close(self) -> None:
         """Stop serving all shards."""
         for shard in list(self.shards):
--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -83,6 +83,8 @@
         self._links: dict[str, WorkerLink] = {}
         self._vms: dict[str, tuple[VmSpec, bool]] = {}
         self._waiting: dict[str, set[str]] = {}
+        self.idle = asyncio.Event()
+        self.idle.set()
         self._answers: OrderedDict[str, Answer] = OrderedDict()
         self._tasks: list[asyncio.Task[None]] = []
         self._busy_until = 0.0
@@ -227,6 +229,7 @@
         if isinstance(msg, Submit):
             self._busy_until = now + _BUSY_AFTER_MESSAGE_S
             self._waiting.setdefault(msg.work.request_id, set()).add(msg.reply_to)
+            self.idle.clear()
         elif isinstance(msg, VmUpdate):
             self._link(msg.vm)
         elif isinstance(msg, VmGone):
@@ -263,6 +266,8 @@
         if len(self._answers) > ANSWERS_KEPT:
             self._answers.popitem(last=False)
         targets = self._waiting.pop(answer.request_id, set())
+        if not self._waiting:
+            self.idle.set()
         for target in sorted(targets or {answer.reply_to}):
             if target:
                 self._deliver(target, dataclasses.replace(answer, reply_to=target))
