Test planned stops during an outage and a second signal

Cause: both were only tried by hand; the comparison of answers had no test of its own. Change: three tests of processes. Conclusion: a stop without a store finishes the requests in progress.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -20,6 +20,7 @@
 WORKERS = 4
 # Bounds on waits; a test fails when one is reached, it never passes because of one.
 READY_S = 30.0
+GAP_S = 0.025
 ANSWER_S = 60.0
 
 _clock = SystemClock()
@@ -147,6 +148,10 @@
                 return index
         raise AssertionError("no entry process owns a shard")
 
+    def log(self):
+        """Return what all processes have written."""
+        return (pathlib.Path(self.directory.name) / "log").read_text()
+
     async def fault(self, address, **fault):
         """Set faults of a stand-in."""
         await self.client.post(f"http://{address}/standin/fault", fault, 5.0)
@@ -213,12 +218,12 @@
         self.answers = {}
         self._tasks = []
 
-    def ask(self, number):
+    def ask(self, number, run_ms=20):
         """Start one caller; every third request must run at most once."""
         body = {
             "id": f"r{number}",
             "target": "booking",
-            "payload": {"run_ms": 20, "echo": number},
+            "payload": {"run_ms": run_ms, "echo": number},
             "timeout_s": ANSWER_S,
         }
         if number % 3 == 0:
@@ -227,11 +232,11 @@
             body |= {"idempotent": False, "issued_at": issued_at, "exclusive_key": key}
         self._tasks.append(asyncio.create_task(self._ask(number, body)))
 
-    async def run(self, first, count, gap_s=0.025):
+    async def run(self, first, count, run_ms=20):
         """Start callers one after another."""
         for number in range(first, first + count):
-            self.ask(number)
-            await asyncio.sleep(gap_s)
+            self.ask(number, run_ms)
+            await asyncio.sleep(GAP_S)
 
     async def finish(self):
         """Wait for all callers."""
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -71,6 +71,60 @@
 
         self.check(scenario, entries=4)
 
+    def test_planned_stop_during_an_outage(self):
+        """Guards against requests cut off because no other process can take over."""
+
+        async def scenario(processes, callers):
+            await callers.run(0, 20)
+            await processes.fault(processes.platform, outage=True)
+            await callers.run(20, 40, run_ms=3000)
+            index = await processes.owner()
+            processes.signal(index, signal.SIGTERM)
+            code = await asyncio.to_thread(processes.running[index].wait, 40)
+            self.assertEqual(0, code)
+            await processes.fault(processes.platform, outage=False)
+            del processes.running[index]
+            await processes.until_owned()
+            return 60
+
+        self.check(scenario)
+
+    def test_second_signal_ends_at_once(self):
+        """Guards against a stop that cannot be cut short, or hides what was left."""
+
+        async def scenario(processes, callers):
+            await processes.fault(processes.platform, outage=True)
+            await callers.run(0, 9, run_ms=8000)
+            index = await processes.owner()
+            process = processes.running.pop(index)
+            process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(1, await asyncio.to_thread(process.wait, 5))
+            self.assertRegex(
+                processes.log(), r"stopped at once, left: \d+ open requests"
+            )
+            await processes.fault(processes.platform, outage=False)
+            return 0
+
+        self.check(scenario)
+
+    def test_broken_promises_are_seen(self):
+        """Guards against a comparison that finds nothing wrong with anything."""
+        once = {"code": 1000, "outcome": "ran", "parts": [{"echo": 0}]}
+        other = {"code": 1000, "outcome": "ran", "parts": [{"echo": 9}]}
+        denied = {"code": 2001, "outcome": "not_run"}
+        times = {"started": 1.0, "ended": 3.0, "exclusive_key": "k"}
+        records = [
+            {**times, "request_id": "r0"},
+            {**times, "request_id": "r0", "started": 2.0},
+            {**times, "request_id": "r2", "exclusive_key": ""},
+        ]
+        answers = {0: once, 1: other, 2: denied}
+        found = broken_promises(answers, records, 1, 4)
+        codes = [text[:2] for text in found if text[0] == "P"]
+        self.assertEqual(["P1", "P2", "P5", "P3", "P4", "P3"], codes)
+
     def test_platform_outage(self):
         """Guards against service that depends on the store."""
 
