Bound the store calls of a joint start and of the end of an outage

Change: first leases are spread over 1 s and new ones over 3 s; a conflict backs off from 0.2 s to 3 s and reads only before the next write; bench ownership.

--- a/src/poplaryard/assignment.py
+++ b/src/poplaryard/assignment.py
@@ -20,6 +20,10 @@
 # Interval at which every process reads the record, should both watchers fail silently.
 READ_S = 10.0
 
+# Waits after conflicts are drawn from a time that doubles between these bounds.
+BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 3.0
+
 
 @dataclass(slots=True)
 class Write:
@@ -63,6 +67,9 @@
         self._rng = rng
         self._reading = False
         self._read_at = 0.0
+        # Version that a conflict has shown to be out of date.
+        self._stale = -1
+        self._conflicts = 0
 
     @property
     def record(self) -> Record:
@@ -77,17 +84,14 @@
         """Return the last owner of a shard that may be taken, else None."""
         return acquisition.free_owner(self.record, shard, self.ended_leases)
 
-    def jitter(self) -> float:
-        """Spread the members' calls over a time that grows with their number."""
-        return self._rng.uniform(0.0, 0.1 * max(1, len(self.record.members)))
-
     def read_due(self, now: float) -> bool:
         """Tell whether the record is to be read again."""
         return now >= self._read_at
 
     def may_write(self, now: float) -> bool:
         """Tell whether a write may be sent."""
-        return self.write is None and now >= self.write_at and self.view.version >= 0
+        fresh = self.view.version > self._stale
+        return self.write is None and now >= self.write_at and fresh
 
     def read(self, now: float) -> list[t.Any]:
         """Return the command to read, unless a read is under way."""
@@ -110,6 +114,7 @@
         if write is None or seen.version <= write.version:
             return None
         self.write = None
+        self._conflicts = 0
         return write
 
     def written(self, message: RecordWritten, lease: str) -> RecordSeen | None:
@@ -131,10 +136,18 @@
 
     def conflicted(self, now: float) -> list[t.Any]:
         """Note a conflict; the winner may be an earlier copy of the same write."""
-        if self.write is not None and not self.write.doubtful:
+        write = self.write
+        if write is not None:
+            self._stale = max(self._stale, write.version)
+        if write is not None and not write.doubtful:
             self.write = None
-        self.write_at = now + self.jitter()
-        return self.read(now)
+        # The record is read only when the next write is due: many members that start
+        # at once would otherwise each read it after every conflict.
+        self._conflicts += 1
+        wait = min(LONGEST_BACKOFF_S, BACKOFF_S * 2.0**self._conflicts)
+        self.write_at = now + self._rng.uniform(0.0, wait)
+        self._read_at = min(self._read_at, self.write_at)
+        return []
 
     def failed(self, now: float) -> list[t.Any]:
         """Note that the store was not reached."""
--- a/src/poplaryard/bench.py
+++ b/src/poplaryard/bench.py
@@ -8,6 +8,7 @@
 
 # Benchmark name to "module:attribute".
 _BENCHMARKS: dict[str, str] = {
+    "ownership": "bench_ownership:ownership",
     "placement": "bench_placement:placement",
     "policy": "bench_policy:policy",
     "scale": "bench_scale:scale",
--- /dev/null
+++ b/src/poplaryard/bench_ownership.py
@@ -0,0 +1,302 @@
+"""Benchmark of ownership under a virtual clock: recovery times and store calls."""
+
+import functools
+import heapq
+import itertools
+import json
+import random
+import typing as t
+from collections import Counter
+
+import click
+
+from .fuzz_store import FakeStore, failure
+from .messages import Authority, ClaimReply, ClaimWorker, Tick
+from .ownership import Ownership
+from .ownership_messages import (
+    GrantLease,
+    HeartbeatReply,
+    Leave,
+    PeerMissed,
+    ProvenDead,
+    ReadRecord,
+    RenewLease,
+    RevokeLease,
+    SendHeartbeat,
+    ShardReleased,
+    ShardsConfigured,
+    ShardTaken,
+    WatchRecord,
+    WriteRecord,
+)
+from .routing import shard_names
+from .takeover import Takeover
+
+__all__ = ["Cell", "measure", "ownership"]
+
+# One-way latency between processes, and that of a store call and back, in seconds.
+PEER_S = 0.0015
+STORE_S = 0.005
+TICK_S = 0.1
+WATCH_WAIT_S = 20.0
+WORKERS = 7
+
+# Calls that one command costs: a grant also puts the member key, a read also scans.
+_CALLS: dict[type, int] = {
+    GrantLease: 2,
+    ReadRecord: 2,
+    RenewLease: 1,
+    RevokeLease: 1,
+    WriteRecord: 1,
+}
+
+
+class _Process:
+    def __init__(self, cell: "Cell", name: str, dc: str, shards: tuple[str, ...]):
+        self.cell = cell
+        self.name = name
+        self.dc = dc
+        self.alive = True
+        self.watching = False
+        self.watch_ends = 0.0
+        self.seen: t.Any = None
+        self.takeovers: dict[str, Takeover] = {}
+        self.ownership = Ownership(name, name, random.Random(name))
+        self.give(ShardsConfigured(shards))
+
+    def give(self, message: t.Any) -> None:
+        if not self.alive:
+            return
+        for out in self.ownership.handle(self.cell.now, message):
+            self._carry_out(out)
+
+    def _carry_out(self, out: t.Any) -> None:
+        cell = self.cell
+        if type(out) in _CALLS:
+            cell.store_call(self, out)
+        elif isinstance(out, SendHeartbeat):
+            cell.sent["heartbeats"] += 1
+            cell.after(PEER_S, lambda: self._beat(out))
+        elif isinstance(out, HeartbeatReply):
+            peer = cell.processes[out.to]
+            cell.after(PEER_S, lambda: peer.give(out))
+        elif isinstance(out, ShardTaken):
+            self._taken(out)
+        elif isinstance(out, ShardReleased):
+            self.takeovers.pop(out.shard, None)
+        elif isinstance(out, WatchRecord):
+            self.watching = out.on
+            self.seen = None
+        elif isinstance(out, Authority):
+            cell.exclusive[self.name, out.shard] = out.exclusive
+
+    def _beat(self, out: SendHeartbeat) -> None:
+        peer = self.cell.processes[out.to]
+        if out.to in self.cell.silent:
+            self.cell.after(1.0, lambda: self.give(PeerMissed(out.to)))
+        elif not peer.alive:
+            self.give(ProvenDead(out.to))
+        else:
+            peer.give(out.heartbeat)
+
+    def _taken(self, out: ShardTaken) -> None:
+        vms = [f"{out.shard}-vm{index}" for index in range(WORKERS)]
+        now = self.cell.now
+        takeover = Takeover(
+            out.shard, out.epoch, now, now, vms, known=out.known, wait_s=out.wait_s
+        )
+        self.takeovers[out.shard] = takeover
+        for command in takeover.handle(now, Tick()):
+            self._claim(takeover, command)
+
+    def _claim(self, takeover: Takeover, command: ClaimWorker) -> None:
+        reply = ClaimReply(command.vm, command.epoch, True)
+        self.cell.after(2 * PEER_S, lambda: self._claimed(takeover, reply))
+
+    def _claimed(self, takeover: Takeover, reply: ClaimReply) -> None:
+        takeover.handle(self.cell.now, reply)
+        if takeover.state == "complete" and self.alive:
+            self.cell.placing[takeover.shard] = self.cell.now
+
+
+class Cell:
+    """Entry processes of several data centres, each with its store record.
+
+    Parameters
+    ----------
+    data_centres, members, shards : int
+        Number of data centres, of processes in each, and of shards in each.
+    """
+
+    def __init__(self, data_centres: int, members: int, shards: int, seed: int):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.sent: Counter[str] = Counter()
+        self.placing: dict[str, float] = {}
+        self.exclusive: dict[tuple[str, str], bool] = {}
+        self.silent: set[str] = set()
+        self.processes: dict[str, _Process] = {}
+        self.stores: dict[str, FakeStore] = {}
+        self._events: list[tuple[float, int, t.Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        for index in range(data_centres):
+            self._add(f"dc{index}", members, shards)
+
+    def _add(self, dc: str, members: int, shards: int) -> None:
+        self.stores[dc] = FakeStore(self.rng)
+        self.stores[dc].rate = 1.0
+        names = tuple(shard_names(dc, shards))
+        for index in range(members):
+            process = _Process(self, f"{dc}p{index:03d}#1", dc, names)
+            self.processes[process.name] = process
+            self.after(
+                self.rng.uniform(0.0, TICK_S), functools.partial(self._tick, process)
+            )
+
+    def after(self, seconds: float, action: t.Callable[[], None]) -> None:
+        """Do something at a later time."""
+        event = self.now + seconds, next(self._sequence), action
+        heapq.heappush(self._events, event)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+        self.now = end
+
+    def _tick(self, process: _Process) -> None:
+        process.give(Tick())
+        self._watch(process)
+        if process.alive:
+            self.after(TICK_S, lambda: self._tick(process))
+
+    def _watch(self, process: _Process) -> None:
+        store = self.stores[process.dc]
+        if not process.watching or store.down:
+            return
+        state = store.version, store.live(self.now)
+        if state != process.seen:
+            # A change ends the wait; the record is read and the watch begins again.
+            process.seen = state
+            self.sent["store"] += 3
+            process.give(store.seen(self.now))
+            process.watch_ends = self.now + WATCH_WAIT_S
+        elif self.now >= process.watch_ends:
+            self.sent["store"] += 1
+            process.watch_ends = self.now + WATCH_WAIT_S
+
+    def store_call(self, process: _Process, message: t.Any) -> None:
+        """Carry out a call of a process."""
+        self.sent["store"] += _CALLS[type(message)]
+        store = self.stores[process.dc]
+        sent_at = self.now
+
+        def carry_out() -> None:
+            if store.down:
+                reply = failure(message)
+            else:
+                reply = store.handle(self.now, message, sent_at)
+            self.after(STORE_S / 2, lambda: process.give(reply) if reply else None)
+
+        self.after(STORE_S / 2, carry_out)
+
+    def rate(self, what: str, seconds: float) -> float:
+        """Return how many messages of a kind are sent per second from now on."""
+        before = self.sent[what]
+        self.run(seconds)
+        return (self.sent[what] - before) / seconds
+
+    def owners(self, dc: str) -> set[str]:
+        """Return the owners of a data centre's shards."""
+        shards = self.stores[dc].record.shards.values()
+        return {entry.owner for entry in shards}
+
+
+def _recovery(cell: Cell, kind: str) -> dict[str, float]:
+    """End one owner and return the time until its shards are placed on again."""
+    owner = sorted(cell.owners("dc0"))[0]
+    process = cell.processes[owner]
+    shards = list(process.ownership.owned)
+    ended = cell.now
+    calls = cell.sent["store"]
+    cell.placing.clear()
+    if kind == "leave":
+        process.give(Leave())
+    else:
+        process.alive = False
+    cell.run(12.0)
+    times = [cell.placing.get(shard, float("inf")) - ended for shard in shards]
+    return {
+        "shards": len(shards),
+        "first_s": round(min(times), 3),
+        "last_s": round(max(times), 3),
+        "store_calls_per_s": round((cell.sent["store"] - calls) / 12.0, 1),
+    }
+
+
+def _outage(cell: Cell) -> dict[str, float]:
+    """Stop all stores for 10 minutes; return who kept authority, and the recovery."""
+    for store in cell.stores.values():
+        store.down = True
+    cell.run(30.0)
+    beats = cell.rate("heartbeats", 10.0)
+    cell.run(560.0)
+    owned = [
+        (name, shard)
+        for name, process in cell.processes.items()
+        for shard in process.ownership.owned
+        if process.alive
+    ]
+    kept = sum(cell.exclusive[item] for item in owned)
+    for store in cell.stores.values():
+        store.down = False
+    calls = [cell.rate("store", 1.0) for _ in range(20)]
+    return {
+        "shards": len(owned),
+        "with_full_authority": kept,
+        "heartbeats_per_s_and_process": round(beats / len(cell.processes), 1),
+        "peak_store_calls_per_s": max(calls),
+    }
+
+
+def measure(
+    data_centres: int, members: int, shards: int, seed: int
+) -> dict[str, t.Any]:
+    """Return the figures of one size."""
+    cell = Cell(data_centres, members, shards, seed)
+    start = [cell.rate("store", 1.0) for _ in range(10)]
+    cell.run(60.0)
+    found: dict[str, t.Any] = {
+        "processes": data_centres * members,
+        "start_peak_store_calls_per_s": max(start),
+        "rest_store_calls_per_s": round(cell.rate("store", 60.0), 1),
+        "rest_heartbeats_per_s_and_process": round(
+            cell.rate("heartbeats", 60.0) / (data_centres * members), 1
+        ),
+        "outage": _outage(cell),
+    }
+    for kind in ("death", "leave"):
+        cell = Cell(data_centres, members, shards, seed)
+        cell.run(60.0)
+        found[kind] = _recovery(cell, kind)
+    return found
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True, help="Seed of the random source.")
+@click.option(
+    "--size",
+    multiple=True,
+    default=["3x2", "6x5", "15x8", "1x30", "1x120"],
+    show_default=True,
+    help="Data centres x processes in each.",
+)
+@click.option("--shards", default=4, show_default=True, help="Shards per data centre.")
+def ownership(seed: int, size: tuple[str, ...], shards: int) -> None:
+    """Measure recovery times and store calls under a virtual clock."""
+    for item in size:
+        data_centres, _, members = item.partition("x")
+        figures = measure(int(data_centres), int(members), shards, seed)
+        click.echo(json.dumps({"size": item, **figures}))
--- a/src/poplaryard/lease.py
+++ b/src/poplaryard/lease.py
@@ -21,6 +21,13 @@
 # Shortest and longest wait before a call to a store that did not answer is repeated.
 RETRY_S = (0.5, 2.5)
 
+# All members ask for a new lease after an outage, and owners keep their authority by
+# promises meanwhile. Without a spread, 120 processes make 1,000 calls in one second.
+SPREAD_S = 3.0
+
+# The same for the first lease when all processes start at once.
+START_SPREAD_S = 1.0
+
 
 class Lease:
     """At most one lease, with at most one call in flight.
@@ -42,10 +49,12 @@
         self.confirmed_at = float("-inf")
         self._rng = rng
         self._calling = False
-        self._call_at = 0.0
+        self._call_at = float("-inf")
 
     def calls(self, now: float) -> list[t.Any]:
         """Return the call that is due."""
+        if self._call_at == float("-inf"):
+            self._call_at = now + self._rng.uniform(0.0, START_SPREAD_S)
         if self._calling or now < self._call_at:
             return []
         self._calling = True
@@ -61,14 +70,8 @@
         if message.lease == self.name:
             self._confirm(message.sent_at)
 
-    def failed(self, now: float, message: LeaseFailed, jitter_s: float) -> None:
-        """Take a failed call; ask for a new lease if the store said that it ended.
-
-        Parameters
-        ----------
-        jitter_s : float
-            Wait before the new lease is asked for.
-        """
+    def failed(self, now: float, message: LeaseFailed) -> None:
+        """Take a failed call; ask for a new lease if the store said that it ended."""
         if message.lease not in ("", self.name):
             return
         self._calling = False
@@ -76,7 +79,7 @@
         if message.lapsed:
             self.name = ""
             self.until = float("-inf")
-            self._call_at = now + jitter_s
+            self._call_at = now + self._rng.uniform(0.0, SPREAD_S)
 
     def revoke(self) -> list[t.Any]:
         """End the lease."""
--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -144,7 +144,7 @@
         return self._authorities(now)
 
     def _lease_failed(self, now: float, message: LeaseFailed) -> list[t.Any]:
-        self._lease.failed(now, message, self._assignment.jitter())
+        self._lease.failed(now, message)
         return self._authorities(now)
 
     # Authority
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -281,6 +281,20 @@
         group.run(20)
         self.assertEqual({"dc1/0": 1}, group.members["a#1"].owned)
 
+    def test_calls_after_an_outage_are_spread(self):
+        """Guards against all members that ask the recovering store at once."""
+        group = Group(*(f"p{number}#1" for number in range(20)))
+        group.run(20)
+        group.store_up = False
+        group.run(60)
+        group.store_up = True
+        peak = 0
+        for _ in range(50):
+            before = group.calls
+            group.run(0.1)
+            peak = max(peak, group.calls - before)
+        self.assertLess(peak, 30)
+
     def test_leaving_process_hands_its_shards_to_successors(self):
         """Guards against a planned stop that waits for the lease to end."""
         group = Group("a#1", "b#1", "c#1")
