--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -1,9 +1,15 @@
 """Reconciliation of service replicas with the ticket in force."""
 
-from .configuration import Configuration, ServiceSpec
+import typing as t
+from collections import deque
+
+from .configuration import Configuration, Policy, ServiceSpec, VmGroupSpec
 from .fleet import Vm
+from .jobs import Job
 from .messages import StopMode, Work, WorkKind
 from .placement import ReplicaTask, choose
+from .preemption import Preemptor
+from .routing import shard_names, shard_of_vm
 from .services import CLOSE_AFTER_S, ReplicaPool, split
 from .state import ShardState, Start
 
@@ -17,11 +23,24 @@
 CLAIMS_WAIT_S = 1.0
 
 
+class _Sizes(t.NamedTuple):
+    """Number of VMs by data centre, and by shard of the own data centre."""
+
+    centres: dict[str, int]
+    shards: dict[str, int]
+
+
 class Replicas:
     """Starts, replaces and drains the replicas of one shard."""
 
-    def __init__(self, state: ShardState):
+    def __init__(self, state: ShardState, preemptor: Preemptor):
         self._state = state
+        self._preemptor = preemptor
+        self._making_room: dict[str, Job] = {}
+        self._holds = 0
+        self._groups: t.Mapping[str, VmGroupSpec] = {}
+        self._policy = Policy()
+        self._sizes: dict[str, _Sizes] = {}
 
     def configure(self, config: Configuration) -> None:
         """Take the services of a new configuration."""
@@ -34,13 +53,20 @@
 
     def share_out(self) -> None:
         """Compute the part of each service's replicas that this shard runs."""
-        config = self._state.config
-        vms = self._state.fleet.vms.values()
-        own = next((vm.spec.data_centre for vm in vms), "")
-        weights = {name: len(config.vms(name)) for name in config.data_centres()}
+        config, shard = self._state.config, self._state.shard
+        if config.vm_groups != self._groups or config.policy != self._policy:
+            self._groups, self._policy = config.vm_groups, config.policy
+            self._sizes = _shard_sizes(config, shard.rpartition("/")[0])
         for name, pool in self._state.pools.items():
             spec = config.services.get(name)
-            pool.want(split(spec.replicas, weights).get(own, 0) if spec else 0)
+            pool.want(self._part(spec) if spec else 0)
+
+    def _part(self, spec: ServiceSpec) -> int:
+        """Return this shard's part: by data centre first, then by shard."""
+        sizes, shard = self._sizes.get(spec.group, _Sizes({}, {})), self._state.shard
+        centre = shard.rpartition("/")[0]
+        of_centre = split(spec.replicas, sizes.centres).get(centre, 0)
+        return split(of_centre, sizes.shards).get(shard, 0)
 
     def leaves(self, now: float, vm: Vm) -> None:
         """Replace the replicas on a VM that leaves."""
@@ -74,8 +100,11 @@
                 attempt = self._state.attempts.get(replica.attempt_id)
                 if attempt and now >= attempt.stop_sent_at + DRAIN_AGAIN_S:
                     self._state.stop(now, attempt, StopMode.DRAIN)
-            for _ in range(pool.missing() if settled else 0):
-                if not self._start(now, pool):
+            missing = pool.missing() if settled else 0
+            held = self._start_held(now, pool, missing)
+            missing = (pool.missing() if settled else 0) - held
+            for _ in range(missing):
+                if not self._start(now, pool) and not self._make_room(now, pool):
                     break
             pool.unsettled |= pool.missing() > 0
             if name not in self._state.config.services and not pool.replicas:
@@ -88,6 +117,34 @@
         vms = self._state.fleet.vms.values()
         return all(vm.claimed or vm.lost_at <= now for vm in vms)
 
+    def _start_held(self, now: float, pool: ReplicaPool, missing: int) -> int:
+        """Start replicas whose room has become free; return how many have room held."""
+        job = self._making_room.get(pool.spec.name)
+        if job is None:
+            return 0
+        for task, name in list(job.held.items()):
+            vm = self._state.fleet.vms.get(name)
+            if vm is None or not vm.usable or len(job.held) > missing:
+                self._state.unhold(job, task)
+            elif not vm.overcommitted:
+                amount = self._state.unhold(job, task)
+                self._state.start(now, Start(vm, _work_of(pool.spec), 0, amount))
+                missing -= 1
+        return len(job.held)
+
+    def _make_room(self, now: float, pool: ReplicaPool) -> bool:
+        """Have batch work checkpointed for a replica that fits nowhere."""
+        spec = pool.spec
+        if now < pool.retry_at:
+            return False
+        job = self._making_room.setdefault(
+            spec.name, Job(_work_of(spec), "", now, deque())
+        )
+        self._holds += 1
+        return self._preemptor.make_room(
+            now, job, self._holds, spec.need, checkpoint_only=True
+        )
+
     def _start(self, now: float, pool: ReplicaPool) -> bool:
         spec = pool.spec
         task = ReplicaTask(spec.need, spec.group, pool.racks)
@@ -98,6 +155,26 @@
         return self._state.start(now, start) is not None
 
 
+def _shard_sizes(config: Configuration, centre: str) -> dict[str, _Sizes]:
+    """Return the sizes by VM group; ``""`` stands for all VMs."""
+    shards = shard_names(centre, config.policy.shards_per_data_centre)
+    found = {"": _Sizes({}, {})}
+    for group in config.vm_groups.values():
+        sizes = found.setdefault(group.name, _Sizes({}, {}))
+        for vm in group.vms:
+            _count(sizes.centres, vm.data_centre)
+            _count(found[""].centres, vm.data_centre)
+            if vm.data_centre == centre:
+                shard = shard_of_vm(vm.name, shards)
+                _count(sizes.shards, shard)
+                _count(found[""].shards, shard)
+    return found
+
+
+def _count(counts: dict[str, int], key: str) -> None:
+    counts[key] = counts.get(key, 0) + 1
+
+
 def _work_of(spec: ServiceSpec) -> Work:
     return Work(
         request_id=f"service/{spec.name}",
