Reconcile replicas once all workers are claimed, not at each claim

Change: claims trigger it when the last VM is claimed, confirmations only if a replica waits for a successor. Conclusion: a take-over of a large shard costs one reconciliation.

--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -237,8 +237,10 @@
             self._doubtful[vm.name] = vm
         state.fleet.refresh(vm)
         state.room_freed = True
-        for pool in state.pools.values():
-            pool.changed = True
+        if not state.unseen:
+            # Until then each reconciliation would see only a part of the replicas.
+            for pool in state.pools.values():
+                pool.changed = True
 
     def _adopt(self, now: float, vm: Vm, report: AttemptReport) -> None:
         """Take over an attempt that an earlier owner started."""
--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -114,8 +114,9 @@
         """Tell whether the claims that follow a take-over have been answered."""
         if now >= self._state.owned_since + CLAIMS_WAIT_S:
             return True
-        vms = self._state.fleet.vms.values()
-        return all(vm.claimed or vm.lost_at <= now for vm in vms)
+        vms = self._state.fleet.vms
+        unseen = (vms[name] for name in self._state.unseen if name in vms)
+        return all(vm.lost_at <= now for vm in unseen)
 
     def _start_held(self, now: float, pool: ReplicaPool, missing: int) -> int:
         """Start replicas whose room has become free; return how many have room held."""
--- a/src/poplaryard/services.py
+++ b/src/poplaryard/services.py
@@ -104,7 +104,8 @@
         """Note that a replica serves requests."""
         replica = self.replicas.get(attempt_id)
         if replica is not None:
-            self.changed = True
+            # A retiring replica may have waited for this one.
+            self.changed |= self.unsettled
             replica.ready = True
             self._refresh(replica)
 
