Add the black hole bench and weigh ejection policies

Cause: the ejection constants were provisional, slow VMs were kept, and failures in the work of one team ejected half of the VMs.

--- a/src/poplaryard/bench_driver.py
+++ b/src/poplaryard/bench_driver.py
@@ -31,12 +31,15 @@
         True run time of each task in seconds; `work.declared_s` is the declared one.
     label : str
         Group of jobs whose figures are reported together.
+    fails : bool
+        Whether the job fails wherever it runs.
     """
 
     work: Work
     run_s: float
     arrived: float
     label: str = "all"
+    fails: bool = False
     cancel_at: float = math.inf
     sequence: int = 0
     started: float | None = None
@@ -58,8 +61,8 @@
         Factor on run times.
     fails_after_s : float or None
         Time after which every task fails, or None for a healthy VM.
-    fault_until : float
-        Time at which the fault ends.
+    fault_from, fault_until : float
+        Times at which the fault begins and ends.
     """
 
     name: str
@@ -67,6 +70,7 @@
     free: Resources = ZERO
     slowdown: float = 1.0
     fails_after_s: float | None = None
+    fault_from: float = math.inf
     fault_until: float = math.inf
 
 
@@ -89,7 +93,8 @@
     Attributes
     ----------
     requeues : bool
-        Whether it queues checkpointed jobs itself; if not, they arrive again.
+        Whether it queues checkpointed and failed jobs itself, or drops them; if not,
+        they arrive again.
     """
 
     requeues: bool
@@ -183,7 +188,7 @@
 
     def busy(self) -> bool:
         """Tell whether anything waits, runs or is still to come."""
-        return bool(self.waiting or self.runs or self._events)
+        return self.waiting > 0 or bool(self.runs or self._events)
 
     def release(self, now: float, run: Run) -> bool:
         """Free what a run held; return False if it has ended before."""
@@ -198,11 +203,11 @@
 
     def _fate(self, now: float, job: Job, host: Host) -> tuple[float, bool]:
         run_s = job.left_s or job.run_s
-        if now >= host.fault_until:
-            return run_s, True
+        if not host.fault_from <= now < host.fault_until:
+            return run_s, not job.fails
         if host.fails_after_s is not None:
             return host.fails_after_s, False
-        return run_s * host.slowdown, True
+        return run_s * host.slowdown, not job.fails
 
     def _account(self, at: float) -> None:
         if self.waiting:
@@ -253,11 +258,12 @@
 def _end(cluster: Cluster, strategy: Strategy, now: float, run: Run) -> None:
     job = run.job
     state = AttemptState.SUCCEEDED if run.ok else AttemptState.FAILED
+    cluster.waiting += strategy.requeues and not run.ok
     strategy.ended(now, run, state)
     job.ended_tasks += run.ok
     if job.ended_tasks == job.work.tasks:
         job.ended, job.ok = now, True
-    elif not run.ok and job.attempts < _MAX_ATTEMPTS:
+    elif not (run.ok or strategy.requeues) and job.attempts < _MAX_ATTEMPTS:
         cluster.schedule(now + _RETRY_S, "arrive", job)
 
 
--- a/src/poplaryard/bench_figures.py
+++ b/src/poplaryard/bench_figures.py
@@ -33,8 +33,8 @@
     """Return the figures of the jobs with one label, or of all jobs.
 
     Waits are those of started jobs, in seconds. Goodput counts jobs that succeeded by
-    their deadline and ended in `span`, per second. Fairness is Jain's index of the share
-    of each team's jobs that were served so.
+    their deadline and ended in `span`, per second. Fairness is Jain's index of the
+    share of each team's jobs that were served so.
     """
     chosen = [job for job in jobs if label in ("", job.label)]
     waits = [job.started - job.arrived for job in chosen if job.started is not None]
--- a/src/poplaryard/bench_policy.py
+++ b/src/poplaryard/bench_policy.py
@@ -15,6 +15,7 @@
 _BENCHES = {
     "stragglers": "bench_stragglers",
     "crest": "bench_crest",
+    "blackhole": "bench_blackhole",
 }
 
 
--- a/src/poplaryard/bench_shard.py
+++ b/src/poplaryard/bench_shard.py
@@ -107,7 +107,8 @@
                 self._cluster.preempt(now, self._runs[msg.attempt_id])
         elif isinstance(msg, Answer):
             job = self._jobs.pop(msg.request_id, None)
-            if job is not None and msg.outcome is Outcome.NOT_RUN:
+            unserved = msg.outcome is Outcome.NOT_RUN or msg.code is Code.FAILED
+            if job is not None and unserved:
                 self._cluster.drop(job, msg.code.name.lower())
 
     def _start(self, now: float, msg: StartAttempt) -> None:
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -48,3 +48,21 @@
             self.ejector.record(1.0, "vm0", True, 0.01)
         self.assertEqual(0.0, self.ejector.weight(4.9, "vm0"))
         self.assertTrue(0.0 < self.ejector.weight(5.0, "vm0") < 0.2)
+
+    def test_slow_vm_is_ejected_and_a_few_long_jobs_are_not_slowness(self):
+        """Guards against work on a VM that runs everything five times slower."""
+        for number in range(200):
+            for vm in range(3):
+                self.ejector.record(0.0, f"vm{vm}", True, 1.0)
+            self.ejector.record(0.0, "vm3", True, 5.0 if number > 100 else 1.0)
+            if number == 50:
+                self.ejector.record(0.0, "vm2", True, 100.0)
+        weights = [self.ejector.weight(1.0, f"vm{number}") for number in range(4)]
+        self.assertEqual([1.0, 1.0, 1.0, 0.0], weights)
+
+    def test_failures_of_the_whole_class_eject_nothing(self):
+        """Guards against capacity lost when the fault is in the work."""
+        for number in range(40):
+            self.ejector.record(0.0, f"vm{number % 4}", number % 8 < 4, 1.0)
+        weights = [self.ejector.weight(1.0, f"vm{number}") for number in range(4)]
+        self.assertEqual([1.0] * 4, weights)
