--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from poplaryard import metrics
 from poplaryard.rollout import CentreReport, Members, PeerNumber, Rollout
 from poplaryard.status import ALARMS, Health, StatusBoard, health_of, screen
 from poplaryard.tickets import apply
@@ -37,14 +38,14 @@
 
 class StatusTest(testtools.TestCase):
     def test_each_alarm_is_raised_and_documented(self):
-        """Guards against a fault that the screen or the manual does not tell."""
+        """Guards against a fault or metric that the manual does not tell."""
         raised = (
             names(_BAD) | names(Health(ready=False)) | names(Health(store_ok=False))
         )
         self.assertEqual(set(ALARMS), raised)
         page = pathlib.Path(__file__).parent.parent / "docs" / "operations.md"
         text = page.read_text()
-        for name in ALARMS:
+        for name in [*ALARMS, *metrics._READ]:
             self.assertIn(f"`{name}`", text)
 
     def test_healthy_process_shows_no_alarm(self):
