Try a release again soon; do not delay leases that shards wait for

Cause: the fault matrix showed 'unknown' for a request when the store failed as a release was sent: the wider spread of leases delayed the release after the outage. Change: a failed read does not put off a write; releases are retried after 0.1 to 0.3 s; a process whose shards are not fully served asks for its lease within 0.3 s. Conclusion: a release during an outage still leaves its tasks to their leases.

--- a/src/poplaryard/assignment.py
+++ b/src/poplaryard/assignment.py
@@ -20,6 +20,10 @@
 # Interval at which every process reads the record, should both watchers fail silently.
 READ_S = 10.0
 
+# Wait before a release is tried again. It is short because the shard's tasks end with
+# their leases of 4 s unless a successor claims their workers.
+RELEASE_RETRY_S = (0.1, 0.3)
+
 # Waits after conflicts are drawn from a time that doubles between these bounds.
 BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 3.0
@@ -33,6 +37,8 @@
     ----------
     takes : tuple of ShardTaken
         Notices for the shards that the write takes.
+    releases : bool
+        Whether the write releases shards, whose tasks nobody renews meanwhile.
     victim : str
         Owner whose shard the write takes. It gets no promise until the write is
         resolved, because the write may take effect after the promise was given.
@@ -43,6 +49,7 @@
     record: Record
     version: int
     takes: tuple[ShardTaken, ...] = ()
+    releases: bool = False
     victim: str = ""
     doubtful: bool = False
 
@@ -152,29 +159,40 @@
     def failed(self, now: float) -> list[t.Any]:
         """Note that the store was not reached."""
         self._reading = False
-        if self.write is not None and not self.write.doubtful:
+        write = self.write
+        if write is None:
+            self._read_at = now + self._rng.uniform(*RETRY_S)
+            return []
+        self._retry_later(now)
+        if write.releases:
+            self.write_at = now + self._rng.uniform(*RELEASE_RETRY_S)
+        if not write.doubtful:
             self.write = None
-        return self._retry_later(now)
+        return []
 
     def unknown(self, now: float) -> list[t.Any]:
         """Note that the write may or may not take effect."""
         if self.write is not None:
             self.write.doubtful = True
-        return self._retry_later(now)
+        self._retry_later(now)
+        return []
 
     def send(
-        self, record: Record, takes: tuple[ShardTaken, ...] = (), victim: str = ""
+        self,
+        record: Record,
+        takes: tuple[ShardTaken, ...] = (),
+        victim: str = "",
+        releases: bool = False,
     ) -> list[t.Any]:
         """Return the command to write a record."""
         record = self._tidied(record)
         version = self.view.version
-        self.write = Write(record, version, takes, victim)
+        self.write = Write(record, version, takes, releases, victim)
         return [WriteRecord(record, version)]
 
-    def _retry_later(self, now: float) -> list[t.Any]:
+    def _retry_later(self, now: float) -> None:
         self.write_at = now + self._rng.uniform(*RETRY_S)
         self._read_at = min(self._read_at, self.write_at)
-        return []
 
     def _tidied(self, record: Record) -> Record:
         """Leave out members whose lease has ended and that own nothing."""
--- a/src/poplaryard/lease.py
+++ b/src/poplaryard/lease.py
@@ -13,7 +13,7 @@
     RevokeLease,
 )
 
-__all__ = ["LEASE_TTL_S", "RETRY_S", "Lease"]
+__all__ = ["LEASE_TTL_S", "RETRY_S", "SPREAD_S", "Lease"]
 
 LEASE_TTL_S = 6.0
 RENEW_S = 2.0
@@ -70,8 +70,14 @@
         if message.lease == self.name:
             self._confirm(message.sent_at)
 
-    def failed(self, now: float, message: LeaseFailed) -> None:
-        """Take a failed call; ask for a new lease if the store said that it ended."""
+    def failed(self, now: float, message: LeaseFailed, spread_s: float) -> None:
+        """Take a failed call; ask for a new lease if the store said that it ended.
+
+        Parameters
+        ----------
+        spread_s : float
+            Longest wait before the new lease is asked for.
+        """
         if message.lease not in ("", self.name):
             return
         self._calling = False
@@ -79,7 +85,7 @@
         if message.lapsed:
             self.name = ""
             self.until = float("-inf")
-            self._call_at = now + self._rng.uniform(0.0, SPREAD_S)
+            self._call_at = now + self._rng.uniform(0.0, spread_s)
 
     def revoke(self) -> list[t.Any]:
         """End the lease."""
--- a/src/poplaryard/ownership.py
+++ b/src/poplaryard/ownership.py
@@ -8,7 +8,7 @@
 from .assignment import Assignment, Write
 from .fencing import lease_wait_s, shortened
 from .heartbeats import Heartbeats
-from .lease import LEASE_TTL_S, Lease
+from .lease import LEASE_TTL_S, SPREAD_S, Lease
 from .messages import Authority, Tick
 from .ownership_messages import (
     Heartbeat,
@@ -51,6 +51,9 @@
 # store lease, so that a worker's view of it never depends on the source.
 AUTHORITY_S = shortened(LEASE_TTL_S)
 
+# Longest wait for a new lease of a process whose shards are not fully served.
+SHORT_SPREAD_S = 0.3
+
 # Time between two shards handed over to even out the number that members own.
 BALANCE_S = 5.0
 
@@ -144,7 +147,9 @@
         return self._authorities(now)
 
     def _lease_failed(self, now: float, message: LeaseFailed) -> list[t.Any]:
-        self._lease.failed(now, message)
+        # Shards that wait for their release, or that are served in part, cannot wait.
+        waits = self._leaving or self._releasing or self.state == "limited"
+        self._lease.failed(now, message, SHORT_SPREAD_S if waits else SPREAD_S)
         return self._authorities(now)
 
     # Authority
@@ -359,7 +364,8 @@
             owned = self._owned.pop(shard, None)
             if owned is not None:
                 out.append(ShardReleased(shard, owned.epoch, successor))
-        return out + self._assignment.send(self.record.released(chosen))
+        record = self.record.released(chosen)
+        return out + self._assignment.send(record, releases=True)
 
     def _revoke(self) -> list[t.Any]:
         self.state = _CHART.step(self.state, "leave")
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -307,6 +307,19 @@
         self.assertTrue(group.taken(successor)[-1].handed_over)
         self.assertEqual("left", group.members[owner].state)
 
+    def test_release_is_tried_again_soon(self):
+        """Guards against tasks that end while no owner renews their leases."""
+        group = Group("a#1", "b#1", shards=("dc1/0",))
+        group.run(15)
+        owner = group.owners()["dc1/0"]
+        group.store_up = False
+        group.give(owner, Leave())
+        group.run(2)
+        group.store_up = True
+        group.run(1)
+        self.assertNotIn(owner, group.owners().values())
+        self.assertNotIn("", group.owners().values())
+
     def test_restarted_process_is_unknown_to_the_old_owner(self):
         """Guards against a process that has forgotten its promises."""
         group = Group("a#1", "b#1")
