--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -1,7 +1,7 @@
 import testtools
 
 from poplaryard.messages import ClaimReply, ClaimWorker, Tick, VmGone, VmUpdate
-from poplaryard.takeover import EpochRefused, Takeover
+from poplaryard.takeover import EpochRefused, Takeover, VmListRead
 from tests.builders import vm_spec
 
 WALL = 1000.0
@@ -54,6 +54,23 @@
         self.assertFalse(taken.may_run_unknown(WALL - 20))
         self.assertTrue(taken.may_run_unknown(WALL - 1))
 
+    def test_claims_are_complete_only_for_a_fresh_list(self):
+        """Guards against a VM that the old owner uses and an older list lacks."""
+        taken = takeover(("vm1",), list_read=False)
+        taken.handle(0.1, ClaimReply("vm1", 5, True))
+        self.assertFalse(taken.serves_exclusive())
+        taken.handle(0.2, VmListRead())
+        self.assertTrue(taken.serves_exclusive())
+
+    def test_new_vm_is_not_claimed_without_a_store_lease(self):
+        """Guards against a VM that only an owner without a lease knows."""
+        taken = takeover(())
+        taken.claims_new = False
+        update = VmUpdate(vm_spec(3, name="vm3"))
+        self.assertEqual([], taken.handle(1.0, update))
+        taken.claims_new = True
+        self.assertEqual([ClaimWorker("vm3", 5)], taken.handle(2.0, Tick()))
+
     def test_higher_epoch_at_a_worker_ends_the_take_over(self):
         """Guards against an old owner that goes on claiming."""
         taken = takeover()
