Wait for the claims of VMs that are named after the authority

Cause: tests/test_shards.py found both replicas on the first VM claimed: a shard whose authority came before its VMs counted as settled, and would also have served exclusive work too early when no take-over is followed. Change: VMs named within 1 s of a new term must be claimed first; an empty fleet is not sure of anything.

--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -23,7 +23,7 @@
     Work,
 )
 from .results import Results
-from .state import ShardState
+from .state import CLAIMS_WAIT_S, ShardState
 from .takeover import Takeover, VmListRead
 
 __all__ = ["Claims"]
@@ -107,8 +107,10 @@
         self._gone.discard(vm.name)
         vm.listed_leaving = msg.leaving
         if back or not known:
-            if self._state.unseen or not self._state.authority.epoch:
-                self._state.unseen.add(vm.name)
+            # The VMs of a new term may be named after its authority.
+            state = self._state
+            if state.unseen or now < state.owned_since + CLAIMS_WAIT_S:
+                state.unseen.add(vm.name)
             self._claim(now, vm)
         self._note_leaving(now, vm)
 
--- a/src/poplaryard/replicas.py
+++ b/src/poplaryard/replicas.py
@@ -11,17 +11,13 @@
 from .preemption import Preemptor
 from .routing import shard_names, shard_of_vm
 from .services import CLOSE_AFTER_S, ReplicaPool, split
-from .state import ShardState, Start
+from .state import CLAIMS_WAIT_S, ShardState, Start
 
 __all__ = ["Replicas"]
 
 # A drain whose effect is not reported is sent again after this time.
 DRAIN_AGAIN_S = 2.0
 
-# A new owner learns of running replicas from the claims. It waits for them this long
-# before it starts replicas that seem to be missing.
-CLAIMS_WAIT_S = 1.0
-
 
 class _Sizes(t.NamedTuple):
     """Number of VMs by data centre, and by shard of the own data centre."""
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -21,6 +21,10 @@
 # lost start be tried again soon.
 START_VALID_S = 2.0
 
+# A new owner learns of running replicas from the claims. It waits for them this long
+# before it starts replicas that seem to be missing.
+CLAIMS_WAIT_S = 1.0
+
 # Largest difference of two wall clocks.
 SKEW_S = 5.0
 
@@ -86,7 +90,8 @@
         """
         if self.takeover is not None:
             return self.authority.exclusive and self.takeover.serves_exclusive()
-        return self.authority.exclusive and not self.unseen
+        known = bool(self.fleet.vms) and not self.unseen
+        return self.authority.exclusive and known
 
     def all_known(self, now: float, wall: float, work: Work) -> bool:
         """Tell whether no earlier owner can have run work that no worker reports.
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -230,6 +230,24 @@
     assert not [m for m in out if isinstance(m, StartAttempt)]
 
 
+def test_vms_named_after_the_authority_are_all_claimed_before_anything_is_sure():
+    """Guards against all replicas on the first VM, and exclusive work too early."""
+    config = configuration(vms=2)
+    first, second = config.vms("dc1")
+    scheduler = ShardScheduler("dc1/0", "p1", random.Random(1))
+    scheduler.handle(0.0, Authority("dc1/0", 1, 900.0))
+    for msg in (Configure(config), VmUpdate(first), VmUpdate(second)):
+        scheduler.handle(0.0, msg)
+    keyed = work("b1", kind=WorkKind.BATCH, target="", exclusive_key="k")
+    assert scheduler.handle(0.1, Submit(keyed)) == []
+    assert scheduler.handle(0.1, ClaimReply(first.name, 1, True)) == []
+    out = scheduler.handle(0.2, ClaimReply(second.name, 1, True))
+    starts = [m for m in out if isinstance(m, StartAttempt)]
+    replicas = [s.vm for s in starts if s.work.kind is WorkKind.SERVICE]
+    assert sorted(replicas) == [first.name, second.name]
+    assert "b1" in {s.work.request_id for s in starts}
+
+
 def test_waiting_work_is_handed_back_when_the_authority_lapses():
     shard = Shard(plain(), until=10.0)
     shard.send(batch("b1"))
