Compute the end of a start's window with fencing.valid_until_ms

Cause: the fleet kept a copy of the rule that fencing owns. Change: the state calls fencing; an unused method of Vm is gone. Conclusion: one rule, one place.

--- a/src/poplaryard/fleet.py
+++ b/src/poplaryard/fleet.py
@@ -1,6 +1,5 @@
 """VMs of one shard, what is charged to them and what is held for waiting work."""
 
-import math
 import typing as t
 from dataclasses import dataclass, field
 
@@ -78,14 +77,6 @@
         """Whether holds wait for charges to end."""
         return self.free.cpu_m < 0 or self.free.mem_mb < 0 or self.free.gpus < 0
 
-    def valid_until_ms(self, until: float) -> int:
-        """Return the time `until` as a reading of the worker's clock."""
-        return self.clock_ms + math.floor((until - self.clock_at) * 1000)
-
-    def free_without(self, hold_id: str) -> Resources:
-        """Return the free amount with one hold left out of account."""
-        return self.free + self.holds.get(hold_id, ZERO)
-
 
 class Fleet:
     """VMs of a shard; every amount is charged once and released once."""
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -7,6 +7,7 @@
 
 from .attempts import AttemptTable
 from .configuration import Configuration
+from .fencing import valid_until_ms
 from .fleet import Fleet, Vm
 from .jobs import Attempt, Job
 from .messages import Authority, Message, StartAttempt, StopAttempt, StopMode, Work
@@ -122,7 +123,7 @@
         attempt = Attempt(self._attempt_id(), work, start.task, vm.name, start.executor)
         attempt.sent_at = now
         attempt.latest_start = latest
-        attempt.valid_until_ms = vm.valid_until_ms(latest)
+        attempt.valid_until_ms = valid_until_ms(vm.clock_ms, vm.clock_at, latest)
         self.attempts.add(vm, attempt, start.charge)
         self.out.append(
             StartAttempt(
