--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -7,6 +7,7 @@
 
 from .attempts import AttemptTable
 from .configuration import Configuration
+from .fencing import valid_until_ms
 from .fleet import Fleet, Vm
 from .jobs import Attempt, Job
 from .messages import Authority, Message, StartAttempt, StopAttempt, StopMode, Work
@@ -21,6 +22,10 @@
 # lost start be tried again soon.
 START_VALID_S = 2.0
 
+# A new owner learns of running replicas from the claims. It waits for them this long
+# before it starts replicas that seem to be missing.
+CLAIMS_WAIT_S = 1.0
+
 # Largest difference of two wall clocks.
 SKEW_S = 5.0
 
@@ -86,7 +91,8 @@
         """
         if self.takeover is not None:
             return self.authority.exclusive and self.takeover.serves_exclusive()
-        return self.authority.exclusive and not self.unseen
+        known = bool(self.fleet.vms) and not self.unseen
+        return self.authority.exclusive and known
 
     def all_known(self, now: float, wall: float, work: Work) -> bool:
         """Tell whether no earlier owner can have run work that no worker reports.
@@ -117,7 +123,7 @@
         attempt = Attempt(self._attempt_id(), work, start.task, vm.name, start.executor)
         attempt.sent_at = now
         attempt.latest_start = latest
-        attempt.valid_until_ms = vm.valid_until_ms(latest)
+        attempt.valid_until_ms = valid_until_ms(vm.clock_ms, vm.clock_at, latest)
         self.attempts.add(vm, attempt, start.charge)
         self.out.append(
             StartAttempt(
