Adopt the sliding window of 20 and add the quota bench

Cause: a window of 10 ejected healthy VMs by chance when a team's work failed; quotas had no figures. Conclusion: adopted; small teams are still shed by the class's expected wait.

--- a/src/poplaryard/bench_policy.py
+++ b/src/poplaryard/bench_policy.py
@@ -16,6 +16,7 @@
     "stragglers": "bench_stragglers",
     "crest": "bench_crest",
     "blackhole": "bench_blackhole",
+    "quota": "bench_quota",
 }
 
 
--- /dev/null
+++ b/src/poplaryard/bench_quota.py
@@ -0,0 +1,94 @@
+"""Quota: one team asks for the whole capacity beside many small teams."""
+
+import random
+import sys
+import time
+import typing as t
+
+from .bench_baselines import BASELINES
+from .bench_driver import Host, Job, run
+from .bench_figures import figures
+from .bench_shard import shard
+from .configuration import Configuration, TeamSpec
+from .messages import Work, WorkKind
+from .quota import Quotas
+from .resources import Resources
+
+__all__ = ["decision_us", "rows"]
+
+_SPAN_S = 30.0
+_HOSTS = 20
+_CAPACITY = Resources(16_000, 32_768, 0)
+_NEED = Resources(1000, 2048, 0)
+_DEADLINE_S = 5.0
+_TEAM_COUNTS = (10, 100, 950)
+# Loads of the one large team and of all small teams together.
+_GREEDY_LOAD = 1.0
+_SMALL_LOAD = 0.5
+_DECISIONS = 50_000
+
+
+def rows(seed: int) -> list[dict[str, t.Any]]:
+    """Return the figures of the large team and the small ones per team count.
+
+    The cost of a decision goes to standard error, since it is not reproducible.
+    """
+    found = []
+    for count in _TEAM_COUNTS:
+        print(f"{count} teams: {decision_us(count, seed):.2f} us", file=sys.stderr)
+        teams = {f"team{number}": TeamSpec(f"team{number}") for number in range(count)}
+        ours: t.Any = shard(Configuration(number=1, teams=teams))
+        for name, make in {"poplaryard": ours, **BASELINES}.items():
+            jobs = _jobs(random.Random(seed), count)
+            hosts = [Host(f"vm{n:03d}", _CAPACITY) for n in range(_HOSTS)]
+            cluster = run(jobs, hosts, make, seed)
+            head = {"case": f"{count} teams", "strategy": name}
+            for label in ("small", "greedy"):
+                row = figures(jobs, cluster, (0.0, _SPAN_S), label)
+                found.append({**head, "work": label, **row})
+    return found
+
+
+def decision_us(count: int, seed: int) -> float:
+    """Return the mean cost of one quota decision in microseconds.
+
+    A decision is a queued work, the check, the charge and the release of an earlier
+    charge, with every team holding something and half of them waiting.
+    """
+    rng, quotas = random.Random(seed), Quotas()
+    names = [f"team{number}" for number in range(count)]
+    total = _CAPACITY.times(10 * count)
+    quotas.configure({name: TeamSpec(name) for name in names}, total)
+    for number, name in enumerate(names):
+        quotas.charge(name, _NEED.times(1 + number % 7))
+        if number % 2:
+            quotas.waits(name)
+    chosen = [rng.choice(names) for _ in range(_DECISIONS)]
+    began = time.perf_counter()
+    for name in chosen:
+        quotas.waits(name)
+        quotas.allowed(name, _NEED)
+        quotas.least_waiting()
+        quotas.left(name)
+        quotas.charge(name, _NEED)
+        quotas.release(name, _NEED)
+    return (time.perf_counter() - began) / _DECISIONS * 1e6
+
+
+def _jobs(rng: random.Random, teams: int) -> list[Job]:
+    load = _GREEDY_LOAD + _SMALL_LOAD
+    per_s = load * _HOSTS * _CAPACITY.cpu_m / _NEED.cpu_m
+    jobs: list[Job] = []
+    now = 0.0
+    while (now := now + rng.expovariate(per_s)) < _SPAN_S:
+        greedy = rng.random() < _GREEDY_LOAD / load
+        work = Work(
+            request_id=f"j{len(jobs)}",
+            kind=WorkKind.BATCH,
+            team="team0" if greedy else f"team{rng.randrange(1, teams)}",
+            need=_NEED,
+            deadline=now + _DEADLINE_S,
+        )
+        label = "greedy" if greedy else "small"
+        jobs.append(Job(work, rng.uniform(0.5, 1.5), now, label))
+    return jobs
--- a/src/poplaryard/ejection.py
+++ b/src/poplaryard/ejection.py
@@ -8,8 +8,8 @@
 
 __all__ = ["Ejector"]
 
-_WINDOW = 10
-_MIN_SAMPLES = 5
+_WINDOW = 20
+_MIN_SAMPLES = 10
 _FAILED_SHARE = 0.5
 # A VM must also fail this factor more often than the others of its class. Otherwise the
 # fault is in the work, and ejection would only take capacity away.
@@ -47,7 +47,7 @@
     group: str = ""
     state: str = "closed"
     since: float = 0.0
-    cool_s: float = _COOL_S
+    cool_s: float = field(default_factory=lambda: _COOL_S)
     probes: int = 0
     results: deque[bool] = field(default_factory=lambda: deque(maxlen=_WINDOW))
     run_time: _Mean = field(default_factory=_Mean)
@@ -144,8 +144,9 @@
         share = health.failed_share
         if len(health.results) < _MIN_SAMPLES or share < _FAILED_SHARE:
             return False
-        others = max(1, self._sizes[health.group] - 1)
-        usual = (self._failed[health.group] - share) / others
+        group = health.group
+        others = max(1, self._sizes[group] - self._out.get(group, 0) - 1)
+        usual = (self._failed[group] - share) / others
         return share >= _FAILED_FACTOR * usual
 
     def _is_slow(self, health: _Health, samples: int) -> bool:
