Do not shed a small team for the queue of a large one

Cause: admission judged every team by the expected wait of the class; with one team asking for the whole capacity 23% of the small teams' work was shed although it would have started within 0.05 s. Change: a team below half of an equal share of the queue is admitted up to the bound.

--- a/src/poplaryard/admission.py
+++ b/src/poplaryard/admission.py
@@ -1,6 +1,7 @@
 """Admission of work: bounded queues, deadlines, load shedding, retry-after."""
 
 import typing as t
+from collections import OrderedDict
 
 from .codes import Code
 from .configuration import Policy
@@ -13,6 +14,10 @@
 # Share of the time to its deadline that work may be expected to wait. The rest covers
 # its run time and the error of the estimate.
 _WAIT_SHARE = 0.5
+# A team below this part of an equal share of the queue is not shed: the wait expected
+# for the class is that of the teams that fill the queue.
+_SMALL_PART = 0.5
+_SEEN_S = 2.0
 _RATE_WINDOW_S = 0.25
 # The highest rate is kept for a while: in calm times the rate of starts is that of
 # arrivals, which says nothing about how fast a queue would drain.
@@ -40,6 +45,7 @@
     def __init__(self, policy: Policy):
         self._policy = policy
         self._rates: dict[str, _Rate] = {}
+        self._teams: dict[str, _Teams] = {}
 
     def configure(self, policy: Policy) -> None:
         """Take new policy figures."""
@@ -69,6 +75,9 @@
         bound = self._policy.queue_limit if limit is None else limit
         if depth >= bound or team_depth >= max(1, int(bound * _TEAM_SHARE)):
             return Verdict(Code.QUEUE_FULL, self._retry_after_s(now, work, depth))
+        teams = self._teams.setdefault(class_of(work), _Teams()).seen(now, work.team)
+        if team_depth * teams < _SMALL_PART * depth:
+            return Verdict(Code.ACCEPTED)
         expected_s = self.expected_wait_s(now, work, depth)
         if expected_s > _WAIT_SHARE * (work.deadline - now):
             return Verdict(Code.QUEUE_FULL, self._retry_after_s(now, work, depth))
@@ -89,6 +98,21 @@
         return min(_MAX_RETRY_S, max(_MIN_RETRY_S, expected_s))
 
 
+class _Teams:
+    """Teams of a class that submitted work of late."""
+
+    def __init__(self) -> None:
+        self._last: OrderedDict[str, float] = OrderedDict()
+
+    def seen(self, now: float, team: str) -> int:
+        """Note a team and return the number of teams."""
+        self._last[team] = now
+        self._last.move_to_end(team)
+        while next(iter(self._last.values())) < now - _SEEN_S:
+            self._last.popitem(last=False)
+        return len(self._last)
+
+
 class _Rate:
     """Highest recent rate of starts, over short windows."""
 
