--- a/src/poplaryard/bench_policy.py
+++ b/src/poplaryard/bench_policy.py
@@ -17,6 +17,8 @@
     "crest": "bench_crest",
     "blackhole": "bench_blackhole",
     "quota": "bench_quota",
+    "retries": "bench_retries",
+    "cancel-wave": "bench_cancel",
 }
 
 
