--- a/src/poplaryard/dispatch.py
+++ b/src/poplaryard/dispatch.py
@@ -1,13 +1,16 @@
 """Finds the owner of work and passes messages between entry, shards and peers."""
 
+import asyncio
 import random
 import typing as t
 
+from .clock import SystemClock
 from .codes import Code
 from .configuration import Configuration
 from .entry import Entry
 from .lookup import Lookup, LookupReply
 from .messages import Answer, Authority, Cancel, Message, Submit, Work
+from .ownership_messages import ShardTaken
 from .peers import Envelope
 from .shard_map import ShardMap
 from .shards import ShardTask
@@ -15,6 +18,8 @@
 
 __all__ = ["Dispatcher"]
 
+_clock = SystemClock()
+
 OwnerOf: t.TypeAlias = t.Callable[[str], str | Code]
 Send: t.TypeAlias = t.Callable[[str, Envelope], None]
 
@@ -31,6 +36,8 @@
         Takes the process id of a peer and an envelope for it.
     notice : callable
         Takes what the shards report besides answers: audit events, refused epochs.
+    holds_lease : callable
+        Tells whether this process holds its store lease.
     """
 
     def __init__(
@@ -42,6 +49,7 @@
         send: Send,
         notice: t.Callable[[t.Any], None],
         requests_limit: int,
+        holds_lease: t.Callable[[], bool] = lambda: True,
     ):
         self.process = process
         self.map = ShardMap(data_centre)
@@ -51,11 +59,19 @@
         self._owner_of = owner_of
         self._send_peer = send
         self._notice = notice
+        self._holds_lease = holds_lease
         self._rng = random.Random()
+        # Last wall-clock time at which a VM left each shard, as far as is known.
+        self._departed: dict[str, float] = {}
+        self._started = _clock.wall()
 
     def configure(self, config: Configuration) -> None:
         """Apply a newer configuration."""
+        before = {shard: set(self.map.vms_of(shard)) for shard in self.map.local()}
         self.map.configure(config)
+        for shard, vms in before.items():
+            if vms - set(self.map.vms_of(shard)):
+                self._departed[shard] = _clock.wall()
         for task in self.shards.values():
             self._configure_shard(task)
 
@@ -63,12 +79,21 @@
         """Return the names of the shards of this data centre."""
         return self.map.local()
 
-    def take(self, shard: str) -> ShardTask:
+    def take(self, taken: ShardTaken) -> ShardTask:
         """Start to serve a shard; it places nothing until it is given authority."""
+        shard = taken.shard
         task = ShardTask(
-            shard, self.process, self._workers, self.deliver, self._notice, self._rng
+            shard,
+            self.process,
+            self._workers,
+            self.deliver,
+            self._notice,
+            self._rng,
+            self._holds_lease,
         )
         self.shards[shard] = task
+        vms = self.map.vms_of(shard)
+        task.take_over(taken, vms, self._departed.get(shard, self._started))
         self._configure_shard(task)
         task.start()
         return task
@@ -79,6 +104,17 @@
         if task is not None:
             await task.stop()
 
+    async def finished(self, timeout_s: float) -> None:
+        """Wait until the shards here have answered every request they have taken."""
+        waits = [
+            asyncio.ensure_future(task.idle.wait()) for task in self.shards.values()
+        ]
+        if not waits:
+            return
+        await asyncio.wait(waits, timeout=max(0.0, timeout_s))
+        for wait in waits:
+            wait.cancel()
+
     async def close(self) -> None:
         """Stop serving all shards."""
         for shard in list(self.shards):
@@ -96,6 +132,9 @@
 
     def vm_gone(self, name: str) -> None:
         """Pass on that a VM is no longer listed."""
+        for shard in self.map.local():
+            if name in self.map.vms_of(shard):
+                self._departed[shard] = _clock.wall()
         for task in self.shards.values():
             task.vm_gone(name)
 
@@ -124,8 +163,8 @@
             self.entry.on_answer(sender, msg)
         elif isinstance(msg, Submit):
             self._receive_submit(envelope, msg)
-        elif isinstance(msg, Cancel) and envelope.shard in self.shards:
-            self.shards[envelope.shard].post(msg)
+        elif isinstance(msg, Cancel):
+            self._receive_cancel(envelope.shard, msg)
 
     def undelivered(self, process: str, envelope: Envelope, code: Code) -> None:
         """Take back a message that did not reach a peer, or perhaps not."""
@@ -136,20 +175,39 @@
         """Return what the shards here know of a request."""
         request_id, reply_to = question.request_id, question.reply_to
         found = [task.look_up(request_id, reply_to) for task in self.shards.values()]
+        found.append(self._look_up_entry(request_id, reply_to))
         return [LookupReply(request_id, text) for text in found if text is not None]
 
-    def owners_of(self, request_id: str) -> set[str]:
-        """Return the owners that may know a request: all here, and its home."""
+    def _look_up_entry(self, request_id: str, reply_to: str) -> str | None:
+        """Answer for a request that a caller has open here, if it has no owner yet."""
+        fut = self.entry.wait_for(request_id)
+        if fut is None or reply_to == self.process:
+            return None
+        if reply_to:
+            fut.add_done_callback(lambda done: self.deliver(reply_to, done.result()))
+        return "The request waits until its shard has an owner that answers."
+
+    def owners_of(self, request_id: str) -> tuple[set[str], bool]:
+        """Return the owners that may know a request, and whether these are all."""
         shards = {*self.local_shards(), self.map.home(request_id)} - {""}
-        found = map(self._owner_of, shards)
-        return {owner for owner in found if not isinstance(owner, Code)}
-
-    def cancel_everywhere(self, request_id: str) -> None:
-        """Send a cancellation to all owners that may know a request."""
-        for shard in self.local_shards():
-            owner = self._owner_of(shard)
-            if not isinstance(owner, Code):
-                self.cancel(owner, shard, Cancel(request_id))
+        found = [self._owner_of(shard) for shard in shards]
+        owners = {owner for owner in found if not isinstance(owner, Code)}
+        return owners, Code.NOT_OWNER not in found
+
+    def cancel_at(self, processes: t.Iterable[str], request_id: str) -> None:
+        """Send a cancellation to processes that may know a request."""
+        for process in processes:
+            self.cancel(process, "", Cancel(request_id))
+
+    def _receive_cancel(self, shard: str, msg: Cancel) -> None:
+        """Cancel a request in one shard, or wherever it is known here."""
+        if shard:
+            tasks = [self.shards[shard]] if shard in self.shards else []
+        else:
+            tasks = list(self.shards.values())
+            self.entry.cancel(msg.request_id)
+        for task in tasks:
+            task.post(msg)
 
     def _send(self, process: str, envelope: Envelope) -> None:
         if process == self.process:
--- a/src/poplaryard/ejection.py
+++ b/src/poplaryard/ejection.py
@@ -4,10 +4,12 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from .chart import load
+from .statechart import load_chart
 
 __all__ = ["Ejector"]
 
+_CHART = load_chart("ejection")
+
 _WINDOW = 20
 _MIN_SAMPLES = 10
 _FAILED_SHARE = 0.5
@@ -45,7 +47,7 @@
     """Recent results of one VM and its state in the chart."""
 
     group: str = ""
-    state: str = "closed"
+    state: str = _CHART.initial
     since: float = 0.0
     cool_s: float = field(default_factory=lambda: _COOL_S)
     probes: int = 0
@@ -67,7 +69,6 @@
     """
 
     def __init__(self) -> None:
-        self._next = _next_states()
         self._vms: dict[str, _Health] = {}
         self._sizes: dict[str, int] = {}
         self._out: dict[str, int] = {}
@@ -172,19 +173,10 @@
 
     def _move(self, now: float, health: _Health, trigger: str) -> None:
         was_out = health.state in ("open", "half_open")
-        health.state = self._next.get((health.state, trigger), health.state)
+        health.state = _CHART.step(health.state, trigger)
         is_out = health.state in ("open", "half_open")
         health.since, health.probes = now, 0
         self._note(health, None)
         health.run_time = _Mean()
         change = int(is_out) - int(was_out)
         self._out[health.group] = self._out.get(health.group, 0) + change
-
-
-def _next_states() -> dict[tuple[str, str], str]:
-    """Return the chart as a table; a model per VM would cost several KB each."""
-    return {
-        (source, trigger): str(found[0].dest)
-        for trigger, event in load("ejection").events.items()
-        for source, found in event.transitions.items()
-    }
--- a/src/poplaryard/fuzz_node.py
+++ b/src/poplaryard/fuzz_node.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field, replace
 
 from .fencing import valid_until_ms
+from .fuzz_scheduler import RealShard
 from .fuzz_shard import FuzzShard
 from .fuzz_store import failure, time_out
 from .fuzz_worker import PollWorker
@@ -38,6 +39,7 @@
     SendHeartbeat,
     ShardReleased,
     ShardsConfigured,
+    ShardSettled,
     ShardTaken,
     WatchRecord,
     WriteRecord,
@@ -57,8 +59,8 @@
 # the ledger has forgotten; answers are kept for this time plus the clock skew.
 COPY_S = 20.0
 
-# The VM list is read this often, and so lags behind.
-LIST_S = 2.0
+# Intervals at which a process reads the VM list, which so lags behind.
+LIST_S = (1.0, 2.0, 8.0)
 POLLS_MISSED = 3
 
 
@@ -72,9 +74,10 @@
 
 @dataclass(slots=True)
 class _Shard:
-    decisions: FuzzShard
+    decisions: FuzzShard | RealShard
     takeover: Takeover
     epoch: int
+    settled: bool = False
     authority: Authority | None = None
     exclusive_until: float = float("-inf")
     claimed: set[str] = field(default_factory=set)
@@ -110,6 +113,7 @@
         # VMs as this process last read them, and the last time that one left a shard.
         self._listed = world.listed(dc)
         self._listed_since: dict[str, float] = {}
+        self._list_s = rng.choice(LIST_S)
         self._list_at = 0.0
         world.weaken(self)
         self.give(ShardsConfigured(world.shards(dc), 1))
@@ -138,6 +142,9 @@
         for name, shard in list(self.shards.items()):
             shard.takeover.claims_new = leased
             self.give_shard(name, Tick())
+            if shard.takeover.state == "complete" and not shard.settled:
+                shard.settled = True
+                self.give(ShardSettled(name, shard.epoch))
         if now >= self._list_at and self.world.list_up:
             self._read_list()
         if now >= self._poll_at:
@@ -205,7 +212,11 @@
             list_read=self.world.lacks("list_read"),
         )
         self.world.weaken_takeover(takeover)
-        shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
+        shard: FuzzShard | RealShard
+        if self.world.real_scheduler:
+            shard = RealShard(out.shard, self.name, takeover, self.now())
+        else:
+            shard = FuzzShard(out.shard, self.name, takeover, self.world.without)
         self.world.weaken_ledger(shard.ledger)
         self.shards[out.shard] = _Shard(shard, takeover, out.epoch)
         for vm, leaving in vms:
@@ -217,7 +228,7 @@
 
     def _read_list(self) -> None:
         """Read the platform's VM list and hand on what changed."""
-        self._list_at = self.now() + LIST_S
+        self._list_at = self.now() + self._list_s
         listed = self.world.listed(self.dc)
         for vm in sorted(self._listed.keys() - listed.keys()):
             self._vm_message(VmGone(vm))
@@ -337,9 +348,11 @@
             return
         if isinstance(message, VmGone):
             self.shards[shard].claimed.discard(vm)
-        elif message.leaving:
+        elif message.leaving or vm in self._leaving:
+            # A list that lags does not take back what the worker itself has said.
             self._leaving.add(vm)
             self.world.oracle.told_leaving(self.name, vm)
+            message = VmUpdate(message.vm, leaving=True)
         self.give_shard(shard, message)
 
     def _apply(self, message: Ticket) -> None:
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -11,6 +11,7 @@
 from .fuzz_node import Node, Ticket
 from .fuzz_store import FakeStore
 from .fuzz_worker import FakeWorker
+from .heartbeats import Heartbeats
 from .messages import (
     Answer,
     Submit,
@@ -18,7 +19,7 @@
 )
 from .oracle import Oracle
 from .outcome import Ledger, Registered
-from .ownership_messages import Heartbeat, ProvenDead
+from .ownership_messages import Heartbeat, HeartbeatReply, ProvenDead
 from .resources import Resources
 from .routing import home_shard, key_of, shard_names, shard_of_vm
 from .takeover import Takeover
@@ -79,16 +80,24 @@
         Names from `MECHANISMS` that are taken out.
     small : bool
         Whether to build one data centre with one shard and few processes.
+    real_scheduler : bool
+        Whether shards are owned by `ShardScheduler` and not by `FuzzShard`.
     """
 
     def __init__(
-        self, rng: random.Random, without: frozenset[str], small: bool = False
+        self,
+        rng: random.Random,
+        without: frozenset[str],
+        small: bool = False,
+        real_scheduler: bool = False,
     ):
         self.rng = rng
         self.without = without
+        self.real_scheduler = real_scheduler
         self.oracle = Oracle()
         self.real = 0.0
         self.list_up = True
+        self.slow_store = False
         self.pool: list[_Item] = []
         self._trace: deque[tuple[float, str, t.Any]] = deque(maxlen=TRACE_LIMIT)
         self.nodes: dict[str, Node] = {}
@@ -170,11 +179,12 @@
         if self.lacks("promises"):
             ownership.promises.given_until = lambda owner: float("-inf")
         if self.lacks("promise_in_flight"):
-            ownership._promise = functools.partial(_promise_always, ownership)
+            heartbeats = ownership._heartbeats
+            heartbeats.reply = functools.partial(_promise_always, heartbeats)
         if self.lacks("known"):
-            ownership._was_known_to = lambda owner, before: True
+            ownership._is_known = lambda old, before: True
         if self.lacks("lease_end"):
-            ownership._free = lambda shard: ownership.owner_of(shard)
+            ownership._assignment.free_owner = ownership.owner_of
 
     def weaken_takeover(self, takeover: Takeover) -> None:
         """Take mechanisms out of a take-over."""
@@ -311,6 +321,7 @@
     return ledger.register(now, now, work)
 
 
-def _promise_always(ownership: t.Any, now: float, message: Heartbeat) -> bool:
-    ownership.promises.give(now, message.sender)
-    return True
+def _promise_always(
+    heartbeats: t.Any, now: float, message: Heartbeat, view: t.Any, _: str
+) -> HeartbeatReply:
+    return Heartbeats.reply(heartbeats, now, message, view, "")
--- a/src/poplaryard/operator_context.py
+++ b/src/poplaryard/operator_context.py
@@ -6,23 +6,20 @@
 from .acceptance import Acceptance, FileResult
 from .audit import AuditFilter, AuditLog, AuditWriter
 from .clock import Clock
-from .compaction import Compactor
 from .config_loader import read_head, read_ticket
 from .configuration import Configuration
-from .exceptions import PoplaryardError
+from .exceptions import StoreDown, StoreReplyLost
 from .head import Head
 from .messages import AuditEvent
-from .rollout import HeadSeen, Rollout
+from .rollout import HeadSeen, Rollout, StoreFailed
 from .status import Alarm, Health, StatusBoard, health_of, screen
 from .store import Store
 from .tickets import Ticket
 
 __all__ = ["OperatorDesk"]
 
-# Interval of the audit log's check for a group that is due.
-UPKEEP_S = 1.0
-# Interval at which the first watcher sees whether a snapshot is due.
-COMPACT_S = 10.0
+# An alarm's begin is known to this accuracy.
+OBSERVE_S = 2.0
 
 
 class OperatorDesk:
@@ -31,7 +28,7 @@
     Parameters
     ----------
     notify : callable
-        Takes `HeadSeen` after an accepted ticket, for the rollout's task.
+        Takes what this learns of the store, for the rollout's task.
     facts : callable
         Returns further fields of `Health`, for example the queue lengths.
     """
@@ -43,7 +40,7 @@
         clock: Clock,
         acceptance: Acceptance,
         rollout: Rollout,
-        notify: t.Callable[[HeadSeen], None],
+        notify: t.Callable[[HeadSeen | StoreFailed], None],
         log: AuditLog,
         writer: AuditWriter,
         facts: t.Callable[[], t.Mapping[str, t.Any]] = dict,
@@ -58,9 +55,7 @@
         self._writer = writer
         self._facts = facts
         self._board = StatusBoard()
-        self._compactor = Compactor(store, acceptance.loader)
-        self._next_compaction = 0.0
-        self.failed_compactions = 0
+        self._observer: asyncio.Task[None] | None = None
 
     def config(self) -> Configuration | None:
         """Return the configuration in force here; None if there is none yet."""
@@ -92,8 +87,18 @@
         """Return an accepted ticket, or None if it is not known."""
         return await read_ticket(self._store, number)
 
-    def status(self) -> tuple[Health, list[Alarm], str]:
-        """Return the health, the alarms, and the screen that tells them."""
+    async def status(self) -> tuple[Health, list[Alarm], str]:
+        """Return the health, the alarms, and the screen that tells them.
+
+        Only the watchers read the store regularly, so it is asked here.
+        """
+        try:
+            self._notify(HeadSeen(await self.head()))
+        except (StoreDown, StoreReplyLost):
+            self._notify(StoreFailed())
+        return self._status()
+
+    def _status(self) -> tuple[Health, list[Alarm], str]:
         wall = self._clock.wall()
         health = health_of(
             self._rollout,
@@ -111,24 +116,17 @@
         """Return matching audit events, oldest first."""
         return await self._writer.search(wanted)
 
-    async def run(self) -> None:
-        """Flush the audit log and write snapshots until cancelled."""
+    async def start(self) -> None:
+        """Look at the status regularly, so that alarms show since when they stand."""
+        self._observer = asyncio.create_task(self._observe())
+
+    async def stop(self) -> None:
+        """Stop looking at the status."""
+        if self._observer is not None:
+            self._observer.cancel()
+            await asyncio.gather(self._observer, return_exceptions=True)
+
+    async def _observe(self) -> None:
         while True:
-            await asyncio.sleep(UPKEEP_S)
-            await self.upkeep()
-
-    async def upkeep(self) -> None:
-        """Do what is due; a fault of the store is met again at the next call."""
-        await self._writer.flush_if_due()
-        now = self._clock.now()
-        first = self._rollout.watchers[:1] == (self._rollout.process,)
-        if first and now >= self._next_compaction:
-            self._next_compaction = now + COMPACT_S
-            try:
-                await self._compactor.run()
-            except PoplaryardError:
-                self.failed_compactions += 1
-
-    async def close(self) -> None:
-        """Flush what the audit log still holds."""
-        await self._writer.flush_if_due(force=True)
+            self._status()
+            await asyncio.sleep(OBSERVE_S)
