Refuse objects of newer versions with a sentence

Cause: an object kind unknown to an older process raised a bare error in its load. Change: the loader raises TICKET_INVALID and keeps the configuration it holds. Conclusion: a rolling replacement with new kinds does not end older processes.

--- a/src/poplaryard/config_loader.py
+++ b/src/poplaryard/config_loader.py
@@ -104,7 +104,11 @@
             self.state = state
 
     def _advance(self, head: Head, delta: Delta) -> None:
-        state = self.state.after(delta)
+        try:
+            state = self.state.after(delta)
+        except (ValueError, KeyError, TypeError) as exc:
+            detail = "The store holds an object that this version cannot read."
+            raise CallError(Code.TICKET_INVALID, detail) from exc
         if state is None:
             raise CallError(Code.INTERNAL, "The configuration read has a gap.")
         self.state, self.head = state, head
--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -9,7 +9,7 @@
 from poplaryard.compaction import SNAPSHOT_EVERY, Compactor
 from poplaryard.config_loader import Loader, parts_of, read_head
 from poplaryard.configuration import Configuration
-from poplaryard.exceptions import StoreDown
+from poplaryard.exceptions import CallError, StoreDown
 
 from .fake_store import FakeStore, service, ticket, vm_group
 
@@ -114,6 +114,26 @@
 
         asyncio.run(run())
 
+    def test_object_of_a_newer_version_is_refused_with_a_sentence(self):
+        """Guards against an old process that dies of a newer one's object."""
+
+        async def run():
+            await self.file(1)
+            old = Loader(self.store)
+            await old.refresh()
+            await self.file(1)
+            key = next(
+                key for key in self.store.entries if "object/service/svc-2" in key
+            )
+            entry = self.store.entries[key]
+            newer = {"format": 1, "object": {"kind": "moon", "name": "svc-2"}}
+            await self.store.put_if(key, newer, entry.version)
+            with self.assertRaisesRegex(CallError, "this version cannot read"):
+                await old.refresh()
+            self.assertEqual(1, old.state.number)
+
+        asyncio.run(run())
+
     def test_parts_stay_below_the_value_limit(self):
         """Guards against a snapshot that the store refuses at full size."""
 
