--- a/tests/test_compaction.py
+++ b/tests/test_compaction.py
@@ -125,7 +125,7 @@
             key = next(
                 key for key in self.store.entries if "object/service/svc-2" in key
             )
-            entry = stored[key]
+            entry = self.store.entries[key]
             newer = {"format": 1, "object": {"kind": "moon", "name": "svc-2"}}
             await self.store.put_if(key, newer, entry.version)
             with self.assertRaisesRegex(CallError, "this version cannot read"):
