--- a/src/poplaryard/bench_policy.py
+++ b/src/poplaryard/bench_policy.py
@@ -16,6 +16,9 @@
     "stragglers": "bench_stragglers",
     "crest": "bench_crest",
     "blackhole": "bench_blackhole",
+    "quota": "bench_quota",
+    "retries": "bench_retries",
+    "cancel-wave": "bench_cancel",
 }
 
 
