Pass ended leases on in heartbeats

Cause: only the two watchers learned of an ended lease at once; the others read it within 10 s, so that a take-over in a data centre of 30 waited for a watcher's rank. Change: a heartbeat carries the record again when the live leases have changed.

--- a/src/poplaryard/assignment.py
+++ b/src/poplaryard/assignment.py
@@ -116,7 +116,9 @@
         """Take a record; return the write in flight if this record resolves it."""
         leases = {member.lease for member in seen.record.members.values()}
         self.ended_leases = (self.ended_leases & leases) | (leases - seen.live)
-        self.view = seen
+        # A peer may pass on a view that is older than what is known of the leases here.
+        live = frozenset(leases - self.ended_leases)
+        self.view = RecordSeen(seen.record, seen.version, live)
         write = self.write
         if write is None or seen.version <= write.version:
             return None
--- a/src/poplaryard/heartbeats.py
+++ b/src/poplaryard/heartbeats.py
@@ -30,6 +30,8 @@
         self.config_number = 0
         self._process = process
         self._heard_serial: dict[str, int] = {}
+        # Live leases last passed on to each peer; a lease ends without a new serial.
+        self._told: dict[str, frozenset[str]] = {}
         # Highest serial number that each owner named when it was given a promise.
         self._promised_serial: dict[str, int] = {}
 
@@ -37,6 +39,7 @@
         """Take the members of a record."""
         self.membership.set_members(record.members)
         self.promises.forget(now, record.members)
+        self._told = {k: v for k, v in self._told.items() if k in record.members}
         for known in (self._heard_serial, self._promised_serial):
             for name in known.keys() - record.members.keys():
                 del known[name]
@@ -120,4 +123,7 @@
 
     def _news_for(self, name: str, view: RecordSeen) -> RecordSeen | None:
         behind = self._heard_serial.get(name, -1) < view.record.serial
-        return view if behind and view.version > 0 else None
+        if view.version <= 0 or not (behind or self._told.get(name) != view.live):
+            return None
+        self._told[name] = view.live
+        return view
