Limit the renewal of task leases by the owner's authority

Cause: a poll renewed all leases at the worker whenever it arrived. Change: each poll carries valid_until_ms and exclusive_until_ms on the worker's clock. Before: no limit.

--- a/src/poplaryard/links.py
+++ b/src/poplaryard/links.py
@@ -8,6 +8,7 @@
 from .clock import SystemClock
 from .codes import Code
 from .exceptions import PoplaryardError
+from .fencing import valid_until_ms
 from .messages import (
     Authority,
     ClaimWorker,
@@ -17,7 +18,7 @@
     StopAttempt,
     WorkerUnreachable,
 )
-from .workers import Workers
+from .workers import Renewal, Workers
 
 __all__ = ["AuthorityCell", "WorkerLink"]
 
@@ -39,11 +40,15 @@
 
     def __init__(self, shard: str):
         self.value = Authority(shard, 0, 0.0, False)
+        # End of the last authority that covered exclusive work.
+        self.exclusive_until = float("-inf")
         self._renewed = asyncio.Event()
 
     def set(self, value: Authority) -> None:
         """Replace the authority."""
         self.value = value
+        if value.exclusive:
+            self.exclusive_until = value.until
         self._renewed.set()
 
     def valid(self) -> bool:
@@ -57,6 +62,13 @@
             await self._renewed.wait()
 
 
+class _Reading(t.NamedTuple):
+    """Clock reading of a worker and the time of its receipt."""
+
+    clock_ms: int
+    received_at: float
+
+
 class WorkerLink:
     """Claims, polls and commands one worker; each call checks the authority first.
 
@@ -124,26 +136,35 @@
                 await asyncio.sleep(self._backoff())
             await self._authority.wait_valid()
             reply = await self._workers.claim(self.address, self.vm, epoch)
+            reading = _Reading(reply.clock_ms, _clock.now())
             self._post(reply)
             if reply.accepted:
-                await self._poll(epoch)
+                await self._poll(epoch, reading)
         except PoplaryardError:
             self._failures += 1
             self._poller = None
             self._post(WorkerUnreachable(self.vm))
 
-    async def _poll(self, epoch: int) -> None:
+    async def _poll(self, epoch: int, reading: "_Reading") -> None:
         seen = 0
         while True:
             await self._authority.wait_valid()
             reply, seen = await self._workers.poll(
-                self.address, self.vm, epoch, seen, POLL_WAIT_S
+                self.address, self.vm, epoch, seen, POLL_WAIT_S, self._renewal(reading)
             )
+            reading = _Reading(reply.clock_ms, _clock.now())
             self._failures = 0
             self._post(reply)
             if reply.epoch > epoch:
                 return
 
+    def _renewal(self, reading: "_Reading") -> Renewal:
+        authority = self._authority
+        return Renewal(
+            valid_until_ms(*reading, authority.value.until),
+            valid_until_ms(*reading, authority.exclusive_until),
+        )
+
     def _backoff(self) -> float:
         bound = min(RETRY_MAX_S, RETRY_MIN_S * 2.0 ** min(self._failures, 10))
         return self._rng.uniform(RETRY_MIN_S, bound)
--- a/src/poplaryard/standin_worker.py
+++ b/src/poplaryard/standin_worker.py
@@ -24,10 +24,13 @@
     WorkKind,
 )
 from .resources import ZERO, Resources
+from .workers import Renewal
 
 __all__ = ["Faults", "RunRecord", "WorkerVm"]
 
 TASK_LEASE_S = 4.0
+# Renewal of a caller that knows no limit.
+UNLIMITED = Renewal(2**63, 2**63)
 REMEMBERED_S = 600.0
 SLOTS = 8
 CONNECTIONS = 64
@@ -152,12 +155,14 @@
         elif stop.mode is StopMode.STOP or _drained(run, stop.mode):
             self._end(run, AttemptState.STOPPED)
 
-    async def poll(self, epoch: int, seen: int, wait_s: float) -> tuple[PollReply, int]:
-        """Renew all leases, drop reports up to `seen` and wait for newer ones."""
+    async def poll(
+        self, epoch: int, seen: int, wait_s: float, renewal: Renewal = UNLIMITED
+    ) -> tuple[PollReply, int]:
+        """Renew leases, drop reports up to `seen` and wait for newer ones."""
         if not self._admit(epoch):
             reply = PollReply(self.name, self._epoch, (), self.clock_ms())
             return reply, seen
-        self._renew()
+        self._renew(renewal)
         self._acknowledge(seen)
         if not self._changes:
             await self._wait(wait_s)
@@ -312,10 +317,14 @@
         if host.waiting:
             self._launch(host.waiting.popleft())
 
-    def _renew(self) -> None:
-        until = self._clock() + TASK_LEASE_S
+    def _renew(self, renewal: Renewal) -> None:
+        until, now_ms = self._clock() + TASK_LEASE_S, self.clock_ms()
         for run in self._running.values():
-            run.lease_until = until
+            limit_ms = renewal.valid_until_ms
+            if run.start.work.exclusive_key:
+                limit_ms = min(limit_ms, renewal.exclusive_until_ms)
+            if now_ms <= limit_ms:
+                run.lease_until = until
 
     def _acknowledge(self, seen: int) -> None:
         if self.faults.duplicate_reports:
--- a/src/poplaryard/standin_worker_http.py
+++ b/src/poplaryard/standin_worker_http.py
@@ -16,6 +16,7 @@
 from .messages import StartAttempt, StopAttempt
 from .server import HttpServer
 from .standin_worker import WorkerVm
+from .workers import Renewal
 
 __all__ = ["WorkerHost"]
 
@@ -112,7 +113,10 @@
         if vm is None:
             return _no_such_vm(body["vm"])
         reply, number = await vm.poll(
-            int(body["epoch"]), int(body["seen"]), float(body["wait_s"])
+            int(body["epoch"]),
+            int(body["seen"]),
+            float(body["wait_s"]),
+            Renewal(int(body["valid_until_ms"]), int(body["exclusive_until_ms"])),
         )
         await self._vm(vm.name)
         found = wire.encode(reply, _clock.now())
--- a/src/poplaryard/workers.py
+++ b/src/poplaryard/workers.py
@@ -1,6 +1,7 @@
 """Interface to worker VMs."""
 
 import typing as t
+from dataclasses import dataclass
 
 from .messages import (
     ClaimReply,
@@ -10,7 +11,26 @@
     StopAttempt,
 )
 
-__all__ = ["Workers"]
+__all__ = ["Renewal", "Workers"]
+
+
+@dataclass(frozen=True, slots=True)
+class Renewal:
+    """Latest moments, in ms on the worker's clock, at which a poll renews leases.
+
+    A poll that is delivered late, after its sender was paused, must not extend a task
+    that a successor has already waited out.
+
+    Attributes
+    ----------
+    valid_until_ms : int
+        Limit for all attempts.
+    exclusive_until_ms : int
+        Limit for attempts under an exclusive key, if it is earlier.
+    """
+
+    valid_until_ms: int
+    exclusive_until_ms: int
 
 
 class Workers(t.Protocol):
@@ -32,6 +52,12 @@
         """Stop, drain, checkpoint or throttle attempts."""
 
     async def poll(
-        self, address: str, vm: str, epoch: int, seen: int, wait_s: float
+        self,
+        address: str,
+        vm: str,
+        epoch: int,
+        seen: int,
+        wait_s: float,
+        renewal: Renewal,
     ) -> tuple[PollReply, int]:
         """Renew the leases of all attempts and wait for changes after number `seen`."""
--- a/src/poplaryard/workers_http.py
+++ b/src/poplaryard/workers_http.py
@@ -1,5 +1,6 @@
 """HTTP adapter of the worker interface."""
 
+import dataclasses
 import typing as t
 
 from . import wire
@@ -14,6 +15,7 @@
     StartReply,
     StopAttempt,
 )
+from .workers import Renewal
 
 __all__ = ["HttpWorkers"]
 
@@ -51,10 +53,17 @@
         await self._call(address, "stop", body, CALL_TIMEOUT_S)
 
     async def poll(
-        self, address: str, vm: str, epoch: int, seen: int, wait_s: float
+        self,
+        address: str,
+        vm: str,
+        epoch: int,
+        seen: int,
+        wait_s: float,
+        renewal: Renewal,
     ) -> tuple[PollReply, int]:
         """Renew the leases of all attempts and wait for changes after `seen`."""
         body = {"vm": vm, "epoch": epoch, "seen": seen, "wait_s": wait_s}
+        body |= dataclasses.asdict(renewal)
         found = await self._call(address, "poll", body, wait_s + CALL_TIMEOUT_S)
         reply = wire.decode_as(PollReply, found["reply"], _clock.now())
         return reply, int(found["number"])
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -25,6 +25,7 @@
 
     def __init__(self):
         self.calls = []
+        self.renewals = []
         self.down = False
         self.accepts = True
 
@@ -45,8 +46,9 @@
     async def stop(self, address, stops):
         self._call("stop", len(stops))
 
-    async def poll(self, address, vm, epoch, seen, wait_s):
+    async def poll(self, address, vm, epoch, seen, wait_s, renewal):
         self._call("poll", seen)
+        self.renewals.append(renewal)
         if seen == 2:
             await asyncio.sleep(60)
         return PollReply(vm, epoch), seen + 1
@@ -82,6 +84,25 @@
         kinds = [type(item) for item in posted]
         self.assertEqual([ClaimReply, PollReply, PollReply], kinds)
 
+    def test_renewals_end_with_the_authority(self):
+        """Guards against a lease renewed past the time a successor waits out (P2)."""
+        workers = Workers()
+
+        async def run():
+            cell = AuthorityCell("dc1/0")
+            now = SystemClock().now()
+            cell.set(Authority("dc1/0", 1, now + 10.0))
+            cell.set(Authority("dc1/0", 1, now + 20.0, exclusive=False))
+            link = WorkerLink("vm", "a:1", workers, lambda msg: None, cell)
+            link.claim(ClaimWorker("vm", 1))
+            await asyncio.sleep(0.02)
+            link.close()
+
+        asyncio.run(run())
+        renewal = workers.renewals[0]
+        self.assertTrue(0 < renewal.exclusive_until_ms <= 10_000)
+        self.assertTrue(10_000 < renewal.valid_until_ms <= 20_000)
+
     def test_a_refused_claim_is_not_polled(self):
         """Guards against leases renewed by a process that is not the owner."""
         calls, _ = self.run_link(
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -32,8 +32,8 @@
         for item in stops:
             self.vms[item.vm].stop(item)
 
-    async def poll(self, address, vm, epoch, seen, wait_s):
-        return await self.vms[vm].poll(epoch, seen, wait_s)
+    async def poll(self, address, vm, epoch, seen, wait_s, renewal):
+        return await self.vms[vm].poll(epoch, seen, wait_s, renewal)
 
 
 class ShardTaskTest(testtools.TestCase):
--- a/tests/test_standin_worker.py
+++ b/tests/test_standin_worker.py
@@ -13,6 +13,7 @@
 )
 from poplaryard.resources import Resources
 from poplaryard.standin_worker import CONNECTIONS, SLOTS, Faults, WorkerVm
+from poplaryard.workers import Renewal
 
 FULL = Resources(16_000, 32_768, 0)
 
@@ -75,6 +76,22 @@
         self.vm.expire()
         self.assertEqual("stopped", self.vm.records[0].state)
 
+    def test_a_late_poll_renews_nothing(self):
+        """Guards against a paused owner's poll after a successor's wait (P2)."""
+
+        async def poll():
+            self.code("a1")
+            self.code("a2", exclusive_key="k")
+            self.clock.now += 3.0
+            await self.vm.poll(1, 0, 0.0, Renewal(103_000, 102_999))
+            self.clock.now += 2.0
+            self.vm.expire()
+            states = {i.attempt_id: i.state for i in self.vm.claim(1).attempts}
+            self.assertEqual(AttemptState.RUNNING, states["a1"])
+            self.assertEqual(AttemptState.STOPPED, states["a2"])
+
+        asyncio.run(poll())
+
     def test_claims_tell_running_and_ended_attempts(self):
         """Guards against a stand-in without G5."""
         self.code("a1")
--- a/tests/test_workers_http.py
+++ b/tests/test_workers_http.py
@@ -8,7 +8,7 @@
 from poplaryard.exceptions import PoplaryardError
 from poplaryard.messages import AttemptState, StartAttempt, StopAttempt, WorkKind
 from poplaryard.resources import Resources
-from poplaryard.standin_worker import WorkerVm
+from poplaryard.standin_worker import UNLIMITED, WorkerVm
 from poplaryard.standin_worker_http import WorkerHost
 from poplaryard.workers_http import HttpWorkers
 
@@ -51,10 +51,10 @@
             codes = [reply.code for reply in replies]
             self.assertEqual([Code.OK, Code.START_EXPIRED], codes)
             await workers.start(address, [self.start("q1", "e1")])
-            reply, number = await workers.poll(address, "vm2", 1, 0, 5.0)
+            reply, number = await workers.poll(address, "vm2", 1, 0, 5.0, UNLIMITED)
             self.assertEqual({"vm": "vm2", "echo": 3}, reply.attempts[0].body)
             await workers.stop(address, [StopAttempt("vm2", "e1", 1)])
-            reply, _ = await workers.poll(address, "vm2", 1, number, 5.0)
+            reply, _ = await workers.poll(address, "vm2", 1, number, 5.0, UNLIMITED)
             self.assertEqual(AttemptState.STOPPED, reply.attempts[0].state)
 
         self.run_with(scenario)
