--- a/src/poplaryard/config_io.py
+++ b/src/poplaryard/config_io.py
@@ -8,6 +8,7 @@
 from .config_loader import Loader
 from .exceptions import PoplaryardError
 from .head import HEAD_KEY, Delta, Head
+from .logs import log_failure
 from .messages import Configure, Tick
 from .peers import Envelope, PeerTable
 from .rollout import (
@@ -107,6 +108,7 @@
         task = asyncio.create_task(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
 
     def _switch_watch(self, on: bool) -> None:
         if self._watch is not None:
--- a/src/poplaryard/exchange.py
+++ b/src/poplaryard/exchange.py
@@ -8,7 +8,7 @@
 from .codes import Code
 from .config_io import PEER_MESSAGES
 from .exceptions import PoplaryardError
-from .logs import logger
+from .logs import log_failure, logger
 from .lookup import Lookup, LookupReply
 from .messages import Answer, AuditEvent, Authority, Configure
 from .ownership_messages import (
@@ -157,6 +157,7 @@
         task = asyncio.create_task(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
 
     def record_seen(self) -> None:
         """Follow the members and owners as last seen."""
--- a/src/poplaryard/logs.py
+++ b/src/poplaryard/logs.py
@@ -1,5 +1,6 @@
 """JSON lines on the error stream, with the ids of process, ticket and request."""
 
+import asyncio
 import contextlib
 import contextvars
 import logging
@@ -9,7 +10,7 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure", "logger", "request_id", "requests_id"]
+__all__ = ["configure", "log_failure", "logger", "request_id", "requests_id"]
 
 logger = logging.getLogger("poplaryard")
 
@@ -74,6 +75,12 @@
         request_id.reset(token)
 
 
+def log_failure(task: "asyncio.Task[t.Any]") -> None:
+    """Log the error that ended a task; a callback for tasks that nobody awaits."""
+    if not task.cancelled() and task.exception() is not None:
+        logger.critical("task ended by an error", exc_info=task.exception())
+
+
 # `process` is left out of the attributes that the formatter drops: ours replaces the
 # operating system's process number.
 _RESERVED = [
--- a/src/poplaryard/ownership_io.py
+++ b/src/poplaryard/ownership_io.py
@@ -6,6 +6,7 @@
 from . import acquisition, wire
 from .clock import Clock
 from .exceptions import PoplaryardError, StoreConflict, StoreDown, StoreReplyLost
+from .logs import log_failure
 from .messages import Authority, Tick
 from .ownership import Ownership
 from .ownership_messages import (
@@ -157,6 +158,7 @@
         task = asyncio.create_task(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
 
     def _switch_watch(self, on: bool) -> None:
         if self._watch is not None:
--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -10,6 +10,7 @@
 from .codes import Code
 from .configuration import Configuration, VmSpec
 from .links import AuthorityCell, WorkerLink
+from .logs import log_failure
 from .messages import (
     Answer,
     AuditEvent,
@@ -134,6 +135,8 @@
             asyncio.create_task(self._run()),
             asyncio.create_task(self._tick()),
         ]
+        for task in self._tasks:
+            task.add_done_callback(log_failure)
 
     async def stop(self) -> None:
         """End the task and its links."""
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,3 +1,4 @@
+import asyncio
 import io
 import json
 
@@ -21,3 +22,20 @@
         self.assertEqual({**expected, "shard": "dc1/0"}, ids)
         self.assertEqual("ERROR", second["level"])
         self.assertNotIn("request", second)
+
+    def test_the_error_that_ends_a_task_is_written(self):
+        """Guards against a shard that stands still without a trace."""
+        stream = io.StringIO()
+        logs.configure("p#1", "info", stream=stream)
+
+        async def fail():
+            raise ValueError("fault")
+
+        async def run():
+            task = asyncio.create_task(fail())
+            task.add_done_callback(logs.log_failure)
+            await asyncio.wait([task])
+            await asyncio.sleep(0)
+
+        asyncio.run(run())
+        self.assertIn("ValueError: fault", json.loads(stream.getvalue())["exc_info"])
