Judge slowness by the expected run time where it is known

Cause: a VM that runs only long work was taken for a slow one. Change: Ejector.record takes expected_s; without it behaviour is as before. Conclusion: the caller (health) has yet to pass the expected run time.

--- a/src/poplaryard/ejection.py
+++ b/src/poplaryard/ejection.py
@@ -31,14 +31,14 @@
 
 @dataclass(slots=True)
 class _Mean:
-    """Exponentially weighted mean of the logarithm of run times."""
+    """Exponentially weighted mean of the logarithm of run time ratios."""
 
     value: float = 0.0
     count: int = 0
 
-    def add(self, elapsed_s: float) -> None:
+    def add(self, ratio: float) -> None:
         weight = max(_SLOW_WEIGHT, 1.0 / (self.count + 1))
-        self.value += weight * (math.log(max(elapsed_s, 1e-3)) - self.value)
+        self.value += weight * (math.log(max(ratio, 1e-6)) - self.value)
         self.count += 1
 
 
@@ -91,17 +91,28 @@
                 health.state in ("open", "half_open")
             )
 
-    def record(self, now: float, vm: str, ok: bool, elapsed_s: float) -> None:
-        """Take the result of one attempt on a VM."""
+    def record(
+        self, now: float, vm: str, ok: bool, elapsed_s: float, expected_s: float = 1.0
+    ) -> None:
+        """Take the result of one attempt on a VM.
+
+        Parameters
+        ----------
+        expected_s : float
+            Run time expected of the attempt in seconds. Without it, a VM that runs
+            only long work is taken for a slow one.
+        """
         self.add(vm)
         health = self._vms[vm]
         self._advance(now, health)
         if health.state == "open":
             return
         if ok:
-            health.run_time.add(elapsed_s)
+            health.run_time.add(elapsed_s / expected_s)
             if health.state == "closed":
-                self._run_times.setdefault(health.group, _Mean()).add(elapsed_s)
+                self._run_times.setdefault(health.group, _Mean()).add(
+                    elapsed_s / expected_s
+                )
         if health.state == "half_open":
             self._probed(now, health, ok)
             return
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -66,3 +66,11 @@
             self.ejector.record(0.0, f"vm{number % 4}", number % 8 < 4, 1.0)
         weights = [self.ejector.weight(1.0, f"vm{number}") for number in range(4)]
         self.assertEqual([1.0] * 4, weights)
+
+    def test_vm_with_long_work_only_is_not_slow(self):
+        """Guards against ejecting a VM for the length of its work."""
+        for _ in range(50):
+            for vm in range(3):
+                self.ejector.record(0.0, f"vm{vm}", True, 1.0, expected_s=1.0)
+            self.ejector.record(0.0, "vm3", True, 60.0, expected_s=50.0)
+        self.assertEqual(1.0, self.ejector.weight(1.0, "vm3"))
