Refuse to change the number of shards of a running cell

Cause: found in review. Homes of keys follow the number of shards and the data centres; after a change the new home does not know what still runs under a key (P2) or ran under an id (P5). Change: acceptance and check refuse another number of shards while there are VM groups; check warns when the set of data centres changes, and the design names that as a known gap. Weighed: a settling time per moved key, which cannot bound a run of hours.

--- a/src/poplaryard/acceptance.py
+++ b/src/poplaryard/acceptance.py
@@ -120,11 +120,13 @@
         return await self._swap(filing, following, version)
 
     async def _validate(self, filing: Filing, head: Head) -> None:
-        if not any(key.startswith("vm_group/") for key in filing.objects):
+        checked = (tickets.POLICY_KEY, "vm_group/")
+        if not any(key.startswith(checked) for key in filing.objects):
             return
         state = await self.loader.refresh(head)
         if state.number == head.number:
             config = tickets.with_objects(state.config, head.number + 1, filing.objects)
+            tickets.check_shards(state.config, config)
             tickets.check_vms(config)
 
     async def _claim_uid(self, filing: Filing, head: Head) -> Accepted | None:
--- a/src/poplaryard/ticket_check.py
+++ b/src/poplaryard/ticket_check.py
@@ -102,6 +102,7 @@
     config: Configuration, after: Configuration, ticket: Ticket
 ) -> t.Iterator[str]:
     try:
+        tickets.check_shards(config, after)
         tickets.check_vms(after)
     except CallError as exc:
         yield exc.detail
@@ -119,6 +120,7 @@
     yield from _reference_warnings(before, after)
     yield from _size_warnings(before, ticket)
     yield from _leaving_warnings(after, ticket)
+    yield from _centre_warnings(before, after)
     # Only what this ticket makes unplaceable, not what was so before.
     known = set(unplaceable(before))
     yield from (sentence for sentence in unplaceable(after) if sentence not in known)
@@ -215,6 +217,18 @@
     return found
 
 
+def _centre_warnings(before: Configuration, after: Configuration) -> t.Iterator[str]:
+    """Warn of a change of the data centres that keys are spread over."""
+    old, new = set(before.data_centres()), set(after.data_centres())
+    if old and old != new:
+        yield (
+            f"The data centres change from {', '.join(sorted(old))} to "
+            f"{', '.join(sorted(new)) or 'none'}, so that some keys get another home. "
+            "Stop exclusive and non-idempotent work until the ticket is in force "
+            "everywhere."
+        )
+
+
 def _leaving_warnings(config: Configuration, ticket: Ticket) -> t.Iterator[str]:
     for key in ticket.object_keys():
         spec = tickets.lookup(config, key)
--- a/src/poplaryard/tickets.py
+++ b/src/poplaryard/tickets.py
@@ -22,6 +22,7 @@
     "Ticket",
     "apply",
     "changes_of",
+    "check_shards",
     "check_vms",
     "decode",
     "digest",
@@ -275,6 +276,21 @@
         raise CallError(Code.TICKET_INVALID, detail) from exc
 
 
+def check_shards(before: Configuration, after: Configuration) -> None:
+    """Refuse another number of shards while there are VMs.
+
+    Keys would get other home shards, whose owners do not know what still runs under a
+    key or has run under an id.
+    """
+    count = before.policy.shards_per_data_centre
+    if before.vm_groups and after.policy.shards_per_data_centre != count:
+        raise CallError(
+            Code.TICKET_INVALID,
+            f"policy: shards_per_data_centre is {count} and cannot be changed while "
+            "there are VM groups. Remove all VM groups first, then file both anew.",
+        )
+
+
 def check_vms(config: Configuration) -> None:
     """Refuse a VM that two groups list, or an address that two VMs share.
 
--- a/tests/test_acceptance.py
+++ b/tests/test_acceptance.py
@@ -287,6 +287,16 @@
         self.assertEqual(Code.TICKET_INVALID, result.code)
         self.assertIn('"first" and in "second"', result.detail)
 
+    def test_number_of_shards_is_fixed_once_there_are_vms(self):
+        """Guards against keys whose new home does not know what still runs (P2, P5)."""
+        self.file("uid-1", {"kind": "policy", "shards_per_data_centre": 2})
+        self.file("uid-2", vm_group())
+        result = self.file("uid-3", {"kind": "policy", "shards_per_data_centre": 3})
+        self.assertEqual(Code.TICKET_INVALID, result.code)
+        self.assertEqual(2, self.config().policy.shards_per_data_centre)
+        same = {"kind": "policy", "shards_per_data_centre": 2, "queue_limit": 500}
+        self.assertEqual(Code.TICKET_ACCEPTED, self.file("uid-4", same).code)
+
     def test_too_large_ticket_is_refused(self):
         """Guards against a value that the store would refuse in the middle."""
         result = self.file("uid-1", vm_group(vms=12_000))
--- a/tests/test_ticket_check.py
+++ b/tests/test_ticket_check.py
@@ -72,6 +72,7 @@
                 {"kind": "service", "name": "booking", "remove": True},
                 "work_kind charge names the service booking",
             ),
+            (vm_group("far", 1, data_centre="dc2"), "some keys get another home"),
             (vm_group(vms=1, leaving=["dc1-vm00000"]), "1 of 1 VMs would be leaving"),
         ]
         for item, expected in cases:
