--- a/src/poplaryard/assignment.py
+++ b/src/poplaryard/assignment.py
@@ -20,6 +20,14 @@
 # Interval at which every process reads the record, should both watchers fail silently.
 READ_S = 10.0
 
+# Wait before a release is tried again. It is short because the shard's tasks end with
+# their leases of 4 s unless a successor claims their workers.
+RELEASE_RETRY_S = (0.1, 0.3)
+
+# Waits after conflicts are drawn from a time that doubles between these bounds.
+BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 3.0
+
 
 @dataclass(slots=True)
 class Write:
@@ -29,6 +37,8 @@
     ----------
     takes : tuple of ShardTaken
         Notices for the shards that the write takes.
+    releases : bool
+        Whether the write releases shards, whose tasks nobody renews meanwhile.
     victim : str
         Owner whose shard the write takes. It gets no promise until the write is
         resolved, because the write may take effect after the promise was given.
@@ -39,6 +49,7 @@
     record: Record
     version: int
     takes: tuple[ShardTaken, ...] = ()
+    releases: bool = False
     victim: str = ""
     doubtful: bool = False
 
@@ -63,6 +74,9 @@
         self._rng = rng
         self._reading = False
         self._read_at = 0.0
+        # Version that a conflict has shown to be out of date.
+        self._stale = -1
+        self._conflicts = 0
 
     @property
     def record(self) -> Record:
@@ -77,17 +91,14 @@
         """Return the last owner of a shard that may be taken, else None."""
         return acquisition.free_owner(self.record, shard, self.ended_leases)
 
-    def jitter(self) -> float:
-        """Spread the members' calls over a time that grows with their number."""
-        return self._rng.uniform(0.0, 0.1 * max(1, len(self.record.members)))
-
     def read_due(self, now: float) -> bool:
         """Tell whether the record is to be read again."""
         return now >= self._read_at
 
     def may_write(self, now: float) -> bool:
         """Tell whether a write may be sent."""
-        return self.write is None and now >= self.write_at and self.view.version >= 0
+        fresh = self.view.version > self._stale
+        return self.write is None and now >= self.write_at and fresh
 
     def read(self, now: float) -> list[t.Any]:
         """Return the command to read, unless a read is under way."""
@@ -105,11 +116,14 @@
         """Take a record; return the write in flight if this record resolves it."""
         leases = {member.lease for member in seen.record.members.values()}
         self.ended_leases = (self.ended_leases & leases) | (leases - seen.live)
-        self.view = seen
+        # A peer may pass on a view that is older than what is known of the leases here.
+        live = frozenset(leases - self.ended_leases)
+        self.view = RecordSeen(seen.record, seen.version, live)
         write = self.write
         if write is None or seen.version <= write.version:
             return None
         self.write = None
+        self._conflicts = 0
         return write
 
     def written(self, message: RecordWritten, lease: str) -> RecordSeen | None:
@@ -131,37 +145,56 @@
 
     def conflicted(self, now: float) -> list[t.Any]:
         """Note a conflict; the winner may be an earlier copy of the same write."""
-        if self.write is not None and not self.write.doubtful:
+        write = self.write
+        if write is not None:
+            self._stale = max(self._stale, write.version)
+        if write is not None and not write.doubtful:
             self.write = None
-        self.write_at = now + self.jitter()
-        return self.read(now)
+        # The record is read only when the next write is due: many members that start
+        # at once would otherwise each read it after every conflict.
+        self._conflicts += 1
+        wait = min(LONGEST_BACKOFF_S, BACKOFF_S * 2.0**self._conflicts)
+        self.write_at = now + self._rng.uniform(0.0, wait)
+        self._read_at = min(self._read_at, self.write_at)
+        return []
 
     def failed(self, now: float) -> list[t.Any]:
         """Note that the store was not reached."""
         self._reading = False
-        if self.write is not None and not self.write.doubtful:
+        write = self.write
+        if write is None:
+            self._read_at = now + self._rng.uniform(*RETRY_S)
+            return []
+        self._retry_later(now)
+        if write.releases:
+            self.write_at = now + self._rng.uniform(*RELEASE_RETRY_S)
+        if not write.doubtful:
             self.write = None
-        return self._retry_later(now)
+        return []
 
     def unknown(self, now: float) -> list[t.Any]:
         """Note that the write may or may not take effect."""
         if self.write is not None:
             self.write.doubtful = True
-        return self._retry_later(now)
+        self._retry_later(now)
+        return []
 
     def send(
-        self, record: Record, takes: tuple[ShardTaken, ...] = (), victim: str = ""
+        self,
+        record: Record,
+        takes: tuple[ShardTaken, ...] = (),
+        victim: str = "",
+        releases: bool = False,
     ) -> list[t.Any]:
         """Return the command to write a record."""
         record = self._tidied(record)
         version = self.view.version
-        self.write = Write(record, version, takes, victim)
+        self.write = Write(record, version, takes, releases, victim)
         return [WriteRecord(record, version)]
 
-    def _retry_later(self, now: float) -> list[t.Any]:
+    def _retry_later(self, now: float) -> None:
         self.write_at = now + self._rng.uniform(*RETRY_S)
         self._read_at = min(self._read_at, self.write_at)
-        return []
 
     def _tidied(self, record: Record) -> Record:
         """Leave out members whose lease has ended and that own nothing."""
--- a/src/poplaryard/bench_policy.py
+++ b/src/poplaryard/bench_policy.py
@@ -15,6 +15,10 @@
 _BENCHES = {
     "stragglers": "bench_stragglers",
     "crest": "bench_crest",
+    "blackhole": "bench_blackhole",
+    "quota": "bench_quota",
+    "retries": "bench_retries",
+    "cancel-wave": "bench_cancel",
 }
 
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -281,6 +281,20 @@
         group.run(20)
         self.assertEqual({"dc1/0": 1}, group.members["a#1"].owned)
 
+    def test_calls_after_an_outage_are_spread(self):
+        """Guards against all members that ask the recovering store at once."""
+        group = Group(*(f"p{number}#1" for number in range(20)))
+        group.run(20)
+        group.store_up = False
+        group.run(60)
+        group.store_up = True
+        peak = 0
+        for _ in range(50):
+            before = group.calls
+            group.run(0.1)
+            peak = max(peak, group.calls - before)
+        self.assertLess(peak, 30)
+
     def test_leaving_process_hands_its_shards_to_successors(self):
         """Guards against a planned stop that waits for the lease to end."""
         group = Group("a#1", "b#1", "c#1")
@@ -293,6 +307,19 @@
         self.assertTrue(group.taken(successor)[-1].handed_over)
         self.assertEqual("left", group.members[owner].state)
 
+    def test_release_is_tried_again_soon(self):
+        """Guards against tasks that end while no owner renews their leases."""
+        group = Group("a#1", "b#1", shards=("dc1/0",))
+        group.run(15)
+        owner = group.owners()["dc1/0"]
+        group.store_up = False
+        group.give(owner, Leave())
+        group.run(2)
+        group.store_up = True
+        group.run(1)
+        self.assertNotIn(owner, group.owners().values())
+        self.assertNotIn("", group.owners().values())
+
     def test_restarted_process_is_unknown_to_the_old_owner(self):
         """Guards against a process that has forgotten its promises."""
         group = Group("a#1", "b#1")
