Tell the ejector the expected run time of each attempt

Change: Health passes the run time learned for the job class. The tests of ejection fill both VMs, as a probe depended on a tie before. Conclusion: long work does not make a VM look slow.

--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -271,7 +271,7 @@
             self._confirm(now, attempt)
             self._results.progress(vm, attempt, report)
         elif attempt is not None:
-            self._health.record(now, vm, report)
+            self._health.record(now, vm, attempt, report)
             self._results.reported(now, attempt, report)
         elif not running:
             self._results.found(now, report)
--- a/src/poplaryard/health.py
+++ b/src/poplaryard/health.py
@@ -1,12 +1,17 @@
 """Keeps work away from VMs whose tasks fail, and lets it return gradually."""
 
 from .ejection import Ejector
+from .estimate import Estimator
 from .fleet import Vm
+from .jobs import Attempt
 from .messages import AttemptReport, AttemptState
 from .state import ShardState
 
 __all__ = ["Health"]
 
+# Least expected run time, since the ejector divides by it.
+_LEAST_S = 0.001
+
 
 class Health:
     """Applies the weights of `Ejector` to the VMs and replicas of a shard.
@@ -15,8 +20,9 @@
     long while there is work.
     """
 
-    def __init__(self, state: ShardState):
+    def __init__(self, state: ShardState, estimator: Estimator):
         self._state = state
+        self._estimator = estimator
         self._ejector = Ejector()
         self._impaired: dict[str, Vm] = {}
 
@@ -29,12 +35,15 @@
         self._ejector.forget(name)
         self._impaired.pop(name, None)
 
-    def record(self, now: float, vm: Vm, report: AttemptReport) -> None:
+    def record(
+        self, now: float, vm: Vm, attempt: Attempt, report: AttemptReport
+    ) -> None:
         """Take the result of one attempt."""
         if report.state not in (AttemptState.SUCCEEDED, AttemptState.FAILED):
             return
         ok = report.state is AttemptState.SUCCEEDED
-        self._ejector.record(now, vm.name, ok, report.elapsed_s)
+        expected_s = max(_LEAST_S, self._estimator.run_time_s(attempt.work))
+        self._ejector.record(now, vm.name, ok, report.elapsed_s, expected_s)
         if self._ejector.weight(now, vm.name) == 0.0:
             self._impaired[vm.name] = vm
             self._set_ejected(vm, True)
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -84,7 +84,7 @@
         self._results = Results(self._state, self._estimator, self._requeue)
         self._backlog = Backlog(self._state, self._results, self._estimator)
         self._replicas = Replicas(self._state, self._backlog.preemptor)
-        self._health = Health(self._state)
+        self._health = Health(self._state, self._estimator)
         self._claims = Claims(
             self._state, self._results, self._health, self._on_leaving
         )
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -5,16 +5,23 @@
 SMALL = Resources(1000, 1024, 0)
 
 
+def fail_all_on(shard, bad):
+    """Let every task end, those on one VM by failing."""
+    for start in list(shard.running.values()):
+        failed = start.vm == bad
+        state = AttemptState.FAILED if failed else AttemptState.SUCCEEDED
+        shard.end(start, state=state)
+    shard.tick(0.01)
+
+
 def test_vm_that_fails_everything_gets_no_more_work():
     """Guards against tasks being retried on a VM that fails all it starts."""
     shard = Shard(plain(vms=2))
     shard.send(batch("first", need=SMALL))
     bad = shard.started(WorkKind.BATCH)[0].vm
-    for number in range(12):
+    for number in range(24):
         shard.send(batch(f"b{number}", need=SMALL))
-        for start in [s for s in shard.running.values() if s.vm == bad]:
-            shard.end(start, state=AttemptState.FAILED)
-        shard.tick(0.01)
+        fail_all_on(shard, bad)
     before = len(shard.starts)
     for number in range(5):
         shard.send(batch(f"late{number}", need=SMALL))
@@ -27,14 +34,15 @@
     shard = Shard(plain(vms=2))
     shard.send(batch("first", need=SMALL))
     bad = shard.started(WorkKind.BATCH)[0].vm
-    for number in range(12):
+    for number in range(24):
         shard.send(batch(f"b{number}", need=SMALL))
-        for start in [s for s in shard.running.values() if s.vm == bad]:
-            shard.end(start, state=AttemptState.FAILED)
+        fail_all_on(shard, bad)
     assert shard.scheduler.snapshot().usable == 1
-    for _ in range(400):
+    for number in range(1000):
         shard.tick(0.1)
         for start in list(shard.running.values()):
             shard.end(start)
-        shard.send(batch(f"t{shard.now:.1f}", need=SMALL))
+        # Each VM holds one of them, so that the open VM is tried.
+        shard.send(batch(f"t{number}"))
+        shard.send(batch(f"u{number}"))
     assert shard.scheduler.snapshot().usable == 2
