--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -149,6 +149,7 @@
             vm = self.workers.vms["dc1-vm000"]
             await self.until(lambda: vm.records)
             before = len(vm.records), vm.used()
+            self.assertEqual(Resources(8000, 8192), vm.used())
             task.vm_leaving("dc1-vm000", True)
             task.vm_gone("dc1-vm001")
             await self.until(lambda: task.scheduler.snapshot().usable == 0)
