--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -9,6 +9,7 @@
 from poplaryard.codes import Code
 from poplaryard.messages import Authority, Submit
 from poplaryard.ownership_messages import ShardTaken
+from poplaryard.resources import Resources
 from poplaryard.shards import ShardTask
 from poplaryard.standin_worker import WorkerVm
 from poplaryard.takeover import EpochRefused, VmListRead
