--- a/src/poplaryard/lease.py
+++ b/src/poplaryard/lease.py
@@ -25,9 +25,6 @@
 # promises meanwhile. Without a spread, 120 processes make 1,000 calls in one second.
 SPREAD_S = 3.0
 
-# The same for the first lease when all processes start at once.
-START_SPREAD_S = 1.0
-
 
 class Lease:
     """At most one lease, with at most one call in flight.
@@ -53,8 +50,6 @@
 
     def calls(self, now: float) -> list[t.Any]:
         """Return the call that is due."""
-        if self._call_at == float("-inf"):
-            self._call_at = now + self._rng.uniform(0.0, START_SPREAD_S)
         if self._calling or now < self._call_at:
             return []
         self._calling = True
