--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -237,7 +237,8 @@
             self._results.lost(now, attempt)
         if missing.in_doubt:
             self._doubtful[vm.name] = vm
-        state.fleet.refresh(vm)
+        vm.says_leaving = msg.leaving
+        self._note_leaving(now, vm)
         state.room_freed = True
         if not state.unseen:
             # Until then each reconciliation would see only a part of the replicas.
--- a/src/poplaryard/entry.py
+++ b/src/poplaryard/entry.py
@@ -61,11 +61,14 @@
     unresolved : Counter of str
         Processes that may have taken the request and have not answered, with the
         number of times that it was sent to them.
+    attempt : int
+        Shared by the copies sent until one is refused; see `Submit`.
     """
 
     work: Work
     digest: str
     fut: asyncio.Future[Answer]
+    attempt: int = 0
     shard: str = ""
     owner: str = ""
     unresolved: Counter[str] = field(default_factory=Counter)
@@ -154,6 +157,7 @@
         if len(self._open) >= self._limit:
             return _refusal(work, Code.QUEUE_FULL, 1.0)
         pending = _Pending(work, digest, asyncio.get_running_loop().create_future())
+        pending.attempt = _next_attempt(0)
         self._open[work.request_id] = pending
         now = _clock.now()
         self._budget.first(now)
@@ -224,12 +228,13 @@
         again = pending.owner in pending.unresolved
         pending.unresolved[pending.owner] += 1
         pending.sent_at, pending.retry_at = now, 0.0
-        msg = Submit(pending.work, self._process, _clock.wall())
+        msg = Submit(pending.work, self._process, _clock.wall(), pending.attempt)
         self._router.submit(pending.owner, pending.shard, msg, again)
 
     def _retry_later(self, pending: _Pending, code: Code) -> None:
         now = _clock.now()
         pending.last, pending.owner = code, ""
+        pending.attempt = _next_attempt(pending.attempt)
         if code in _REROUTED and now + RETRY_WAIT_S < pending.work.deadline:
             pending.retry_at = now + RETRY_WAIT_S
             loop = asyncio.get_running_loop()
@@ -295,3 +300,12 @@
 
 def _refusal(work: Work, code: Code, retry_after_s: float = 0.0) -> Answer:
     return Answer(work.request_id, code, code.outcome, (), code.meaning, retry_after_s)
+
+
+def _next_attempt(last: int) -> int:
+    """Return a number above `last` that also grows from one entry process to another.
+
+    The wall clock gives it; a caller that turns to an entry process whose clock is
+    behind gets the old answer until that clock has caught up.
+    """
+    return max(last + 1, int(_clock.wall() * 1000))
--- a/src/poplaryard/fuzz_shard.py
+++ b/src/poplaryard/fuzz_shard.py
@@ -124,7 +124,7 @@
             now,
             message.wall,
             work,
-            attempt=int(message.reply_to.rpartition("!")[2]),
+            attempt=message.attempt,
             may_run_unknown=work.idempotent or self._may_run_unknown(issued),
         )
         if known.known is Known.ANSWERED and known.answer is not None:
--- a/src/poplaryard/fuzz_worker.py
+++ b/src/poplaryard/fuzz_worker.py
@@ -141,7 +141,9 @@
             return ClaimReply(self.name, self._epoch, False)
         self._epoch = max(self._epoch, message.epoch)
         clock_ms = int(self.clock(real) * 1000)
-        return ClaimReply(self.name, message.epoch, True, self._reports(), clock_ms)
+        return ClaimReply(
+            self.name, message.epoch, True, self._reports(), clock_ms, self.leaving
+        )
 
     def _reports(self) -> tuple[AttemptReport, ...]:
         return tuple(map(_report, self._attempts.values()))
--- a/src/poplaryard/fuzz_world.py
+++ b/src/poplaryard/fuzz_world.py
@@ -272,7 +272,7 @@
         self.oracle.submitted(token, work)
         self._callers[token] = entry.name, work
         owner = entry.entry_for(work)
-        message = Submit(work, token, entry.wall())
+        message = Submit(work, token, entry.wall(), attempt)
         if not owner:
             entry.answer(self.not_owner(message))
         else:
--- a/src/poplaryard/messages.py
+++ b/src/poplaryard/messages.py
@@ -124,11 +124,16 @@
         Entry process that answers the caller.
     wall : float
         Wall-clock time of receipt, seconds since the Unix epoch.
+    attempt : int
+        Grows with each time that a caller hands the request in; the copies of one time
+        share it, so that a late copy does not revive a request answered "not run".
+        0 if unknown.
     """
 
     work: Work
     reply_to: str = ""
     wall: float = 0.0
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +201,7 @@
     accepted: bool
     attempts: tuple[AttemptReport, ...] = ()
     clock_ms: int = 0
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/poplaryard/outcome.py
+++ b/src/poplaryard/outcome.py
@@ -299,6 +299,8 @@
         elif entry.digest != _digest(work):
             return Registered(Known.REFUSED, code=Code.DUPLICATE_MISMATCH)
         if entry.answer is None:
+            if attempt is not None:
+                entry.attempt_number = max(attempt, entry.attempt_number or 0)
             return Registered(Known.PENDING)
         if _may_reopen(entry, attempt):
             entry.answer = None
--- a/src/poplaryard/scheduler.py
+++ b/src/poplaryard/scheduler.py
@@ -199,7 +199,11 @@
         work, state = msg.work, self._state
         fresh = work.idempotent or state.may_run_unknown(work.issued_at)
         found = self._results.ledger.register(
-            now, msg.wall, work, may_run_unknown=fresh
+            now,
+            msg.wall,
+            work,
+            attempt=msg.attempt or None,
+            may_run_unknown=fresh,
         )
         if found.answer is not None:
             state.out.append(replace(found.answer, reply_to=msg.reply_to))
--- a/src/poplaryard/standin_worker.py
+++ b/src/poplaryard/standin_worker.py
@@ -136,7 +136,14 @@
         reports += [report for _, report in self._ended.values()]
         shown = self._epoch if not accepted else epoch
         attempts = tuple(reports) if accepted else ()
-        return ClaimReply(self.name, shown, accepted, attempts, self.clock_ms())
+        return ClaimReply(
+            self.name,
+            shown,
+            accepted,
+            attempts,
+            self.clock_ms(),
+            self.faults.leaving,
+        )
 
     def start(self, start: StartAttempt) -> StartReply:
         """Start one attempt or say why not."""
@@ -162,6 +169,7 @@
         if not self._admit(epoch):
             reply = PollReply(self.name, self._epoch, (), self.clock_ms())
             return reply, seen
+        self.expire()
         self._renew(renewal)
         self._acknowledge(seen)
         if not self._changes:
@@ -210,12 +218,13 @@
         return epoch >= self._epoch
 
     def _refusal(self, start: StartAttempt) -> Code:
+        # Checked first: a late copy of a start that has begun is not "not run".
+        if start.attempt_id in self._seen:
+            return Code.ATTEMPT_REPEATED
         if not self._admit(start.epoch):
             return Code.STALE_EPOCH
         if self.clock_ms() > start.valid_until_ms:
             return Code.START_EXPIRED
-        if start.attempt_id in self._seen:
-            return Code.ATTEMPT_REPEATED
         if start.work.kind is WorkKind.REQUEST:
             return self._executor_refusal(start.executor)
         if not start.work.need.fits_in(self.capacity - self.used()):
