--- a/src/poplaryard/claims.py
+++ b/src/poplaryard/claims.py
@@ -285,7 +285,10 @@
             self._state.room_freed = True
 
     def _note_leaving(self, now: float, vm: Vm) -> None:
-        vm.leaving = vm.listed_leaving or vm.says_leaving
+        leaving = vm.listed_leaving or vm.says_leaving
+        if leaving and not vm.leaving:
+            self._state.note_vm("leaving", vm.name)
+        vm.leaving = leaving
         self._state.fleet.refresh(vm)
         if vm.leaving:
             self._leaves(now, vm)
--- a/src/poplaryard/health.py
+++ b/src/poplaryard/health.py
@@ -45,6 +45,9 @@
         expected_s = max(_LEAST_S, self._estimator.run_time_s(attempt.work))
         self._ejector.record(now, vm.name, ok, report.elapsed_s, expected_s)
         if self._ejector.weight(now, vm.name) == 0.0:
+            if vm.name not in self._impaired:
+                cause = "Too many of its recent tasks failed or were slow."
+                self._state.note_vm("ejected", vm.name, cause)
             self._impaired[vm.name] = vm
             self._set_ejected(vm, True)
 
@@ -55,6 +58,7 @@
             self._set_ejected(vm, self._state.rng.random() >= weight)
             if weight >= 1.0:
                 del self._impaired[name]
+                self._state.note_vm("returned", name)
 
     def _set_ejected(self, vm: Vm, ejected: bool) -> None:
         if vm.ejected == ejected:
--- a/src/poplaryard/messages.py
+++ b/src/poplaryard/messages.py
@@ -315,10 +315,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AuditEvent:
-    """Action for the audit trail."""
+    """Action for the audit trail.
+
+    Attributes
+    ----------
+    at : float
+        Seconds since the Unix epoch; decision objects leave it 0 and the task that owns
+        them sets it.
+    """
 
     action: str
-    at: float
+    at: float = 0.0
     ticket: int = 0
     vm: str = ""
     request_id: str = ""
--- a/src/poplaryard/settings.py
+++ b/src/poplaryard/settings.py
@@ -13,6 +13,8 @@
     StringConstraints,
     ValidationError,
 )
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
 
 from . import jsonc
 from .codes import Code
@@ -104,28 +106,41 @@
     log_level: t.Literal["debug", "info", "warning", "error"] = "info"
 
 
-def load_settings(path: str | pathlib.Path) -> Settings:
-    """Return the settings in a file.
+def load_settings(path: str | pathlib.Path) -> Result[Settings, ConfigError]:
+    """Return the settings in a file, or what is wrong with it.
 
-    Raises
-    ------
-    ConfigError
-        `SETTINGS_UNREADABLE` or `SETTINGS_INVALID`; the detail names the file, the
-        path of each wrong key and what was expected.
+    The error's code is `SETTINGS_UNREADABLE` or `SETTINGS_INVALID`; its detail names
+    the file, the path of each wrong key and what was expected.
     """
+    return _read(path).bind(lambda text: _parse(path, text)).bind(_validator(path))
+
+
+def _read(path: str | pathlib.Path) -> Result[bytes, ConfigError]:
     try:
-        text = pathlib.Path(path).read_bytes()
+        return Success(pathlib.Path(path).read_bytes())
     except OSError as exc:
         detail = f"{path}: {exc.strerror or exc}"
-        raise ConfigError(Code.SETTINGS_UNREADABLE, detail) from exc
+        return Failure(ConfigError(Code.SETTINGS_UNREADABLE, detail))
+
+
+def _parse(path: str | pathlib.Path, text: bytes) -> Result[t.Any, ConfigError]:
     try:
-        found = jsonc.loads(text)
+        return Success(jsonc.loads(text))
     except PoplaryardError as exc:
-        raise ConfigError(Code.SETTINGS_UNREADABLE, f"{path}: {exc.detail}") from exc
-    try:
-        return Settings.model_validate(found)
-    except ValidationError as exc:
-        raise ConfigError(Code.SETTINGS_INVALID, _describe(path, exc)) from exc
+        detail = f"{path}: {exc.detail}"
+        return Failure(ConfigError(Code.SETTINGS_UNREADABLE, detail))
+
+
+def _validator(
+    path: str | pathlib.Path,
+) -> t.Callable[[t.Any], Result[Settings, ConfigError]]:
+    def validate(found: t.Any) -> Result[Settings, ConfigError]:
+        try:
+            return Success(Settings.model_validate(found))
+        except ValidationError as exc:
+            return Failure(ConfigError(Code.SETTINGS_INVALID, _describe(path, exc)))
+
+    return validate
 
 
 def _describe(path: str | pathlib.Path, exc: ValidationError) -> str:
@@ -148,17 +163,21 @@
     if error["type"] == "missing":
         return "this key is required"
     message = str(error["msg"]).removeprefix("Value error, ")
+    if error["loc"][:1] == ("keys",):
+        # The value may be a secret, and this text may end up in a log.
+        return message
     return f"{message} (found {error['input']!r:.80})"
 
 
 def settings_or_exit(path: str) -> Settings:
     """Return the settings in a file, or print what is wrong and exit with status 2."""
-    try:
-        return load_settings(path)
-    except ConfigError as exc:
-        for line in exc.detail.splitlines():
-            click.echo(f"{line} [code {int(exc.code)}]", err=True)
-        sys.exit(EXIT_INVALID)
+    loaded = load_settings(path)
+    if is_successful(loaded):
+        return loaded.unwrap()
+    exc = loaded.failure()
+    for line in exc.detail.splitlines():
+        click.echo(f"{line} [code {int(exc.code)}]", err=True)
+    sys.exit(EXIT_INVALID)
 
 
 @click.command("check-config")
--- a/src/poplaryard/shards.py
+++ b/src/poplaryard/shards.py
@@ -256,7 +256,9 @@
             self._links[out.vm].stop_attempt(out)
         elif isinstance(out, ClaimWorker):
             self._links[out.vm].claim(out)
-        elif isinstance(out, AuditEvent | EpochRefused):
+        elif isinstance(out, AuditEvent):
+            self._notice(dataclasses.replace(out, at=_clock.wall()))
+        elif isinstance(out, EpochRefused):
             self._notice(out)
 
     def _answer(self, answer: Answer) -> None:
--- a/src/poplaryard/state.py
+++ b/src/poplaryard/state.py
@@ -10,7 +10,16 @@
 from .fencing import valid_until_ms
 from .fleet import Fleet, Vm
 from .jobs import Attempt, Job
-from .messages import Authority, Message, StartAttempt, StopAttempt, StopMode, Work
+from .messages import (
+    AuditEvent,
+    Authority,
+    Message,
+    StartAttempt,
+    StopAttempt,
+    StopMode,
+    Work,
+    WorkKind,
+)
 from .quota import Quotas
 from .resources import Resources
 from .services import ReplicaPool
@@ -136,14 +145,28 @@
                 executor=start.executor,
             )
         )
+        self.note("placed", attempt)
         return attempt
 
+    def note(self, action: str, attempt: Attempt, cause: str = "") -> None:
+        """Record what happens to a task; single requests are too many for the trail."""
+        if attempt.work.kind is not WorkKind.REQUEST:
+            self.note_vm(action, attempt.vm, cause, attempt.work.request_id)
+
+    def note_vm(
+        self, action: str, vm: str, cause: str = "", request_id: str = ""
+    ) -> None:
+        """Record what happens to a VM."""
+        number = self.config.number
+        self.out.append(AuditEvent(action, 0.0, number, vm, request_id, cause))
+
     def stop(self, now: float, attempt: Attempt, mode: StopMode) -> None:
         """Ask a worker to end one attempt."""
         attempt.stop_sent_at = now
         attempt.stop_mode = mode
         epoch = self.authority.epoch
         self.out.append(StopAttempt(attempt.vm, attempt.attempt_id, epoch, mode))
+        self.note(mode.value, attempt)
 
     def end(self, now: float, attempt: Attempt) -> Job | None:
         """Release all that an ended attempt held; return its job if it is open."""
--- a/src/poplaryard/ticket_check.py
+++ b/src/poplaryard/ticket_check.py
@@ -121,6 +121,7 @@
     yield from _size_warnings(before, ticket)
     yield from _leaving_warnings(after, ticket)
     yield from _centre_warnings(before, after)
+    yield from _batch_warnings(ticket)
     # Only what this ticket makes unplaceable, not what was so before.
     known = set(unplaceable(before))
     yield from (sentence for sentence in unplaceable(after) if sentence not in known)
@@ -229,6 +230,15 @@
         )
 
 
+def _batch_warnings(ticket: Ticket) -> t.Iterator[str]:
+    for key in ticket.object_keys():
+        if key.startswith("batch/"):
+            yield (
+                f"{key} is kept, but this version does not run batches from tickets; "
+                "hand the job in with POST /v1/jobs."
+            )
+
+
 def _leaving_warnings(config: Configuration, ticket: Ticket) -> t.Iterator[str]:
     for key in ticket.object_keys():
         spec = tickets.lookup(config, key)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,7 +6,6 @@
 from click.testing import CliRunner
 
 from poplaryard.codes import Code
-from poplaryard.exceptions import ConfigError
 from poplaryard.settings import check_config, load_settings
 
 _GOOD = {
@@ -34,7 +33,7 @@
 
     def error(self, **changes):
         path = self.path(json.dumps({**_GOOD, **changes}))
-        exc = self.assertRaises(ConfigError, load_settings, path)
+        exc = load_settings(path).failure()
         self.assertIn(path, exc.detail)
         self.assertEqual(Code.SETTINGS_INVALID, exc.code)
         return exc.detail
@@ -42,7 +41,7 @@
     def test_comments_are_allowed(self):
         """Guards against a reader that takes plain JSON only."""
         path = self.path("// entry\n" + json.dumps(_GOOD))
-        self.assertEqual("entry-1", load_settings(path).process)
+        self.assertEqual("entry-1", load_settings(path).unwrap().process)
 
     def test_errors_name_the_key_and_what_was_expected(self):
         """Guards against a message from which the operator cannot find the fault."""
@@ -58,7 +57,12 @@
 
     def error_without(self, key):
         path = self.path(json.dumps({k: v for k, v in _GOOD.items() if k != key}))
-        return self.assertRaises(ConfigError, load_settings, path).detail
+        return load_settings(path).failure().detail
+
+    def test_errors_do_not_show_keys(self):
+        """Guards against secrets that end up in logs with an error message."""
+        keys = {**_GOOD["keys"], "peer": "hush-7"}
+        self.assertNotIn("hush-7", self.error(keys=keys))
 
     def test_numbers_given_as_text_are_refused(self):
         """Guards against "10 s" or "64" being taken for a number of another unit."""
--- a/tests/test_shards.py
+++ b/tests/test_shards.py
@@ -142,6 +142,20 @@
 
         self.run_shard(scenario)
 
+    def test_actions_are_told_to_the_audit_trail(self):
+        """Guards against a trail that shows tickets but not what followed from them."""
+
+        async def scenario(task):
+            await self.until(lambda: task.scheduler.snapshot().replicas == 2)
+            task.vm_leaving("dc1-vm000", True)
+            await self.until(lambda: len(self.notices) >= 3)
+
+        before = SystemClock().wall()
+        self.run_shard(scenario)
+        found = [(event.action, event.ticket) for event in self.notices[:3]]
+        self.assertEqual([("placed", 1), ("placed", 1), ("leaving", 1)], found)
+        self.assertTrue(all(event.at >= before for event in self.notices))
+
     def test_a_vm_that_leaves_gets_no_new_work(self):
         """Guards against work placed on a VM that the list says is leaving (P6)."""
 
