--- a/src/poplaryard/ticket_check.py
+++ b/src/poplaryard/ticket_check.py
@@ -121,10 +121,10 @@
     yield from _size_warnings(before, ticket)
     yield from _leaving_warnings(after, ticket)
     yield from _centre_warnings(before, after)
-    yield from _batch_warnings(ticket)
     # Only what this ticket makes unplaceable, not what was so before.
     known = set(unplaceable(before))
     yield from (sentence for sentence in unplaceable(after) if sentence not in known)
+    yield from _batch_warnings(ticket)
 
 
 def _name_warnings(config: Configuration, ticket: Ticket) -> t.Iterator[str]:
