--- a/src/poplaryard/jobs.py
+++ b/src/poplaryard/jobs.py
@@ -1,6 +1,6 @@
 """Jobs and attempts as one shard's scheduler tracks them."""
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 
 from .lanes import Pending
@@ -79,8 +79,9 @@
         Tasks that have no attempt at the moment.
     attempts : set of str
         Attempts in progress.
-    failures : int
-        Attempts that failed or were lost.
+    failures : Counter of int
+        Attempts that failed or were lost, by task: one VM may take several tasks of a
+        job with it.
     refusals : int
         Starts that a worker refused.
     ran : bool
@@ -102,7 +103,7 @@
     arrived: float
     pending: deque[int] = field(default_factory=deque)
     attempts: set[str] = field(default_factory=set)
-    failures: int = 0
+    failures: Counter[int] = field(default_factory=Counter)
     refusals: int = 0
     ran: bool = False
     fresh: bool = False
--- a/src/poplaryard/results.py
+++ b/src/poplaryard/results.py
@@ -88,10 +88,11 @@
         failed = report.state in (AttemptState.FAILED, AttemptState.STOPPED)
         if not failed or attempt.preempted or not job.work.idempotent or job.cancelled:
             return False
-        job.failures += 1
-        if job.failures < self._max_attempts(job) and self.budget.take(now):
+        job.failures[attempt.task] += 1
+        failures = job.failures[attempt.task]
+        if failures < self._max_attempts(job) and self.budget.take(now):
             self.ledger.lost(now, attempt.attempt_id)
-            self._retry(now, job, attempt.task, job.failures)
+            self._retry(now, job, attempt.task, failures)
             return True
         if report.state is AttemptState.STOPPED:
             self.ledger.report(now, report)
@@ -158,10 +159,10 @@
         if job is None:
             return
         job.ran = True
-        job.failures += 1
+        job.failures[attempt.task] += 1
         if answer is not None:
             self._send(now, job, answer)
-        elif job.cancelled or job.failures >= self._max_attempts(job):
+        elif job.cancelled or job.failures[attempt.task] >= self._max_attempts(job):
             self._end_job(now, job, Code.WORKER_LOST)
         elif job.work.idempotent:
             self._again(now, job, attempt.task)
