Share the worker's lease and memory times; remove two unused names

Cause: the re-read found the task lease and the 600 s of memory written in the worker stand-in and again in the fuzzer's worker beside fencing's own, and two constants that nothing used. Change: both take them from fencing; values are the same.

--- a/src/poplaryard/fencing.py
+++ b/src/poplaryard/fencing.py
@@ -2,7 +2,14 @@
 
 import math
 
-__all__ = ["DRIFT", "TASK_LEASE_S", "lease_wait_s", "shortened", "valid_until_ms"]
+__all__ = [
+    "DRIFT",
+    "REMEMBERED_S",
+    "TASK_LEASE_S",
+    "lease_wait_s",
+    "shortened",
+    "valid_until_ms",
+]
 
 # Largest relative difference in rate between two monotonic clocks.
 DRIFT = 0.1
@@ -10,6 +17,9 @@
 # Time for which a worker lets a task run after the last renewal of its lease.
 TASK_LEASE_S = 4.0
 
+# Time for which a worker remembers an attempt after its end (G3, G5).
+REMEMBERED_S = 600.0
+
 
 def shortened(seconds: float, drift: float = DRIFT) -> float:
     """Return how much of a remotely granted time may be used on the own clock."""
--- a/src/poplaryard/fuzz.py
+++ b/src/poplaryard/fuzz.py
@@ -26,9 +26,6 @@
 # Steps after which a new world is built, so that one unlucky state does not last.
 EPISODE_STEPS = 4000
 
-# Virtual time after which a healed world must serve all work again.
-RECOVERY_S = 60.0
-
 
 class Failure(Exception):
     """Broken promise or error, with the episode's seed, step and last actions."""
--- a/src/poplaryard/fuzz_worker.py
+++ b/src/poplaryard/fuzz_worker.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from .codes import Code
-from .fencing import TASK_LEASE_S
+from .fencing import REMEMBERED_S, TASK_LEASE_S
 from .messages import (
     AttemptReport,
     AttemptState,
@@ -22,8 +22,6 @@
 
 __all__ = ["FakeWorker", "PollWorker"]
 
-REMEMBERED_S = 600.0
-
 
 @dataclass(frozen=True, slots=True)
 class PollWorker:
--- a/src/poplaryard/ownership_io.py
+++ b/src/poplaryard/ownership_io.py
@@ -5,7 +5,7 @@
 
 from . import acquisition, wire
 from .clock import Clock
-from .exceptions import PoplaryardError, StoreConflict, StoreDown, StoreReplyLost
+from .exceptions import PoplaryardError, StoreConflict, StoreDown
 from .logs import log_failure
 from .messages import Authority, Tick
 from .ownership import Ownership
@@ -47,7 +47,6 @@
 # A heartbeat that takes longer is missed; the next one follows after a second.
 HEARTBEAT_TIMEOUT_S = 0.9
 
-_STORE_ERRORS = (StoreDown, StoreReplyLost)
 Notify: t.TypeAlias = t.Callable[[t.Any], None]
 
 wire.register(Heartbeat, HeartbeatReply, RecordSeen, Record, Member, ShardOwner)
--- a/src/poplaryard/standin_worker.py
+++ b/src/poplaryard/standin_worker.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass, field
 
 from .codes import Code
+from .fencing import REMEMBERED_S, TASK_LEASE_S
 from .messages import (
     AttemptReport,
     AttemptState,
@@ -28,10 +29,8 @@
 
 __all__ = ["Faults", "RunRecord", "WorkerVm"]
 
-TASK_LEASE_S = 4.0
 # Renewal of a caller that knows no limit.
 UNLIMITED = Renewal(2**63, 2**63)
-REMEMBERED_S = 600.0
 SLOTS = 8
 CONNECTIONS = 64
 # Records kept for tests and the load generator; older ones are dropped.
