--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -11,6 +11,7 @@
 _COMMANDS: dict[str, str] = {
     "audit": "ticket_cli:audit",
     "bench": "bench:bench",
+    "entry": "platform.entry:entry",
     "check-config": "settings:check_config",
     "demo": "demo:demo",
     "explain": "ticket_cli:explain",
--- a/src/poplaryard/client.py
+++ b/src/poplaryard/client.py
@@ -15,7 +15,7 @@
 from .codes import Code
 from .exceptions import PoplaryardError
 
-__all__ = ["HttpClient", "Reply"]
+__all__ = ["HttpClient", "RawReply", "Reply"]
 
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than the servers' keep-alive time, so that no call is sent over a connection
@@ -30,6 +30,13 @@
     body: t.Any
 
 
+class RawReply(t.NamedTuple):
+    """Status and undecoded body of a response."""
+
+    status: int
+    content: bytes
+
+
 class _Connection(Connection):
     """Connection that is closed when a call over it fails or is cancelled.
 
@@ -124,6 +131,22 @@
         self, method: str, url: str, data: bytes | None, timeout_s: float
     ) -> Reply:
         """Send one request; raises as `post` does."""
+        reply = await self.raw(method, url, data, timeout_s)
+        try:
+            return Reply(reply.status, _decoded(reply.content))
+        except ValueError as exc:
+            detail = f"{url} sent a malformed answer: {exc}"
+            raise PoplaryardError(Code.PEER_TIMEOUT, detail) from exc
+
+    async def raw(
+        self,
+        method: str,
+        url: str,
+        data: bytes | None,
+        timeout_s: float,
+        headers: t.Mapping[str, str] | None = None,
+    ) -> RawReply:
+        """Send one request and leave its answer undecoded; raises as `post` does."""
         timeouts = Timeouts(
             # Each of these would cost a task per call; `request_timeout` bounds them
             # all, and `_Connection` bounds the connecting itself.
@@ -132,12 +155,12 @@
             pool_acquire=None,
             request_timeout=timeout_s,
         )
+        sent = {**self._headers, **headers} if headers else self._headers
         try:
             response = await self._client.request(
-                url, method, headers=self._headers, data=data, timeouts=timeouts
+                url, method, headers=sent, data=data, timeouts=timeouts
             )
-            content = await response.content()
-            return Reply(response.status_code, _decoded(content))
+            return RawReply(response.status_code, await response.content())
         except _NOT_SENT as exc:
             detail = f"{url} cannot be reached: {exc or type(exc).__name__}"
             raise PoplaryardError(Code.PEER_UNREACHABLE, detail) from exc
--- a/src/poplaryard/exceptions.py
+++ b/src/poplaryard/exceptions.py
@@ -5,10 +5,12 @@
 __all__ = [
     "CallError",
     "ConfigError",
+    "LeaseLost",
     "PoplaryardError",
     "StoreConflict",
     "StoreDown",
     "StoreReplyLost",
+    "WorkerUnreachable",
 ]
 
 
@@ -56,3 +58,37 @@
 
     def __init__(self, detail: str = "The value has changed."):
         super().__init__(Code.TICKET_CONFLICT, detail)
+
+
+class LeaseLost(PoplaryardError):
+    """The store lease that a write is bound to has ended; nothing was written."""
+
+    def __init__(self, detail: str = "The lease has ended."):
+        super().__init__(Code.TICKET_NOT_ACCEPTED, detail)
+
+
+class WorkerUnreachable(PoplaryardError):
+    """A worker did not answer, or not as the life that was asked for.
+
+    Parameters
+    ----------
+    refused : bool
+        Whether nothing accepted the connection.
+    other_life : bool
+        Whether another life of the worker, or another worker, answered.
+    fenced : bool
+        Whether the worker has seen a higher fencing token.
+    """
+
+    def __init__(
+        self,
+        detail: str,
+        *,
+        refused: bool = False,
+        other_life: bool = False,
+        fenced: bool = False,
+    ):
+        super().__init__(Code.PEER_UNREACHABLE, detail)
+        self.refused = refused
+        self.other_life = other_life
+        self.fenced = fenced
--- /dev/null
+++ b/src/poplaryard/platform/codec.py
@@ -0,0 +1,275 @@
+"""Decoding of what the platform's clients, operators and workers send."""
+
+import typing as t
+
+import msgspec
+
+from ..resources import Resources
+from ..workload.model import (
+    AdviceCost,
+    Ended,
+    EndedRun,
+    HoldReport,
+    JobSpec,
+    Queue,
+    QueueTable,
+    RunningRun,
+    StepSpec,
+    WorkerInfo,
+)
+
+__all__ = [
+    "CONFIG_KEY",
+    "WORKER_PREFIX",
+    "DecodeFailed",
+    "decode_config",
+    "decode_hold",
+    "decode_submission",
+    "decode_worker",
+]
+
+CONFIG_KEY = "op/config"
+WORKER_PREFIX = "servers/"
+
+MAX_STEPS = 1000
+MAX_TASKS = 100_000
+
+Natural: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0)]
+# The platform sends times as whole or fractional milliseconds.
+Milliseconds: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=0)]
+
+
+class DecodeFailed(ValueError):
+    """Text that does not have the platform's format."""
+
+
+class _Step(msgspec.Struct):
+    count: t.Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS)] = 1
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
+    estimate_ms: Milliseconds = 0.0
+    after: list[Natural] = []
+    checkpointable: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: Natural = 0
+    speculative: bool = False
+    daemon: bool = False
+    image: str = ""
+    target_ms: Milliseconds = 0.0
+    fills: bool = False
+    may_miss: Natural = 0
+
+
+class _Submission(msgspec.Struct):
+    steps: t.Annotated[list[_Step], msgspec.Meta(min_length=1, max_length=MAX_STEPS)]
+    # Text for the tasks, not a specification of the job.
+    spec: t.Annotated[str, msgspec.Meta(max_length=4000)] = ""
+    times: Natural = 0
+    first_run_ms: float = 0.0
+    interval_ms: Milliseconds = 0.0
+
+
+class _Advice(msgspec.Struct):
+    decide_ms: Milliseconds = 0.0
+    each_ms: Milliseconds = 0.0
+    valid_ms: Milliseconds = 0.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    service: str
+    timeout_ms: Milliseconds = 3000.0
+    # Added to the stretched run time; not the whole objective.
+    target_duration_ms: Milliseconds = 0.0
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    advice: _Advice | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    admission_check: bool = False
+    spare: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_body_bytes: int = 262144
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+
+
+class _Room(msgspec.Struct):
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: t.Literal["ready", "draining"]
+    room: _Room
+    labels: list[str]
+    remaining_ms: Milliseconds = 0.0
+    clock_ms: Milliseconds = 0.0
+    born: float = 0
+    machine: str = ""
+
+
+class _Hold(msgspec.Struct):
+    clock_ms: float
+    running: list[list[t.Any]] = []
+    finished: list[list[t.Any]] = []
+    born: float = 0
+
+
+_submissions = msgspec.json.Decoder(_Submission)
+_configs = msgspec.json.Decoder(_Config)
+_entries = msgspec.json.Decoder(_Entry)
+_holds = msgspec.json.Decoder(_Hold)
+
+
+def decode_submission(
+    body: bytes, job_id: str, queue: Queue, accepted_at: float
+) -> JobSpec:
+    """Decode the body with which a client hands in a job.
+
+    Raises
+    ------
+    DecodeFailed
+        If the body is malformed or its steps refer to later ones.
+    """
+    found = _decoded(_submissions, body)
+    steps = tuple(_step(number, step) for number, step in enumerate(found.steps))
+    return JobSpec(
+        job_id=job_id,
+        queue=queue.name,
+        group=queue.group,
+        payload=found.spec,
+        steps=steps,
+        times=found.times,
+        first_at=found.first_run_ms / 1000,
+        interval_s=found.interval_ms / 1000,
+        accepted_at=accepted_at,
+        priority=queue.priority,
+        attempts=queue.attempts,
+        stretch=queue.stretch,
+        slack_s=queue.slack_s,
+        advice=queue.advice,
+    )
+
+
+def decode_config(value: bytes) -> QueueTable:
+    """Decode the operator's configuration; raises `DecodeFailed`."""
+    found = _decoded(_configs, value)
+    return QueueTable(
+        version=found.version,
+        queues=tuple(_queue(route) for route in found.routes),
+        groups=tuple(service.name for service in found.services if not service.spare),
+        guarded=frozenset(
+            service.name for service in found.services if service.admission_check
+        ),
+        max_body_bytes=found.limits.max_body_bytes,
+    )
+
+
+def decode_worker(key: str, value: bytes) -> WorkerInfo:
+    """Decode the entry that a worker wrote of itself; raises `DecodeFailed`."""
+    found = _decoded(_entries, value)
+    return WorkerInfo(
+        worker_id=key.removeprefix(WORKER_PREFIX),
+        group=found.service,
+        address=found.address,
+        data_centre=found.zone,
+        capacity=Resources(found.room.cpu, found.room.mem_mb, found.room.gpu),
+        labels=tuple(found.labels),
+        draining=found.state == "draining",
+        born_ms=int(found.born),
+        clock_s=found.clock_ms / 1000,
+        remaining_s=found.remaining_ms / 1000,
+        machine=found.machine,
+    )
+
+
+def decode_hold(body: bytes) -> HoldReport:
+    """Decode a worker's lists of runs; raises `DecodeFailed`."""
+    found = _decoded(_holds, body)
+    try:
+        running = tuple(
+            RunningRun(
+                row[0], row[1], row[2], float(row[3]), row[4] if len(row) > 4 else 0.0
+            )
+            for row in found.running
+        )
+        ended = tuple(
+            EndedRun(row[0], row[1], row[2], Ended(row[3]), row[4])
+            for row in found.finished
+        )
+    except (IndexError, TypeError, ValueError) as exc:
+        raise DecodeFailed(f"malformed list of runs: {exc}") from exc
+    return HoldReport(found.clock_ms / 1000, int(found.born), running, ended)
+
+
+def _decoded(decoder: t.Any, value: bytes) -> t.Any:
+    try:
+        return decoder.decode(value)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        raise DecodeFailed(str(exc)) from exc
+
+
+def _step(number: int, step: _Step) -> StepSpec:
+    if any(earlier >= number for earlier in step.after):
+        raise DecodeFailed(f"step {number} waits for a step that is not earlier")
+    return StepSpec(
+        count=step.count,
+        need=Resources(step.cpu, step.mem_mb, step.gpu),
+        estimate_s=step.estimate_ms / 1000,
+        after=tuple(step.after),
+        checkpointable=step.checkpointable,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        label=step.requires,
+        rack=step.affinity,
+        max_per_worker=step.anti_affinity,
+        speculative=step.speculative,
+        lasting=step.daemon,
+        image=step.image,
+        latency_target_s=step.target_ms / 1000,
+        fills=step.fills,
+        may_miss=step.may_miss,
+    )
+
+
+def _queue(route: _Route) -> Queue:
+    advice = None
+    if route.advice is not None:
+        advice = AdviceCost(
+            route.advice.decide_ms / 1000,
+            route.advice.each_ms / 1000,
+            route.advice.valid_ms / 1000,
+        )
+    return Queue(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        group=route.service,
+        priority=route.priority,
+        attempts=route.attempts,
+        stretch=route.stretch,
+        slack_s=route.target_duration_ms / 1000,
+        timeout_s=route.timeout_ms / 1000,
+        advice=advice,
+    )
--- /dev/null
+++ b/src/poplaryard/platform/entry.py
@@ -0,0 +1,152 @@
+"""Command that runs one process on the platform."""
+
+import asyncio
+import os
+import pathlib
+import signal
+import sys
+import typing as t
+
+import click
+import msgspec
+
+from .. import logs
+from ..client import HttpClient
+from ..clock import SystemClock
+from ..exceptions import CallError
+from ..logs import logger
+from ..server import HttpServer
+from ..workload.node import Formats, Node, NodeConfig
+from ..workload.owner import OwnerLimits
+from .codec import (
+    CONFIG_KEY,
+    WORKER_PREFIX,
+    DecodeFailed,
+    decode_config,
+    decode_worker,
+)
+from .front import PlatformFront
+from .services import AdviceClient, WorkerClient
+from .store import PlatformStore
+
+__all__ = ["entry"]
+
+SETTINGS_VARIABLE = "POPLARYARD_BOOT"
+EXIT_INVALID = 2
+# An order that has no answer by then is in doubt; workers answer within milliseconds.
+ORDER_TIMEOUT_S = 0.7
+# Largest lease that workers are given, in seconds: work on a worker that was lost can
+# start elsewhere only after it. Long enough for a change of owner.
+HOLD_S = 6.0
+# Time from SIGTERM until connections are closed, in seconds: the platform's balancer
+# needs two probes, one a second, to notice.
+LAME_DUCK_S = 2.5
+
+
+class Listen(msgspec.Struct, forbid_unknown_fields=False):
+    """Addresses to listen on."""
+
+    callers: str
+    ready: str
+    peers: str
+
+
+class EntrySettings(msgspec.Struct):
+    """Settings of one process, as `deploy/settings.json.in` lays them out."""
+
+    process: str
+    data_centre: str
+    listen: Listen
+    store: str
+    advice: str
+    cores: float
+    max_hold_ms: float
+    keep_s: float
+    early_ms: float = 0.0
+    grace_s: float = 6.0
+    log_level: str = "info"
+
+
+def load_settings(path: str) -> EntrySettings:
+    """Read and check the settings; ends the process with a message if they are bad."""
+    from .. import jsonc
+
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return msgspec.convert(jsonc.loads(text), EntrySettings)
+    except (OSError, CallError, msgspec.ValidationError) as exc:
+        click.echo(f"{path}: {exc}", err=True)
+        sys.exit(EXIT_INVALID)
+
+
+@click.command()
+@click.option("--config", "path", help=f"Settings; default: ${SETTINGS_VARIABLE}.")
+def entry(path: str | None) -> None:
+    """Run one process on the platform until SIGTERM."""
+    path = path or os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise click.UsageError(f"Give --config or set {SETTINGS_VARIABLE}.")
+    cfg = load_settings(path)
+    import uvloop
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_serve(cfg, path))
+
+
+async def _serve(cfg: EntrySettings, path: str) -> None:
+    logs.configure(cfg.process, cfg.log_level, stream=sys.stdout)
+    client = HttpClient(connections=1024)
+    node = Node(
+        NodeConfig(
+            cfg.process,
+            cfg.data_centre,
+            cfg.listen.peers,
+            cfg.cores,
+            OwnerLimits(
+                hold_s=min(HOLD_S, cfg.max_hold_ms / 1000),
+                keep_s=cfg.keep_s,
+                early_s=cfg.early_ms / 1000,
+            ),
+        ),
+        PlatformStore(client, cfg.store),
+        WorkerClient(client, ORDER_TIMEOUT_S),
+        AdviceClient(client, cfg.advice),
+        client,
+        Formats(CONFIG_KEY, WORKER_PREFIX, decode_config, decode_worker, DecodeFailed),
+        SystemClock(),
+    )
+    front = PlatformFront(node)
+    servers = [
+        _server(front, address)
+        for address in dict.fromkeys(
+            [cfg.listen.ready, cfg.listen.peers, cfg.listen.callers]
+        )
+    ]
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    for server in servers:
+        await server.start()
+    await node.start()
+    logger.info("process started", extra={"process_id": os.getpid()})
+    await stop.wait()
+    logger.info("process stops")
+    await node.hand_over()
+    await asyncio.sleep(min(LAME_DUCK_S, cfg.grace_s / 2))
+    await asyncio.gather(*(server.stop() for server in servers))
+    await node.stop()
+    logger.info("process stopped")
+
+
+def _server(app: t.Any, address: str) -> HttpServer:
+    host, _, port = address.rpartition(":")
+    return HttpServer(app, host, int(port), graceful_s=2.0)
+
+
+def _reload(path: str) -> None:
+    """Check the settings file; addresses only change with a restart."""
+    cfg = load_settings(path)
+    logs.logger.setLevel(cfg.log_level.upper())
+    logger.info("settings read again", extra={"log_level": cfg.log_level})
--- /dev/null
+++ b/src/poplaryard/platform/front.py
@@ -0,0 +1,159 @@
+"""HTTP interface to the platform's clients, and its answers."""
+
+import json
+import re
+import time
+import typing as t
+
+from ..logs import logger
+from ..workload.acceptance import Accepted
+from ..workload.model import JobState, Queue
+from ..workload.node import Node, Unavailable
+from .codec import DecodeFailed, decode_submission
+
+__all__ = ["Front", "PlatformFront"]
+
+READY_PATH = "/poplaryard/readyz"
+# Clients name a job by 16 hexadecimal digits.
+_JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
+
+Scope: t.TypeAlias = dict[str, t.Any]
+Receive: t.TypeAlias = t.Callable[[], t.Awaitable[dict[str, t.Any]]]
+Send: t.TypeAlias = t.Callable[[dict[str, t.Any]], t.Awaitable[None]]
+
+
+class Front(t.NamedTuple):
+    """Response to one request; `retry_s` says when a refused client may return."""
+
+    status: int
+    body: t.Any = None
+    retry_s: float = 0.0
+
+
+class _TooLarge(Exception):
+    """Body above the configured limit."""
+
+
+class PlatformFront:
+    """ASGI application for clients, readiness probes and peers.
+
+    Parameters
+    ----------
+    node : Node
+    """
+
+    def __init__(self, node: Node):
+        self._node = node
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        if scope["type"] != "http":
+            return
+        try:
+            answer = await self._answer(scope, receive)
+        except _TooLarge:
+            answer = Front(413)
+        except Unavailable as exc:
+            logger.info("question not answered", extra={"reason": exc.detail})
+            answer = Front(503, retry_s=1.0)
+        await _respond(answer, send, close=self._node.stopping)
+
+    async def _answer(self, scope: Scope, receive: Receive) -> Front:
+        path, method = scope["path"], scope["method"]
+        if path == READY_PATH:
+            return Front(200 if self._node.ready else 503)
+        if path == "/peer/v1/ask":
+            return await self._answer_peer(receive)
+        if not self._node.queues.version:
+            return Front(503, retry_s=1.0)
+        queue = self._node.queues.find(_host(scope), path)
+        if queue is None:
+            return Front(404)
+        name = path[len(queue.prefix) :]
+        if not name:
+            return await self._pending(queue, method)
+        if not _JOB_ID.match(name):
+            return Front(404)
+        if method == "POST":
+            limit = self._node.queues.max_body_bytes
+            return await self._submit(queue, name, await _body(receive, limit))
+        if method == "GET":
+            return await self._state(queue, name)
+        if method == "DELETE":
+            cancelled = await self._node.cancel(queue, name)
+            return Front(200, {}) if cancelled else Front(410)
+        return Front(405)
+
+    async def _answer_peer(self, receive: Receive) -> Front:
+        try:
+            question = json.loads(await _body(receive, 65536))
+        except ValueError:
+            return Front(400)
+        if not isinstance(question, dict):
+            return Front(400)
+        return Front(200, self._node.answer_peer(question))
+
+    async def _pending(self, queue: Queue, method: str) -> Front:
+        if method != "GET":
+            return Front(405)
+        return Front(200, {"pending": await self._node.pending(queue)})
+
+    async def _submit(self, queue: Queue, job_id: str, body: bytes) -> Front:
+        try:
+            spec = decode_submission(body, job_id, queue, time.time())
+        except DecodeFailed as exc:
+            extra = {"request": job_id, "reason": str(exc)}
+            logger.info("job malformed", extra=extra)
+            return Front(400)
+        accepted = await self._node.submit(spec)
+        if accepted is Accepted.STORED:
+            return Front(200, {})
+        if accepted is Accepted.REFUSED:
+            return Front(503, retry_s=1.0)
+        # The job may have been stored: the client has to send it again.
+        return Front(504)
+
+    async def _state(self, queue: Queue, job_id: str) -> Front:
+        state: JobState | None = await self._node.state(queue, job_id)
+        if state is None:
+            return Front(410)
+        return Front(200, {"state": str(state)})
+
+
+async def _body(receive: Receive, limit: int) -> bytes:
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return b""
+        part = message.get("body", b"")
+        size += len(part)
+        if size > limit:
+            raise _TooLarge
+        parts.append(part)
+        if not message.get("more_body"):
+            return b"".join(parts)
+
+
+async def _respond(answer: Front, send: Send, close: bool) -> None:
+    content = b"" if answer.body is None else json.dumps(answer.body).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(content)).encode()),
+    ]
+    if answer.retry_s:
+        headers.append((b"retry-after", str(max(1, round(answer.retry_s))).encode()))
+    if close:
+        headers.append((b"connection", b"close"))
+    await send(
+        {"type": "http.response.start", "status": answer.status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": content})
+
+
+def _host(scope: Scope) -> str:
+    for name, value in scope["headers"]:
+        if name == b"host":
+            return value.decode("latin-1").partition(":")[0]
+    return ""
--- /dev/null
+++ b/src/poplaryard/platform/services.py
@@ -0,0 +1,170 @@
+"""Clients of the workers and of the advice service."""
+
+import json
+import typing as t
+
+from ..client import HttpClient, RawReply
+from ..codes import Code
+from ..exceptions import PoplaryardError, WorkerUnreachable
+from ..workload.model import HoldReport, StartOutcome, WorkerInfo
+from .codec import DecodeFailed, decode_hold
+
+__all__ = ["AdviceClient", "WorkerClient"]
+
+_REJECTIONS = {
+    "fence": StartOutcome.FENCED,
+    "old": StartOutcome.OLD_RUN,
+    "late": StartOutcome.LATE,
+    "room": StartOutcome.NO_ROOM,
+    "ticket": StartOutcome.BAD_TICKET,
+}
+_OUTCOMES = {
+    200: StartOutcome.STARTED,
+    400: StartOutcome.INVALID,
+    421: StartOutcome.WRONG_LIFE,
+    429: StartOutcome.UNHEALTHY,
+    503: StartOutcome.UNHEALTHY,
+}
+
+
+class WorkerClient:
+    """Sends orders to workers.
+
+    Parameters
+    ----------
+    client : HttpClient
+    timeout_s : float
+        Time after which an order without an answer is in doubt, in seconds.
+    """
+
+    def __init__(self, client: HttpClient, timeout_s: float):
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def start(
+        self,
+        worker: WorkerInfo,
+        task: str,
+        run: int,
+        payload: str,
+        deadline_s: float,
+        fence: int,
+        checkpoint: str = "",
+        ticket: str = "",
+    ) -> StartOutcome:
+        """Order a worker to start a run; `deadline_s` is on the worker's clock."""
+        body: dict[str, t.Any] = {
+            "task": task,
+            "run": run,
+            "spec": payload,
+            "deadline_ms": int(deadline_s * 1000),
+            "fencing_token": fence,
+        }
+        if checkpoint:
+            body["checkpointed"] = checkpoint
+        if ticket:
+            body["ticket"] = ticket
+        try:
+            reply = await self._post(worker, "run-start", body, self._timeout_s)
+        except PoplaryardError as exc:
+            if exc.code is Code.PEER_UNREACHABLE:
+                return StartOutcome.NOT_SENT
+            return StartOutcome.IN_DOUBT
+        if reply.status == 409:
+            return _REJECTIONS.get(_reason(reply.content), StartOutcome.INVALID)
+        return _OUTCOMES.get(reply.status, StartOutcome.IN_DOUBT)
+
+    async def stop(self, worker: WorkerInfo, task: str, run: int, fence: int) -> bool:
+        """Order a worker to stop a run; True if the order can't take effect later."""
+        body = {"task": task, "run": run, "fencing_token": fence}
+        try:
+            reply = await self._post(worker, "run-stop", body, self._timeout_s)
+        except PoplaryardError:
+            return False
+        return reply.status == 200
+
+    async def pace(
+        self, worker: WorkerInfo, task: str, run: int, percent: int, fence: int
+    ) -> bool:
+        """Limit the share of its work that a run may do; False if not applied."""
+        body = {"task": task, "run": run, "percent": percent, "fencing_token": fence}
+        try:
+            reply = await self._post(worker, "pace", body, self._timeout_s)
+        except PoplaryardError:
+            return False
+        return reply.status == 200
+
+    async def hold(
+        self,
+        worker: WorkerInfo,
+        fence: int,
+        acknowledged: int,
+        deadline_s: float | None,
+        wait_s: float,
+    ) -> HoldReport:
+        """Renew the leases of all runs of a worker and return what it reports.
+
+        Raises
+        ------
+        WorkerUnreachable
+            If it did not answer, or another life of it or another worker did.
+        """
+        body: dict[str, t.Any] = {"fencing_token": fence, "ack_seq": acknowledged}
+        if deadline_s is not None:
+            body["deadline_ms"] = int(deadline_s * 1000)
+        if wait_s > 0:
+            body["wait_ms"] = int(wait_s * 1000)
+        try:
+            reply = await self._post(worker, "hold", body, wait_s + self._timeout_s)
+        except PoplaryardError as exc:
+            refused = exc.code is Code.PEER_UNREACHABLE
+            raise WorkerUnreachable(exc.detail, refused=refused) from exc
+        if reply.status != 200:
+            raise WorkerUnreachable(
+                f"status {reply.status}",
+                other_life=reply.status == 421,
+                fenced=reply.status == 409,
+            )
+        try:
+            return decode_hold(reply.content)
+        except DecodeFailed as exc:
+            raise WorkerUnreachable(str(exc)) from exc
+
+    async def _post(
+        self, worker: WorkerInfo, call: str, body: t.Any, timeout_s: float
+    ) -> RawReply:
+        return await self._client.raw(
+            "POST",
+            f"http://{worker.address}/poplaryard/{call}",
+            json.dumps(body, separators=(",", ":")).encode(),
+            timeout_s,
+            {"X-Expect-Instance": worker.worker_id},
+        )
+
+
+class AdviceClient:
+    """Asks which workers may run the tasks of a step."""
+
+    def __init__(self, client: HttpClient, address: str):
+        self._client = client
+        self._url = f"http://{address}/poplaryard/advise"
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> tuple[dict[str, str], float] | None:
+        """Return the tickets by worker and their life in seconds; None if refused."""
+        body = json.dumps({"step": step, "workers": workers}).encode()
+        reply = await self._client.request("POST", self._url, body, timeout_s)
+        if reply.status != 200:
+            return None
+        return {row[0]: row[1] for row in reply.body["good"]}, reply.body.get(
+            "valid_ms", 0
+        ) / 1000
+
+
+def _reason(content: bytes) -> str:
+    try:
+        found = json.loads(content)
+        return str(found.get("reason", "")) if isinstance(found, dict) else ""
+    except ValueError:
+        return ""
--- /dev/null
+++ b/src/poplaryard/workload/acceptance.py
@@ -0,0 +1,125 @@
+"""Takes jobs into the store, many of them in one transaction."""
+
+import asyncio
+import enum
+from collections import deque
+from dataclasses import dataclass
+
+from ..exceptions import LeaseLost, StoreDown, StoreReplyLost
+from ..logs import logger
+from . import records
+from .model import JobSpec
+from .storage import Item, Storage, Transaction
+
+__all__ = ["Acceptance", "Accepted"]
+
+# A transaction takes 32 entries: an expectation and a write for each job.
+BATCH_JOBS = 16
+# Transactions in progress at once; one that waits for the store must not hold up the
+# jobs that come after it.
+MAX_COMMITS = 4
+# Jobs that may wait for a transaction; more are refused at once.
+MAX_WAITING = 512
+
+
+class Accepted(enum.Enum):
+    """What became of a job that was handed in."""
+
+    STORED = "stored"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    spec: JobSpec
+    fut: "asyncio.Future[Accepted]"
+
+    @property
+    def key(self) -> str:
+        return records.job_key(self.spec.group, self.spec.job_id)
+
+
+class Acceptance:
+    """Writes jobs to the store; a job is accepted once it lies there.
+
+    Parameters
+    ----------
+    storage : Storage
+    """
+
+    def __init__(self, storage: Storage):
+        self._storage = storage
+        self._waiting: deque[_Waiting] = deque()
+        self._commits: set[asyncio.Task[None]] = set()
+
+    async def submit(self, spec: JobSpec) -> Accepted:
+        """Store a job; one with an id that is stored already is that job."""
+        if len(self._waiting) >= MAX_WAITING:
+            return Accepted.REFUSED
+        waiting = _Waiting(spec, asyncio.get_running_loop().create_future())
+        self._waiting.append(waiting)
+        self._begin()
+        return await waiting.fut
+
+    def _begin(self) -> None:
+        while self._waiting and len(self._commits) < MAX_COMMITS:
+            # A second transaction runs beside the first only for a full batch.
+            if self._commits and len(self._waiting) < BATCH_JOBS:
+                return
+            count = min(BATCH_JOBS, len(self._waiting))
+            batch = [self._waiting.popleft() for _ in range(count)]
+            task = asyncio.create_task(self._commit(batch))
+            self._commits.add(task)
+            task.add_done_callback(self._committed)
+
+    def _committed(self, task: "asyncio.Task[None]") -> None:
+        self._commits.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("task ended by an error", exc_info=task.exception())
+        self._begin()
+
+    async def _commit(self, batch: list[_Waiting]) -> None:
+        unsure = False
+        try:
+            while batch:
+                batch = await self._attempt(batch)
+        except StoreDown as exc:
+            self._settle(batch, Accepted.UNKNOWN if unsure else Accepted.REFUSED, exc)
+        except (StoreReplyLost, LeaseLost) as exc:
+            self._settle(batch, Accepted.UNKNOWN, exc)
+        finally:
+            for waiting in batch:
+                if not waiting.fut.done():
+                    waiting.fut.set_result(Accepted.UNKNOWN)
+
+    async def _attempt(self, batch: list[_Waiting]) -> list[_Waiting]:
+        """Write a batch; return what is left because others of it were known."""
+        unique = {waiting.key: waiting for waiting in batch}
+        transaction = Transaction(
+            expected=dict.fromkeys(unique, 0),
+            puts=[
+                (key, records.encode(waiting.spec), 0)
+                for key, waiting in unique.items()
+            ],
+        )
+        found = await self._storage.commit(transaction)
+        if isinstance(found, int):
+            self._settle(batch, Accepted.STORED, None)
+            return []
+        present = {item.key for item in found if isinstance(item, Item)}
+        known = [waiting for waiting in batch if waiting.key in present]
+        self._settle(known, Accepted.STORED, None)
+        return [waiting for waiting in batch if waiting.key not in present]
+
+    def _settle(
+        self, batch: list[_Waiting], accepted: Accepted, exc: Exception | None
+    ) -> None:
+        for waiting in batch:
+            if waiting.fut.done():
+                continue
+            waiting.fut.set_result(accepted)
+            extra = {"request": waiting.spec.job_id, "queue": waiting.spec.queue}
+            if exc is not None:
+                extra["reason"] = str(exc)
+            logger.info(f"job {accepted.value}", extra=extra)
--- /dev/null
+++ b/src/poplaryard/workload/node.py
@@ -0,0 +1,435 @@
+"""One process: takes jobs from callers and owns groups of workers."""
+
+import asyncio
+import time
+import typing as t
+from dataclasses import dataclass
+
+import msgspec
+
+from ..client import HttpClient
+from ..clock import Clock
+from ..codes import Code
+from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
+from ..logs import logger
+from . import records
+from .acceptance import Acceptance, Accepted
+from .membership import ProcessLease
+from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
+from .owner import Advisor, GroupOwner, OwnerLimits, WorkerCalls
+from .storage import Change, Storage, Transaction
+from .watching import Watched
+
+__all__ = ["Formats", "Node", "NodeConfig", "Unavailable"]
+
+# Time that a peer has to answer a question about a job, in seconds; after it the store
+# is asked.
+PEER_TIMEOUT_S = 0.4
+# Pause between claims of one process: the others claim in the meantime, so that the
+# groups are spread.
+CLAIM_STEP_S = 0.15
+CLAIM_CHECK_S = 0.5
+
+
+class Unavailable(PoplaryardError):
+    """A question about a job that can't be answered now."""
+
+
+@dataclass(frozen=True, slots=True)
+class Formats:
+    """Where configuration and workers lie in the store, and how they are decoded.
+
+    Attributes
+    ----------
+    decode_error : type
+        Exception with which the decoders reject a value.
+    """
+
+    config_key: str
+    worker_prefix: str
+    decode_config: t.Callable[[bytes], QueueTable]
+    decode_worker: t.Callable[[str, bytes], WorkerInfo]
+    decode_error: type[Exception]
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """What a process knows of itself.
+
+    Attributes
+    ----------
+    peer_address : str
+        Address at which peers reach it.
+    cores : float
+        Share of processors; stronger processes claim groups first.
+    """
+
+    process: str
+    data_centre: str
+    peer_address: str
+    cores: float
+    limits: OwnerLimits
+
+
+class Node:
+    """Application object: owns all parts of a process.
+
+    Parameters
+    ----------
+    cfg : NodeConfig
+    storage : Storage
+    calls : WorkerCalls
+    advisor : Advisor
+    peers : HttpClient
+        Client for calls to other processes.
+    formats : Formats
+    """
+
+    def __init__(
+        self,
+        cfg: NodeConfig,
+        storage: Storage,
+        calls: WorkerCalls,
+        advisor: Advisor,
+        peers: HttpClient,
+        formats: Formats,
+        clock: Clock,
+    ):
+        self.cfg = cfg
+        self.queues = QueueTable()
+        self.stopping = False
+        self.owners: dict[str, GroupOwner] = {}
+        self._storage = storage
+        self._calls = calls
+        self._advisor = advisor
+        self._peers = peers
+        self._formats = formats
+        self._clock = clock
+        self._acceptance = Acceptance(storage)
+        member = records.Member(
+            cfg.process, cfg.peer_address, cfg.data_centre, cfg.cores
+        )
+        self._lease = ProcessLease(storage, clock, member)
+        self._claims: dict[str, tuple[records.Claim, int]] = {}
+        self._claims_changed = asyncio.Event()
+        self._workers: dict[str, WorkerInfo] = {}
+        self._unreadable: dict[str, bytes] = {}
+        config_prefix = formats.config_key.rpartition("/")[0] + "/"
+        self._config = Watched(storage, config_prefix, self._config_changed)
+        self._claim_watch = Watched(storage, "owner/", self._claim_changed)
+        self._worker_watch = Watched(
+            storage, formats.worker_prefix, self._worker_changed
+        )
+        self._tasks: set[asyncio.Task[t.Any]] = set()
+        self._owning: list[asyncio.Task[t.Any]] = []
+        self._worker_task: asyncio.Task[t.Any] | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections should come here."""
+        return not self.stopping and bool(self.queues.version)
+
+    async def start(self) -> None:
+        """Begin to follow the store and to claim groups."""
+        for work in (self._config.run(), self._claim_watch.run()):
+            self._spawn(work)
+        self._owning = [self._spawn(self._lease.run()), self._spawn(self._claim_loop())]
+
+    async def hand_over(self) -> None:
+        """Give up all groups, so that another process takes them at once."""
+        self.stopping = True
+        await asyncio.gather(*(owner.close() for owner in self.owners.values()))
+        for task in self._owning:
+            task.cancel()
+        await self._lease.end()
+        self._lease.drop()
+
+    async def stop(self) -> None:
+        """End all tasks."""
+        for owner in self.owners.values():
+            owner.abandon()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    # What callers ask for
+
+    async def submit(self, spec: JobSpec) -> Accepted:
+        """Store a job."""
+        if not self._lease.store_answers:
+            # Nothing was sent, so the job certainly does not run.
+            return Accepted.REFUSED
+        return await self._acceptance.submit(spec)
+
+    async def state(self, queue: Queue, job_id: str) -> JobState | None:
+        """Return the state of a job, or None if there is none.
+
+        Raises `Unavailable` if neither its owner nor the store answers.
+        """
+        for group in self._groups_of(queue):
+            state = await self._state_at_owner(group, job_id)
+            if state is not None:
+                return state
+        for group in self._groups_of(queue):
+            state = await self._stored_state(group, job_id)
+            if state is not None:
+                return state
+        return None
+
+    async def cancel(self, queue: Queue, job_id: str) -> bool:
+        """Cancel a job; False if there is none. Raises `Unavailable`."""
+        for group in self._groups_of(queue):
+            key = records.job_key(group, job_id)
+            try:
+                item = await self._storage.get(key)
+                if item is None:
+                    continue
+                entry = (records.cancel_key(group, job_id), b"1", 0)
+                await self._storage.commit(Transaction(puts=[entry]))
+            except (StoreDown, StoreReplyLost, LeaseLost) as exc:
+                raise Unavailable(exc.code, exc.detail) from exc
+            logger.info("job cancelled", extra={"request": job_id})
+            return True
+        return False
+
+    async def pending(self, queue: Queue) -> int:
+        """Return the number of a queue's jobs of which nothing has started."""
+        owner = self.owners.get(queue.group)
+        if owner is not None:
+            count = owner.pending(queue.name)
+            if count is not None:
+                return count
+        found = await self._ask_owner(queue.group, {"queue": queue.name})
+        if found is None or not isinstance(found.get("pending"), int):
+            raise _unavailable("the owner of the group does not answer")
+        return found["pending"]
+
+    def answer_peer(self, body: t.Any) -> dict[str, t.Any]:
+        """Answer another process's question about a group that this one owns."""
+        owner = self.owners.get(str(body.get("group")))
+        if owner is None or not owner.loaded or not self._lease.has_authority():
+            return {"owner": False}
+        if "queue" in body:
+            return {"owner": True, "pending": owner.pending(str(body["queue"]))}
+        return {"owner": True, "state": owner.state(str(body.get("job")))}
+
+    def _groups_of(self, queue: Queue) -> list[str]:
+        """Return the queue's group, then those it may have had before."""
+        others = [group for group in self.queues.groups if group != queue.group]
+        return [queue.group, *others]
+
+    async def _state_at_owner(self, group: str, job_id: str) -> JobState | None:
+        owner = self.owners.get(group)
+        if owner is not None and owner.loaded:
+            return owner.state(job_id)
+        found = await self._ask_owner(group, {"job": job_id})
+        state = found.get("state") if found else None
+        return JobState(state) if state else None
+
+    async def _ask_owner(self, group: str, question: t.Any) -> dict[str, t.Any] | None:
+        claim = self._claims.get(group)
+        if claim is None or claim[0].process == self.cfg.process:
+            return None
+        url = f"http://{claim[0].address}/peer/v1/ask"
+        try:
+            reply = await self._peers.post(
+                url, {"group": group, **question}, PEER_TIMEOUT_S
+            )
+        except PoplaryardError as exc:
+            extra = {"peer": claim[0].process, "reason": exc.detail}
+            logger.info("owner did not answer", extra=extra)
+            return None
+        found = reply.body
+        if reply.status != 200 or not isinstance(found, dict):
+            return None
+        return found if found.get("owner") else None
+
+    async def _stored_state(self, group: str, job_id: str) -> JobState | None:
+        try:
+            kept = await self._storage.get(records.progress_key(group, job_id))
+            if kept is not None:
+                return records.decode_progress(kept.value).state
+            job = await self._storage.get(records.job_key(group, job_id))
+        except (StoreDown, StoreReplyLost) as exc:
+            raise Unavailable(exc.code, exc.detail) from exc
+        return JobState.QUEUED if job is not None else None
+
+    # What the store tells
+
+    def _config_changed(self, change: Change) -> None:
+        if change.key != self._formats.config_key or change.item is None:
+            return
+        try:
+            queues = self._formats.decode_config(change.item.value)
+        except self._formats.decode_error as exc:
+            extra = {"key": change.key, "reason": str(exc)}
+            logger.error("unreadable configuration", extra=extra)
+            return
+        if queues.version <= self.queues.version:
+            return
+        self.queues = queues
+        self._claims_changed.set()
+        logger.info(
+            "configuration applied",
+            extra={"version": queues.version, "queues": len(queues.queues)},
+        )
+
+    def _claim_changed(self, change: Change) -> None:
+        group = change.key.removeprefix("owner/")
+        self._claims_changed.set()
+        if change.item is None:
+            self._claims.pop(group, None)
+            return
+        try:
+            claim = records.decode_claim(change.item.value)
+        except msgspec.DecodeError as exc:
+            logger.error("unreadable claim", extra={"reason": str(exc)})
+            return
+        self._claims[group] = claim, change.revision
+        owner = self.owners.get(group)
+        if owner is not None and change.revision > owner.revision:
+            self._drop(group)
+
+    def _worker_changed(self, change: Change) -> None:
+        worker_id = change.key.removeprefix(self._formats.worker_prefix)
+        if change.item is None:
+            self._remove_worker(worker_id)
+            return
+        try:
+            info = self._formats.decode_worker(change.key, change.item.value)
+        except self._formats.decode_error as exc:
+            extra = {"worker": worker_id, "reason": str(exc)}
+            logger.warning("unreadable worker entry skipped", extra=extra)
+            self._remove_worker(worker_id)
+            return
+        old = self._workers.get(worker_id)
+        if old is not None and old.group != info.group:
+            self._remove_worker(worker_id)
+        self._workers[worker_id] = info
+        owner = self.owners.get(info.group)
+        if owner is not None:
+            owner.worker_listed(info)
+
+    def _remove_worker(self, worker_id: str) -> None:
+        info = self._workers.pop(worker_id, None)
+        if info is not None and info.group in self.owners:
+            self.owners[info.group].worker_unlisted(worker_id)
+
+    # Claims
+
+    async def _claim_loop(self) -> None:
+        generation = self._lease.generation
+        while not self.stopping:
+            if generation != self._lease.generation:
+                generation = self._lease.generation
+                for group in list(self.owners):
+                    self._drop(group)
+            for group, owner in list(self.owners.items()):
+                if owner.closed.is_set():
+                    self._drop(group)
+            wanted = self._unowned()
+            if wanted is not None and self._claim_watch.loaded.is_set():
+                await asyncio.sleep(self._claim_delay())
+                if wanted == self._unowned():
+                    await self._claim(wanted)
+                continue
+            self._claims_changed.clear()
+            try:
+                await asyncio.wait_for(self._claims_changed.wait(), CLAIM_CHECK_S)
+            except TimeoutError:
+                continue
+
+    def _unowned(self) -> str | None:
+        """Return a group without an owner, or that an earlier life of this one had."""
+        if not self._lease.has_lease():
+            return None
+        for group in self.queues.groups:
+            claim = self._claims.get(group)
+            mine = claim is not None and claim[0].process == self.cfg.process
+            if group not in self.owners and (claim is None or mine):
+                return group
+        return None
+
+    def _claim_delay(self) -> float:
+        """Let processes that own less, and stronger ones, claim first."""
+        return CLAIM_STEP_S * (len(self.owners) + 0.2 / max(self.cfg.cores, 0.1))
+
+    async def _claim(self, group: str) -> None:
+        key = records.claim_key(group)
+        known = self._claims.get(group)
+        claim = records.Claim(self.cfg.process, self.cfg.peer_address)
+        transaction = Transaction(
+            expected={key: known[1] if known else 0},
+            puts=[(key, records.encode(claim), self._lease.lease)],
+        )
+        try:
+            found = await self._storage.commit(transaction)
+        except LeaseLost:
+            self._lease.drop()
+            return
+        except (StoreDown, StoreReplyLost) as exc:
+            extra = {"group": group, "reason": exc.detail}
+            logger.warning("claim failed", extra=extra)
+            await asyncio.sleep(CLAIM_STEP_S)
+            return
+        if not isinstance(found, int):
+            await asyncio.sleep(CLAIM_STEP_S)
+            return
+        await self._own(group, claim, found)
+
+    async def _own(self, group: str, claim: records.Claim, revision: int) -> None:
+        began = time.monotonic()
+        if self._worker_task is None:
+            self._worker_task = self._spawn(self._worker_watch.run())
+        self._claims[group] = claim, revision
+        owner = GroupOwner(
+            group,
+            revision,
+            self._storage,
+            self._calls,
+            self._advisor,
+            self._lease,
+            self._clock,
+            self.cfg.limits,
+        )
+        self.owners[group] = owner
+        await self._worker_watch.loaded.wait()
+        workers = {
+            worker_id: info
+            for worker_id, info in self._workers.items()
+            if info.group == group
+        }
+        try:
+            await owner.start(workers)
+        except (StoreDown, StoreReplyLost) as exc:
+            extra = {"group": group, "reason": exc.detail}
+            logger.warning("jobs could not be loaded", extra=extra)
+            self._drop(group)
+            await asyncio.sleep(CLAIM_STEP_S)
+            return
+        for worker_id, info in list(self._workers.items()):
+            if info.group == group and worker_id not in workers:
+                owner.worker_listed(info)
+        took_s = round(time.monotonic() - began, 3)
+        logger.info("group owned", extra={"group": group, "took_s": took_s})
+
+    def _drop(self, group: str) -> None:
+        owner = self.owners.pop(group, None)
+        if owner is not None:
+            owner.abandon()
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task[t.Any]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: "asyncio.Task[t.Any]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.critical("task ended by an error", exc_info=task.exception())
+            raise SystemExit(1)
+
+
+def _unavailable(detail: str) -> Unavailable:
+    return Unavailable(Code.PEER_TIMEOUT, detail)
--- /dev/null
+++ b/src/poplaryard/workload/owner.py
@@ -0,0 +1,515 @@
+"""Carries out the decisions for one group of workers."""
+
+import asyncio
+import typing as t
+from dataclasses import dataclass
+
+import msgspec
+
+from ..clock import Clock
+from ..exceptions import LeaseLost, StoreDown, StoreReplyLost, WorkerUnreachable
+from ..logs import logger
+from . import records
+from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
+from .model import HoldReport, JobSpec, JobState, StartOutcome, WorkerInfo
+from .partition import AdviceRequest, Partition, StartOrder, StopOrder
+from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
+from .storage import Change, Storage, Transaction
+from .watching import Watched
+
+__all__ = ["Advisor", "GroupOwner", "OwnerLimits", "WorkerCalls"]
+
+# Longest time between two looks at what is due, in seconds.
+TICK_S = 0.1
+# Ends of tasks that do not end their job are written together after this long. They
+# must be kept within `ack_ms`, seconds; the worker lists them again until then.
+NOTE_DELAY_S = 0.5
+# Entries that one transaction may have; one is the owner's claim.
+TRANSACTION_ENTRIES = 32
+# Time that a start has to reach its worker, in seconds. A start that arrives later is
+# refused there, so an order that was held up does not run unexpectedly.
+START_WINDOW_S = 1.6
+# Pause between failed renewals of a worker's leases.
+HOLD_RETRY_S = 0.15
+# Runs per worker beside which a renewal waits for an end, in seconds.
+HOLD_WAIT_S = 1.0
+# Finished jobs are removed from the store this long after callers may ask for them.
+FORGET_SLACK_S = 30.0
+FORGET_EVERY_S = 15.0
+FORGET_BATCH = 10
+ADVICE_TIMEOUT_SLACK_S = 1.0
+
+
+class WorkerCalls(t.Protocol):
+    """Calls to workers; see `poplaryard.platform.WorkerClient`."""
+
+    async def start(
+        self,
+        worker: WorkerInfo,
+        task: str,
+        run: int,
+        payload: str,
+        deadline_s: float,
+        fence: int,
+        checkpoint: str = "",
+        ticket: str = "",
+    ) -> StartOutcome:
+        """Order a worker to start a run."""
+
+    async def stop(self, worker: WorkerInfo, task: str, run: int, fence: int) -> bool:
+        """Order a worker to stop a run."""
+
+    async def hold(
+        self,
+        worker: WorkerInfo,
+        fence: int,
+        acknowledged: int,
+        deadline_s: float | None,
+        wait_s: float,
+    ) -> HoldReport:
+        """Renew the leases of a worker's runs and return what it reports."""
+
+
+class Advisor(t.Protocol):
+    """Calls to the advice service."""
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> tuple[dict[str, str], float] | None:
+        """Return tickets by worker and their life in seconds; None if refused."""
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLimits:
+    """Bounds that the deployment sets, in seconds.
+
+    Attributes
+    ----------
+    hold_s : float
+        Lease that workers are given for their runs.
+    keep_s : float
+        Time for which callers may ask for a finished job.
+    """
+
+    hold_s: float
+    keep_s: float
+    early_s: float = 0.0
+
+    def quarantine_s(self) -> float:
+        """Return how long a silent worker may hold runs of an earlier owner."""
+        longest_lease_s = self.hold_s / (1 - CLOCK_DRIFT)
+        return LEASE_TTL_S + GRACE_S + longest_lease_s + LAPSE_SLACK_S
+
+
+class GroupOwner:
+    """Owner of one group of workers, from its claim until it is closed.
+
+    Parameters
+    ----------
+    claim : Item
+        The owner's key in the store.
+    lease : ProcessLease
+    workers : dict of str to WorkerInfo
+        Workers listed in the store when it took over.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        claim_revision: int,
+        storage: Storage,
+        calls: WorkerCalls,
+        advisor: Advisor,
+        lease: ProcessLease,
+        clock: Clock,
+        limits: OwnerLimits,
+    ):
+        self.group = group
+        self.closed = asyncio.Event()
+        self.revision = claim_revision
+        self._storage = storage
+        self._calls = calls
+        self._advisor = advisor
+        self._lease = lease
+        self._clock = clock
+        self._limits = limits
+        self._tasks: set[asyncio.Task[t.Any]] = set()
+        self._holds: dict[str, asyncio.Task[t.Any]] = {}
+        self._wake = asyncio.Event()
+        self._notes_wake = asyncio.Event()
+        self._noted_at = clock.now()
+        self._known_workers: set[str] = set()
+        self._orders_in_flight = 0
+        self._advice_busy = 0
+        self._forget_at = clock.now() + FORGET_EVERY_S
+        self.partition: Partition | None = None
+        self.loaded = False
+
+    async def start(self, workers: dict[str, WorkerInfo]) -> None:
+        """Load the group's jobs and begin to schedule them."""
+        began = self._clock.now()
+        suspects = await self._suspects()
+        progress, _ = await self._storage.scan(records.progress_prefix(self.group))
+        now = self._clock.now()
+        self.partition = Partition(
+            self.group,
+            self.revision,
+            self._clock.wall() - now,
+            began + self._limits.quarantine_s(),
+            suspects | set(workers),
+            self._limits.early_s,
+        )
+        self._known_workers = suspects
+        self._progress = {item.key: item.value for item in progress}
+        watch = Watched(
+            self._storage, records.job_prefix(self.group), self._job_changed
+        )
+        await watch.reload()
+        self._progress.clear()
+        await self._keep_workers(set(workers))
+        for info in workers.values():
+            self.worker_listed(info)
+        self.loaded = True
+        logger.info(
+            "group taken over",
+            extra={
+                "group": self.group,
+                "fence": self.revision,
+                "jobs": len(self.partition.jobs),
+                "suspects": len(suspects),
+                "took_s": round(self._clock.now() - began, 3),
+            },
+        )
+        for loop in (watch.run(), self._advance_loop(), self._notes_loop()):
+            self._spawn(loop)
+
+    async def close(self) -> None:
+        """Stop giving orders; let those on their way be answered."""
+        if self.partition is not None:
+            self.partition.accepts_starts = False
+        for _ in range(20):
+            if not self._orders_in_flight:
+                break
+            await asyncio.sleep(0.01)
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Stop at once, as when another process owns the group."""
+        if not self.closed.is_set():
+            logger.info("group given up", extra={"group": self.group})
+        self.closed.set()
+        for task in [*self._tasks, *self._holds.values()]:
+            task.cancel()
+
+    def state(self, job_id: str) -> JobState | None:
+        """Return the state of a job, or None if it is not known here."""
+        if self.partition is None or job_id not in self.partition.jobs:
+            return None
+        return self.partition.jobs[job_id].state
+
+    def pending(self, queue: str) -> int | None:
+        """Return the number of a queue's jobs of which nothing has started."""
+        if self.partition is None or not self.loaded:
+            return None
+        return self.partition.pending(queue)
+
+    # Workers
+
+    def worker_listed(self, info: WorkerInfo) -> None:
+        """Take the entry of a worker."""
+        if self.partition is None:
+            return
+        worker = self.partition.worker_listed(info, self._clock.now())
+        if info.worker_id not in self._holds:
+            task = asyncio.create_task(self._hold_loop(worker))
+            self._holds[info.worker_id] = task
+            task.add_done_callback(lambda _: self._holds.pop(info.worker_id, None))
+            task.add_done_callback(self._log_end)
+
+    def worker_unlisted(self, worker_id: str) -> None:
+        """Take the removal of a worker's entry."""
+        if self.partition is not None:
+            self.partition.worker_unlisted(worker_id, self._clock.now())
+            self._wake.set()
+
+    async def _hold_loop(self, worker: Worker) -> None:
+        """Renew a worker's leases for as long as it may hold runs."""
+        partition = t.cast(Partition, self.partition)
+        if worker.worker_id not in self._known_workers:
+            await self._keep_workers({worker.worker_id})
+        while not worker.gone and (worker.listed or worker.runs or worker.reachable):
+            if not self._lease.has_authority():
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            sent_at = self._clock.now()
+            reachable = worker.reachable
+            deadline = None
+            if reachable:
+                deadline = worker.clock_now(sent_at) + self._limits.hold_s
+                worker.granted_s = max(worker.granted_s, deadline)
+            acked = worker.acked_seq
+            wait_s = HOLD_WAIT_S if reachable and worker.synced else 0.0
+            if acked < worker.seen_seq:
+                wait_s = min(wait_s, 0.2)
+            try:
+                report = await self._calls.hold(
+                    worker.info, self.revision, acked, deadline, wait_s
+                )
+            except WorkerUnreachable as exc:
+                partition.hold_failed(
+                    worker,
+                    self._clock.now(),
+                    refused=exc.refused,
+                    other_life=exc.other_life,
+                    fenced=exc.fenced,
+                )
+                self._wake.set()
+                await asyncio.sleep(HOLD_RETRY_S)
+                continue
+            was_synced = worker.synced
+            partition.hold_answered(worker, report, sent_at, self._clock.now())
+            self._changed()
+            if was_synced and self._clock.now() - sent_at < 0.005:
+                await asyncio.sleep(0.005)
+        logger.info("worker dropped", extra={"worker": worker.worker_id})
+
+    async def _suspects(self) -> set[str]:
+        item = await self._storage.get(records.workers_key(self.group))
+        if item is None:
+            return set()
+        try:
+            return set(records.decode_workers(item.value))
+        except msgspec.DecodeError as exc:
+            logger.error("unreadable list of workers", extra={"reason": str(exc)})
+            return set()
+
+    async def _keep_workers(self, added: set[str]) -> None:
+        """Write which workers may hold work before any is started on new ones."""
+        while added - self._known_workers:
+            partition = t.cast(Partition, self.partition)
+            wanted = partition.may_hold_work() | added
+            transaction = self._owned()
+            value = records.encode(sorted(wanted))
+            transaction.puts.append((records.workers_key(self.group), value, 0))
+            if await self._commit(transaction):
+                self._known_workers = wanted
+                return
+            await asyncio.sleep(HOLD_RETRY_S)
+
+    # Decisions
+
+    async def _advance_loop(self) -> None:
+        partition = t.cast(Partition, self.partition)
+        while True:
+            now = self._clock.now()
+            if self._lease.has_authority():
+                partition.advance(now)
+                self._send_orders()
+                self._ask_advice(now)
+            if partition.fenced:
+                logger.warning("fenced by a later owner", extra={"group": self.group})
+                self.abandon()
+                return
+            self._wake.clear()
+            try:
+                await asyncio.wait_for(self._wake.wait(), TICK_S)
+            except TimeoutError:
+                continue
+
+    def _send_orders(self) -> None:
+        partition = t.cast(Partition, self.partition)
+        orders, partition.orders = partition.orders, []
+        for order in orders:
+            if isinstance(order, StartOrder):
+                self._spawn(self._send_start(order))
+            else:
+                self._spawn(self._send_stop(order))
+
+    async def _send_start(self, order: StartOrder) -> None:
+        partition = t.cast(Partition, self.partition)
+        run = order.run
+        worker = run.worker
+        now = self._clock.now()
+        deadline = worker.clock_now(now) + START_WINDOW_S
+        worker.granted_s = max(worker.granted_s, deadline)
+        self._orders_in_flight += 1
+        try:
+            outcome = await self._calls.start(
+                worker.info,
+                run.task.name,
+                run.number,
+                run.task.step.job.spec.payload,
+                deadline,
+                self.revision,
+                order.checkpoint,
+                order.ticket,
+            )
+        finally:
+            self._orders_in_flight -= 1
+        partition.start_answered(run, outcome, self._clock.now())
+        if outcome is not StartOutcome.STARTED:
+            self._wake.set()
+
+    async def _send_stop(self, order: StopOrder) -> None:
+        partition = t.cast(Partition, self.partition)
+        acked = await self._calls.stop(
+            order.worker.info, order.task, order.number, self.revision
+        )
+        if order.run is not None:
+            partition.stop_answered(order.run, acked, self._clock.now())
+
+    def _ask_advice(self, now: float) -> None:
+        partition = t.cast(Partition, self.partition)
+        if self._advice_busy:
+            return
+        request = partition.next_advice(now)
+        if request is not None:
+            self._advice_busy += 1
+            self._spawn(self._advise(request))
+
+    async def _advise(self, request: AdviceRequest) -> None:
+        partition = t.cast(Partition, self.partition)
+        sent_at = self._clock.now()
+        tickets, until = None, 0.0
+        try:
+            answer = await self._advisor.ask(
+                request.step.name,
+                list(request.workers),
+                request.cost_s + ADVICE_TIMEOUT_SLACK_S,
+            )
+            if answer is not None:
+                tickets, life_s = answer
+                until = sent_at + request.cost_s + life_s
+        finally:
+            self._advice_busy -= 1
+            now = self._clock.now()
+            partition.advice_answered(request, tickets, until, now)
+            self._wake.set()
+
+    # The store
+
+    def _job_changed(self, change: Change) -> None:
+        partition = t.cast(Partition, self.partition)
+        name = change.key.removeprefix(records.job_prefix(self.group))
+        if change.item is None:
+            return
+        now = self._clock.now()
+        self._wake.set()
+        if name.endswith(records.CANCEL_SUFFIX):
+            partition.cancel(name.removesuffix(records.CANCEL_SUFFIX), now)
+            self._changed()
+            return
+        try:
+            spec = records.decode_job(change.item.value)
+            kept = self._progress.get(records.progress_key(self.group, name))
+            progress = records.decode_progress(kept) if kept else None
+        except msgspec.DecodeError as exc:
+            extra = {"request": name, "reason": str(exc)}
+            logger.error("unreadable job in the store", extra=extra)
+            return
+        fresh = change.revision > self.revision
+        self._log_job(spec, fresh)
+        partition.add_job(spec, now, fresh, progress)
+
+    def _log_job(self, spec: JobSpec, fresh: bool) -> None:
+        logger.info(
+            "job taken",
+            extra={
+                "request": spec.job_id,
+                "queue": spec.queue,
+                "steps": len(spec.steps),
+                "tasks": sum(step.count for step in spec.steps),
+                "chain_s": round(spec.chain_s(), 3),
+                "fresh": fresh,
+            },
+        )
+
+    async def _notes_loop(self) -> None:
+        partition = t.cast(Partition, self.partition)
+        while True:
+            if not partition.notes_urgent:
+                await self._pause_notes()
+            now = self._clock.now()
+            due = partition.has_notes and now - self._noted_at >= NOTE_DELAY_S
+            if (partition.notes_urgent or due) and not await self._write_notes():
+                await asyncio.sleep(HOLD_RETRY_S)
+            if now >= self._forget_at:
+                self._forget_at = now + FORGET_EVERY_S
+                await self._forget()
+
+    async def _pause_notes(self) -> None:
+        """Wait for an urgent note, or for the time to look for others."""
+        self._notes_wake.clear()
+        try:
+            await asyncio.wait_for(self._notes_wake.wait(), NOTE_DELAY_S / 2)
+        except TimeoutError:
+            return
+
+    def _changed(self) -> None:
+        """Look at what can be started or has to be written now."""
+        self._wake.set()
+        if self.partition is not None and self.partition.notes_urgent:
+            self._notes_wake.set()
+
+    async def _write_notes(self) -> bool:
+        partition = t.cast(Partition, self.partition)
+        notes = partition.take_notes()
+        entries = [
+            (records.progress_key(self.group, job_id), value, 0)
+            for job_id, value in notes.progress.items()
+        ]
+        size = TRANSACTION_ENTRIES - 1
+        for begin in range(0, len(entries), size):
+            transaction = self._owned()
+            transaction.puts = entries[begin : begin + size]
+            if not await self._commit(transaction):
+                partition.notes_failed(notes)
+                return False
+        partition.notes_written(notes)
+        self._noted_at = self._clock.now()
+        return True
+
+    async def _forget(self) -> None:
+        """Remove jobs that ended long ago from the store."""
+        partition = t.cast(Partition, self.partition)
+        before = self._clock.wall() - self._limits.keep_s - FORGET_SLACK_S
+        old = partition.forget_finished(before)
+        for begin in range(0, len(old), FORGET_BATCH):
+            transaction = self._owned()
+            for job_id in old[begin : begin + FORGET_BATCH]:
+                transaction.removes += [
+                    records.job_key(self.group, job_id),
+                    records.cancel_key(self.group, job_id),
+                    records.progress_key(self.group, job_id),
+                ]
+            await self._commit(transaction)
+
+    def _owned(self) -> Transaction:
+        """Return a transaction that only succeeds for the present owner."""
+        return Transaction(expected={records.claim_key(self.group): self.revision})
+
+    async def _commit(self, transaction: Transaction) -> bool:
+        try:
+            found = await self._storage.commit(transaction)
+        except (StoreDown, StoreReplyLost, LeaseLost) as exc:
+            extra = {"group": self.group, "reason": exc.detail}
+            logger.warning("write failed", extra=extra)
+            return False
+        if isinstance(found, int):
+            return True
+        logger.warning("group has another owner", extra={"group": self.group})
+        self.abandon()
+        return False
+
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._log_end)
+
+    def _log_end(self, task: "asyncio.Task[t.Any]") -> None:
+        """Give the group up if one of its tasks failed: another process takes over."""
+        if task.cancelled() or task.exception() is None:
+            return
+        logger.critical("task ended by an error", exc_info=task.exception())
+        self.abandon()
--- /dev/null
+++ b/src/poplaryard/workload/placing.py
@@ -0,0 +1,116 @@
+"""Choice of workers for the waiting tasks of a step."""
+
+import typing as t
+
+from ..resources import Resources
+from .runtime import StepRun, Task, Worker
+
+__all__ = ["admits", "can_ever_hold", "place", "place_gang"]
+
+
+def admits(step: StepRun, worker: Worker) -> bool:
+    """Whether a worker could run a task of the step if it were empty."""
+    return (not step.spec.label or step.spec.label in worker.info.labels) and (
+        step.need.fits_in(worker.info.capacity)
+    )
+
+
+def can_ever_hold(step: StepRun, workers: t.Iterable[Worker]) -> bool:
+    """Whether any worker could run a task of the step if it were empty."""
+    return any(admits(step, worker) for worker in workers if not worker.gone)
+
+
+def _score(step: StepRun, worker: Worker, free: Resources) -> tuple[t.Any, ...]:
+    """Order workers: data close by, then the one that is left the fullest.
+
+    Filling workers up keeps whole ones free for large tasks and gangs. Steps that only
+    use left-over processor time go where most of it is left.
+    """
+    remote = bool(step.spec.rack) and worker.info.rack != step.spec.rack
+    capacity = worker.info.capacity
+    if step.spec.fills:
+        return (remote, -free.cpu_m)
+    if step.spec.max_per_worker or step.spec.lasting:
+        return (remote, step.on_worker(worker), -free.cpu_m / max(1, capacity.cpu_m))
+    return (remote, (free - step.need).dominant_share(capacity), worker.worker_id)
+
+
+def _permitted(step: StepRun, worker: Worker, now: float) -> bool:
+    if step.job.spec.advice is None:
+        return True
+    permit = step.permits.get(worker.worker_id)
+    return permit is not None and permit.until > now
+
+
+def _has_place(step: StepRun, worker: Worker, placed: int) -> bool:
+    limit = step.spec.max_per_worker
+    return not limit or step.on_worker(worker) + placed < limit
+
+
+def place(
+    step: StepRun, task: Task, workers: t.Iterable[Worker], now: float
+) -> Worker | None:
+    """Return the worker on which a task should start now, or None."""
+    best: Worker | None = None
+    best_score: tuple[t.Any, ...] = ()
+    for worker in workers:
+        if not worker.usable(now) or not _permitted(step, worker, now):
+            continue
+        free = worker.free()
+        if not step.need.fits_in(free) or not admits(step, worker):
+            continue
+        if not _has_place(step, worker, 0):
+            continue
+        score = (worker.worker_id in task.avoid, *_score(step, worker, free))
+        if best is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def place_gang(
+    step: StepRun, workers: t.Iterable[Worker], now: float
+) -> list[Worker] | None:
+    """Return a worker for each task of a gang, or None unless all can start now."""
+    usable = [
+        worker
+        for worker in workers
+        if worker.usable(now) and _permitted(step, worker, now) and admits(step, worker)
+    ]
+    if step.spec.same_rack:
+        racks = sorted({worker.info.rack for worker in usable})
+        racks.sort(key=lambda rack: rack != step.spec.rack)
+        for rack in racks:
+            members = [worker for worker in usable if worker.info.rack == rack]
+            chosen = _fill(step, members)
+            if chosen is not None:
+                return chosen
+    return _fill(step, usable)
+
+
+def _fill(step: StepRun, workers: list[Worker]) -> list[Worker] | None:
+    """Spread all tasks of a gang over workers, the fullest worker first."""
+    avoided: set[str] = set()
+    for task in step.tasks:
+        avoided |= task.avoid
+    chosen: list[Worker] = []
+    ranked = sorted(
+        workers,
+        key=lambda worker: (
+            worker.worker_id in avoided,
+            _score(step, worker, worker.free()),
+        ),
+    )
+    for worker in ranked:
+        free = worker.free()
+        placed = 0
+        while (
+            len(chosen) < step.spec.count
+            and step.need.fits_in(free)
+            and _has_place(step, worker, placed)
+        ):
+            free = free - step.need
+            placed += 1
+            chosen.append(worker)
+        if len(chosen) == step.spec.count:
+            return chosen
+    return None
--- /dev/null
+++ b/src/poplaryard/workload/records.py
@@ -0,0 +1,113 @@
+"""Form in which jobs and what is known of them lie in the store."""
+
+import typing as t
+
+import msgspec
+
+from .model import JobSpec, Progress
+
+__all__ = [
+    "CANCEL_SUFFIX",
+    "Claim",
+    "Member",
+    "cancel_key",
+    "claim_key",
+    "decode_claim",
+    "decode_job",
+    "decode_progress",
+    "decode_workers",
+    "encode",
+    "job_key",
+    "job_prefix",
+    "member_key",
+    "progress_key",
+    "progress_prefix",
+    "workers_key",
+]
+
+CANCEL_SUFFIX = ".cancel"
+
+_encoder = msgspec.json.Encoder()
+_jobs = msgspec.json.Decoder(JobSpec)
+_progress = msgspec.json.Decoder(Progress)
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Process that owns a partition, and where its peers reach it."""
+
+    process: str
+    address: str
+
+
+class Member(msgspec.Struct, frozen=True):
+    """Process that takes part; `cores` is its share of processors."""
+
+    process: str
+    address: str
+    data_centre: str = ""
+    cores: float = 1.0
+
+
+_claims = msgspec.json.Decoder(Claim)
+_workers = msgspec.json.Decoder(list[str])
+encode: t.Callable[[t.Any], bytes] = _encoder.encode
+
+
+def job_prefix(group: str) -> str:
+    """Return the prefix of the jobs and cancellations of a group of workers."""
+    return f"job/{group}/"
+
+
+def job_key(group: str, job_id: str) -> str:
+    """Return the key of an accepted job."""
+    return f"job/{group}/{job_id}"
+
+
+def cancel_key(group: str, job_id: str) -> str:
+    """Return the key whose presence cancels a job."""
+    return f"job/{group}/{job_id}{CANCEL_SUFFIX}"
+
+
+def progress_prefix(group: str) -> str:
+    """Return the prefix of the progress of a group's jobs."""
+    return f"progress/{group}/"
+
+
+def progress_key(group: str, job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return f"progress/{group}/{job_id}"
+
+
+def claim_key(group: str) -> str:
+    """Return the key that the owner of a group holds under its lease."""
+    return f"owner/{group}"
+
+
+def member_key(process: str) -> str:
+    """Return the key under which a process announces itself."""
+    return f"member/{process}"
+
+
+def workers_key(group: str) -> str:
+    """Return the key of the ids of workers that may hold work of a group."""
+    return f"workers/{group}"
+
+
+def decode_job(value: bytes) -> JobSpec:
+    """Decode a job; raises `msgspec.DecodeError`."""
+    return _jobs.decode(value)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Decode a job's progress; raises `msgspec.DecodeError`."""
+    return _progress.decode(value)
+
+
+def decode_claim(value: bytes) -> Claim:
+    """Decode a claim; raises `msgspec.DecodeError`."""
+    return _claims.decode(value)
+
+
+def decode_workers(value: bytes) -> list[str]:
+    """Decode the ids of workers that may hold work; raises `msgspec.DecodeError`."""
+    return _workers.decode(value)
