Ask for advice through several processes; renew leases after ends are kept

Cause: one process asked for all advice, which the service answers one call at a time (502 calls, 109 s of work in 51 s), and workers answered renewals at once while their ends were not acknowledged.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -5,10 +5,11 @@
 import time
 import typing as t
 
+from ..exceptions import PoplaryardError
 from ..logs import logger
 from ..workload.acceptance import Accepted
 from ..workload.model import JobState, Queue
-from ..workload.node import Node, Unavailable
+from ..workload.node import Node
 from .codec import DecodeFailed, decode_submission
 
 __all__ = ["Front", "PlatformFront"]
@@ -53,7 +54,7 @@
             answer = await self._answer(scope, receive)
         except _TooLarge:
             answer = Front(413)
-        except Unavailable as exc:
+        except PoplaryardError as exc:
             logger.info("question not answered", extra={"reason": exc.detail})
             answer = Front(503, retry_s=1.0)
         await _respond(answer, send, close=self._node.stopping)
@@ -62,8 +63,8 @@
         path, method = scope["path"], scope["method"]
         if path == READY_PATH:
             return Front(200 if self._node.ready else 503)
-        if path == "/peer/v1/ask":
-            return await self._answer_peer(receive)
+        if path.startswith("/peer/v1/"):
+            return await self._answer_peer(path, receive)
         if not self._node.queues.version:
             return Front(503, retry_s=1.0)
         queue = self._node.queues.find(_host(scope), path)
@@ -84,14 +85,20 @@
             return Front(200, {}) if cancelled else Front(410)
         return Front(405)
 
-    async def _answer_peer(self, receive: Receive) -> Front:
+    async def _answer_peer(self, path: str, receive: Receive) -> Front:
         try:
             question = json.loads(await _body(receive, 65536))
         except ValueError:
             return Front(400)
         if not isinstance(question, dict):
             return Front(400)
-        return Front(200, self._node.answer_peer(question))
+        if path != "/peer/v1/advise":
+            return Front(200, self._node.answer_peer(question))
+        try:
+            advice = await self._node.advise(question)
+        except (KeyError, TypeError, ValueError):
+            return Front(400)
+        return Front(503) if advice is None else Front(200, advice)
 
     async def _pending(self, queue: Queue, method: str) -> Front:
         if method != "GET":
--- /dev/null
+++ b/src/poplaryard/workload/advice.py
@@ -0,0 +1,131 @@
+"""Spreads calls for advice over the processes.
+
+The advice service handles the calls of one process one after the other, and some take
+half a second. Slow calls therefore go through peers that own no group, and a call that
+is answered quickly never waits behind one.
+"""
+
+import typing as t
+from dataclasses import dataclass
+
+from ..exceptions import PoplaryardError
+from ..logs import logger
+
+__all__ = ["SLOW_S", "AdviceLines", "Advisor", "Line"]
+
+# Calls expected to take longer than this are slow, in seconds. Quick calls are asked
+# for short tasks, whose callers notice every tenth of a second.
+SLOW_S = 0.1
+# Quick calls that may wait at the advice service for each other.
+QUICK_CALLS = 3
+# Pause of a line that failed, in seconds.
+FAILED_PAUSE_S = 1.0
+# Time that an answer may take beyond the expected cost, in seconds.
+TIMEOUT_SLACK_S = 0.6
+
+
+class Advisor(t.Protocol):
+    """Calls to the advice service."""
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> tuple[dict[str, str], float] | None:
+        """Return tickets by worker and their life in seconds; None if refused."""
+
+
+@dataclass(slots=True, eq=False)
+class Line:
+    """Queue that the advice service keeps for one process.
+
+    Attributes
+    ----------
+    name : str
+        Process whose line it is.
+    owns : bool
+        Whether that process owns groups and needs its line for their quick calls.
+    """
+
+    name: str
+    advisor: Advisor
+    owns: bool = False
+    slow: int = 0
+    quick: int = 0
+    paused_until: float = 0.0
+    used_at: float = 0.0
+
+
+class AdviceLines:
+    """Lines that an owner may use.
+
+    Parameters
+    ----------
+    own : Advisor
+        Calls in the name of this process.
+    """
+
+    def __init__(self, own: Advisor):
+        self._own = Line("", own)
+        self._peers: dict[str, Line] = {}
+
+    def set_peers(self, peers: dict[str, tuple[Advisor, bool]]) -> None:
+        """Use the lines of these processes, and whether each owns groups."""
+        for name in [name for name in self._peers if name not in peers]:
+            del self._peers[name]
+        for name, (advisor, owns) in peers.items():
+            line = self._peers.setdefault(name, Line(name, advisor))
+            line.advisor, line.owns = advisor, owns
+
+    def pick(self, slow: bool, now: float) -> Line | None:
+        """Return a line for a call, or None if all are taken."""
+        return self._slow_line(now) if slow else self._quick_line(now)
+
+    def _slow_line(self, now: float) -> Line | None:
+        peers = [line for line in self._peers.values() if now >= line.paused_until]
+        candidates = [line for line in peers if not line.owns] or peers or [self._own]
+        free = [line for line in candidates if not line.slow and not line.quick]
+        return min(free, key=lambda line: line.used_at, default=None)
+
+    def _quick_line(self, now: float) -> Line | None:
+        lines = [self._own, *self._peers.values()]
+        free = [
+            line
+            for line in lines
+            if not line.slow and line.quick < QUICK_CALLS and now >= line.paused_until
+        ]
+        # Its own line first: a peer's adds a network round trip.
+        return min(
+            free,
+            key=lambda line: (line.quick, line is not self._own, line.owns),
+            default=None,
+        )
+
+    async def ask(
+        self,
+        line: Line,
+        step: str,
+        workers: list[str],
+        cost_s: float,
+        clock: t.Callable[[], float],
+    ) -> tuple[dict[str, str], float] | None:
+        """Ask through a line; None if no advice was given."""
+        slow = cost_s > SLOW_S
+        line.used_at = clock()
+        if slow:
+            line.slow += 1
+        else:
+            line.quick += 1
+        timeout_s = cost_s * (1 + line.quick) + TIMEOUT_SLACK_S
+        answer = None
+        try:
+            answer = await line.advisor.ask(step, workers, timeout_s)
+        except PoplaryardError as exc:
+            extra = {"line": line.name, "step": step, "reason": exc.detail}
+            logger.warning("no advice", extra=extra)
+        finally:
+            if slow:
+                line.slow -= 1
+            else:
+                line.quick -= 1
+        if answer is None:
+            line.paused_until = clock() + FAILED_PAUSE_S
+        return answer
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -14,9 +14,10 @@
 from ..logs import logger
 from . import records
 from .acceptance import Acceptance, Accepted
+from .advice import AdviceLines, Advisor
 from .membership import ProcessLease
 from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
-from .owner import Advisor, GroupOwner, OwnerLimits, WorkerCalls
+from .owner import GroupOwner, OwnerLimits, WorkerCalls
 from .storage import Change, Storage, Transaction
 from .watching import Watched
 
@@ -71,6 +72,24 @@
     limits: OwnerLimits
 
 
+class _PeerAdvisor:
+    """Asks for advice through a peer, whose calls the service queues separately."""
+
+    def __init__(self, peers: HttpClient, address: str):
+        self._peers = peers
+        self._url = f"http://{address}/peer/v1/advise"
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float
+    ) -> tuple[dict[str, str], float] | None:
+        """Return tickets by worker and their life in seconds; None if refused."""
+        body = {"step": step, "workers": workers, "timeout_s": timeout_s}
+        reply = await self._peers.post(self._url, body, timeout_s)
+        if reply.status != 200 or not isinstance(reply.body, dict):
+            return None
+        return reply.body["tickets"], reply.body["life_s"]
+
+
 class Node:
     """Application object: owns all parts of a process.
 
@@ -117,6 +136,9 @@
         config_prefix = formats.config_key.rpartition("/")[0] + "/"
         self._config = Watched(storage, config_prefix, self._config_changed)
         self._claim_watch = Watched(storage, "owner/", self._claim_changed)
+        self._members: dict[str, records.Member] = {}
+        self._lines = AdviceLines(advisor)
+        self._member_watch = Watched(storage, "member/", self._member_changed, 5.0)
         self._worker_watch = Watched(
             storage, formats.worker_prefix, self._worker_changed
         )
@@ -279,6 +301,7 @@
         self._claims_changed.set()
         if change.item is None:
             self._claims.pop(group, None)
+            self._set_lines()
             return
         try:
             claim = records.decode_claim(change.item.value)
@@ -286,10 +309,41 @@
             logger.error("unreadable claim", extra={"reason": str(exc)})
             return
         self._claims[group] = claim, change.revision
+        self._set_lines()
         owner = self.owners.get(group)
         if owner is not None and change.revision > owner.revision:
             self._drop(group)
 
+    def _member_changed(self, change: Change) -> None:
+        process = change.key.removeprefix("member/")
+        self._members.pop(process, None)
+        if change.item is not None and process != self.cfg.process:
+            try:
+                member = records.decode_member(change.item.value)
+                self._members[process] = member
+            except msgspec.DecodeError as exc:
+                logger.error("unreadable member", extra={"reason": str(exc)})
+        self._set_lines()
+
+    def _set_lines(self) -> None:
+        """Tell the owners through which processes advice may be asked for."""
+        owners = {claim.process for claim, _ in self._claims.values()}
+        self._lines.set_peers(
+            {
+                name: (_PeerAdvisor(self._peers, member.address), name in owners)
+                for name, member in self._members.items()
+            }
+        )
+
+    async def advise(self, body: t.Any) -> dict[str, t.Any] | None:
+        """Ask for advice in the name of this process, for a peer."""
+        answer = await self._advisor.ask(
+            str(body["step"]), list(body["workers"]), float(body["timeout_s"])
+        )
+        if answer is None:
+            return None
+        return {"tickets": answer[0], "life_s": answer[1]}
+
     def _worker_changed(self, change: Change) -> None:
         worker_id = change.key.removeprefix(self._formats.worker_prefix)
         if change.item is None:
@@ -381,13 +435,14 @@
         began = time.monotonic()
         if self._worker_task is None:
             self._worker_task = self._spawn(self._worker_watch.run())
+            self._spawn(self._member_watch.run())
         self._claims[group] = claim, revision
         owner = GroupOwner(
             group,
             revision,
             self._storage,
             self._calls,
-            self._advisor,
+            self._lines,
             self._lease,
             self._clock,
             self.cfg.limits,
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -10,6 +10,7 @@
 from ..exceptions import LeaseLost, StoreDown, StoreReplyLost, WorkerUnreachable
 from ..logs import logger
 from . import records
+from .advice import SLOW_S, AdviceLines, Line
 from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
 from .model import HoldReport, JobSpec, JobState, StartOutcome, WorkerInfo
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
@@ -17,13 +18,15 @@
 from .storage import Change, Storage, Transaction
 from .watching import Watched
 
-__all__ = ["Advisor", "GroupOwner", "OwnerLimits", "WorkerCalls"]
+__all__ = ["GroupOwner", "OwnerLimits", "WorkerCalls"]
 
 # Longest time between two looks at what is due, in seconds.
 TICK_S = 0.1
-# Ends of tasks that do not end their job are written together after this long. They
-# must be kept within `ack_ms`, seconds; the worker lists them again until then.
-NOTE_DELAY_S = 0.5
+# Ends of tasks that do not end their job are written together after this long, in
+# seconds. The worker lists them again until then, so renewals pause meanwhile.
+NOTE_DELAY_S = 0.04
+# Longest pause of the renewals of a worker whose ends are not written yet, in seconds.
+ENDS_KEPT_S = 0.25
 # Entries that one transaction may have; one is the owner's claim.
 TRANSACTION_ENTRIES = 32
 # Time that a start has to reach its worker, in seconds. A start that arrives later is
@@ -37,7 +40,6 @@
 FORGET_SLACK_S = 30.0
 FORGET_EVERY_S = 15.0
 FORGET_BATCH = 10
-ADVICE_TIMEOUT_SLACK_S = 1.0
 
 
 class WorkerCalls(t.Protocol):
@@ -70,15 +72,6 @@
         """Renew the leases of a worker's runs and return what it reports."""
 
 
-class Advisor(t.Protocol):
-    """Calls to the advice service."""
-
-    async def ask(
-        self, step: str, workers: list[str], timeout_s: float
-    ) -> tuple[dict[str, str], float] | None:
-        """Return tickets by worker and their life in seconds; None if refused."""
-
-
 @dataclass(frozen=True, slots=True)
 class OwnerLimits:
     """Bounds that the deployment sets, in seconds.
@@ -119,7 +112,7 @@
         claim_revision: int,
         storage: Storage,
         calls: WorkerCalls,
-        advisor: Advisor,
+        lines: AdviceLines,
         lease: ProcessLease,
         clock: Clock,
         limits: OwnerLimits,
@@ -129,7 +122,7 @@
         self.revision = claim_revision
         self._storage = storage
         self._calls = calls
-        self._advisor = advisor
+        self._lines = lines
         self._lease = lease
         self._clock = clock
         self._limits = limits
@@ -137,10 +130,9 @@
         self._holds: dict[str, asyncio.Task[t.Any]] = {}
         self._wake = asyncio.Event()
         self._notes_wake = asyncio.Event()
-        self._noted_at = clock.now()
+        self._noted = asyncio.Event()
         self._known_workers: set[str] = set()
         self._orders_in_flight = 0
-        self._advice_busy = 0
         self._forget_at = clock.now() + FORGET_EVERY_S
         self.partition: Partition | None = None
         self.loaded = False
@@ -249,8 +241,6 @@
                 worker.granted_s = max(worker.granted_s, deadline)
             acked = worker.acked_seq
             wait_s = HOLD_WAIT_S if reachable and worker.synced else 0.0
-            if acked < worker.seen_seq:
-                wait_s = min(wait_s, 0.2)
             try:
                 report = await self._calls.hold(
                     worker.info, self.revision, acked, deadline, wait_s
@@ -266,13 +256,19 @@
                 self._wake.set()
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
-            was_synced = worker.synced
             partition.hold_answered(worker, report, sent_at, self._clock.now())
             self._changed()
-            if was_synced and self._clock.now() - sent_at < 0.005:
-                await asyncio.sleep(0.005)
+            if worker.acked_seq < worker.seen_seq:
+                await self._ends_kept()
         logger.info("worker dropped", extra={"worker": worker.worker_id})
 
+    async def _ends_kept(self) -> None:
+        """Wait until ends are written: a worker answers at once while it has some."""
+        try:
+            await asyncio.wait_for(self._noted.wait(), ENDS_KEPT_S)
+        except TimeoutError:
+            return
+
     async def _suspects(self) -> set[str]:
         item = await self._storage.get(records.workers_key(self.group))
         if item is None:
@@ -360,28 +356,33 @@
 
     def _ask_advice(self, now: float) -> None:
         partition = t.cast(Partition, self.partition)
-        if self._advice_busy:
-            return
-        request = partition.next_advice(now)
-        if request is not None:
-            self._advice_busy += 1
-            self._spawn(self._advise(request))
+        for slow in (False, True):
+            line = self._lines.pick(slow, now)
+            while line is not None:
+                request = partition.next_advice(
+                    now, lambda cost_s, slow=slow: (cost_s > SLOW_S) is slow
+                )
+                if request is None:
+                    break
+                self._spawn(self._advise(line, request))
+                line = self._lines.pick(slow, now)
 
-    async def _advise(self, request: AdviceRequest) -> None:
+    async def _advise(self, line: Line, request: AdviceRequest) -> None:
         partition = t.cast(Partition, self.partition)
         sent_at = self._clock.now()
         tickets, until = None, 0.0
         try:
-            answer = await self._advisor.ask(
+            answer = await self._lines.ask(
+                line,
                 request.step.name,
                 list(request.workers),
-                request.cost_s + ADVICE_TIMEOUT_SLACK_S,
+                request.cost_s,
+                self._clock.now,
             )
             if answer is not None:
                 tickets, life_s = answer
                 until = sent_at + request.cost_s + life_s
         finally:
-            self._advice_busy -= 1
             now = self._clock.now()
             partition.advice_answered(request, tickets, until, now)
             self._wake.set()
@@ -430,8 +431,7 @@
             if not partition.notes_urgent:
                 await self._pause_notes()
             now = self._clock.now()
-            due = partition.has_notes and now - self._noted_at >= NOTE_DELAY_S
-            if (partition.notes_urgent or due) and not await self._write_notes():
+            if partition.has_notes and not await self._write_notes():
                 await asyncio.sleep(HOLD_RETRY_S)
             if now >= self._forget_at:
                 self._forget_at = now + FORGET_EVERY_S
@@ -441,7 +441,7 @@
         """Wait for an urgent note, or for the time to look for others."""
         self._notes_wake.clear()
         try:
-            await asyncio.wait_for(self._notes_wake.wait(), NOTE_DELAY_S / 2)
+            await asyncio.wait_for(self._notes_wake.wait(), NOTE_DELAY_S)
         except TimeoutError:
             return
 
@@ -466,7 +466,8 @@
                 partition.notes_failed(notes)
                 return False
         partition.notes_written(notes)
-        self._noted_at = self._clock.now()
+        self._noted.set()
+        self._noted.clear()
         return True
 
     async def _forget(self) -> None:
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -50,6 +50,9 @@
 ADVICE_MAX_WORKERS = 100
 # Part of a permit's life that is left unused, in seconds: the start has to arrive.
 PERMIT_SLACK_S = 0.15
+# Advice for a step is asked for when the steps before it are expected to end within
+# this many seconds.
+ADVICE_AHEAD_S = 0.8
 # Wait before the next call for advice when none of the workers may run a step.
 ADVICE_RETRY_S = 0.3
 
@@ -644,17 +647,49 @@
                 permit = Permit(tickets[worker_id], until - PERMIT_SLACK_S)
                 step.permits[worker_id] = permit
 
-    def next_advice(self, now: float) -> AdviceRequest | None:
-        """Return the most urgent call for advice, or None."""
-        for step in self._waiting_steps(now):
+    def next_advice(
+        self, now: float, fits: t.Callable[[float], bool]
+    ) -> AdviceRequest | None:
+        """Return the most urgent call for advice whose cost fits, or None.
+
+        Parameters
+        ----------
+        fits : callable
+            Whether a call that takes this many seconds can be made now.
+        """
+        for step in [*self._waiting_steps(now), *self._steps_ahead(now)]:
             if step.job.spec.advice is None or step.asking or now < step.ask_after:
                 continue
             request = self._advice_for(step, now)
-            if request is not None:
+            if request is not None and fits(request.cost_s):
                 step.asking = True
                 return request
         return None
 
+    def _steps_ahead(self, now: float) -> list[StepRun]:
+        """Return steps that are expected to become ready within a permit's life."""
+        return [
+            step
+            for step in self._open_steps.values()
+            if step.spec.after
+            and not step.permits
+            and not self._ready(step)
+            and self._ready_soon(step, now)
+        ]
+
+    def _ready_soon(self, step: StepRun, now: float) -> bool:
+        steps = step.job.occurrences[step.occurrence]
+        for number in step.spec.after:
+            for task in steps[number].tasks:
+                if task.done:
+                    continue
+                if not task.runs:
+                    return False
+                ends_at = task.runs[0].sent_at + steps[number].spec.estimate_s
+                if ends_at > now + ADVICE_AHEAD_S:
+                    return False
+        return True
+
     def _advice_for(self, step: StepRun, now: float) -> AdviceRequest | None:
         """Name the workers with room that may run the step, as far as is known."""
         advice = step.job.spec.advice
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -14,6 +14,7 @@
     "claim_key",
     "decode_claim",
     "decode_job",
+    "decode_member",
     "decode_progress",
     "decode_workers",
     "encode",
@@ -49,6 +50,7 @@
 
 
 _claims = msgspec.json.Decoder(Claim)
+_members = msgspec.json.Decoder(Member)
 _workers = msgspec.json.Decoder(list[str])
 encode: t.Callable[[t.Any], bytes] = _encoder.encode
 
@@ -108,6 +110,11 @@
     return _claims.decode(value)
 
 
+def decode_member(value: bytes) -> Member:
+    """Decode a process's membership; raises `msgspec.DecodeError`."""
+    return _members.decode(value)
+
+
 def decode_workers(value: bytes) -> list[str]:
     """Decode the ids of workers that may hold work; raises `msgspec.DecodeError`."""
     return _workers.decode(value)
