Refuse advice calls that would wait behind a slow one in the same process

Cause: quick calls through a peer met that peer's slow calls for another owner; 281 of 710 calls timed out.

--- a/src/poplaryard/platform/services.py
+++ b/src/poplaryard/platform/services.py
@@ -150,7 +150,7 @@
         self._url = f"http://{address}/poplaryard/advise"
 
     async def ask(
-        self, step: str, workers: list[str], timeout_s: float
+        self, step: str, workers: list[str], timeout_s: float, slow: bool = False
     ) -> tuple[dict[str, str], float] | None:
         """Return the tickets by worker and their life in seconds; None if refused."""
         body = json.dumps({"step": step, "workers": workers}).encode()
--- a/src/poplaryard/workload/advice.py
+++ b/src/poplaryard/workload/advice.py
@@ -11,15 +11,16 @@
 from ..exceptions import PoplaryardError
 from ..logs import logger
 
-__all__ = ["SLOW_S", "AdviceLines", "Advisor", "Line"]
+__all__ = ["SLOW_S", "AdviceLines", "Advisor", "Line", "OwnLine"]
 
 # Calls expected to take longer than this are slow, in seconds. Quick calls are asked
 # for short tasks, whose callers notice every tenth of a second.
 SLOW_S = 0.1
 # Quick calls that may wait at the advice service for each other.
 QUICK_CALLS = 3
-# Pause of a line that failed, in seconds.
+# Pauses of a line that failed, and of one that another owner uses, in seconds.
 FAILED_PAUSE_S = 1.0
+BUSY_PAUSE_S = 0.05
 # Time that an answer may take beyond the expected cost, in seconds.
 TIMEOUT_SLACK_S = 0.6
 
@@ -28,11 +29,42 @@
     """Calls to the advice service."""
 
     async def ask(
-        self, step: str, workers: list[str], timeout_s: float
+        self, step: str, workers: list[str], timeout_s: float, slow: bool = False
     ) -> tuple[dict[str, str], float] | None:
         """Return tickets by worker and their life in seconds; None if refused."""
 
 
+class OwnLine:
+    """Line of the process, shared by its owners and its peers.
+
+    Refuses a call that would wait behind a slow one, so that the caller can use
+    another line.
+
+    Parameters
+    ----------
+    advisor : Advisor
+    """
+
+    def __init__(self, advisor: Advisor):
+        self._advisor = advisor
+        self._slow = 0
+        self._quick = 0
+
+    async def ask(
+        self, step: str, workers: list[str], timeout_s: float, slow: bool = False
+    ) -> tuple[dict[str, str], float] | None:
+        """Return tickets by worker and their life in seconds; None if refused."""
+        if self._slow or (slow and self._quick > QUICK_CALLS):
+            return None
+        self._slow += slow
+        self._quick += not slow
+        try:
+            return await self._advisor.ask(step, workers, timeout_s)
+        finally:
+            self._slow -= slow
+            self._quick -= not slow
+
+
 @dataclass(slots=True, eq=False)
 class Line:
     """Queue that the advice service keeps for one process.
@@ -116,16 +148,18 @@
             line.quick += 1
         timeout_s = cost_s * (1 + line.quick) + TIMEOUT_SLACK_S
         answer = None
+        pause_s = BUSY_PAUSE_S
         try:
-            answer = await line.advisor.ask(step, workers, timeout_s)
+            answer = await line.advisor.ask(step, workers, timeout_s, slow)
         except PoplaryardError as exc:
             extra = {"line": line.name, "step": step, "reason": exc.detail}
             logger.warning("no advice", extra=extra)
+            pause_s = FAILED_PAUSE_S
         finally:
             if slow:
                 line.slow -= 1
             else:
                 line.quick -= 1
         if answer is None:
-            line.paused_until = clock() + FAILED_PAUSE_S
+            line.paused_until = clock() + pause_s
         return answer
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -14,7 +14,7 @@
 from ..logs import logger
 from . import records
 from .acceptance import Acceptance, Accepted
-from .advice import AdviceLines, Advisor
+from .advice import AdviceLines, Advisor, OwnLine
 from .membership import ProcessLease
 from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
 from .owner import GroupOwner, OwnerLimits, WorkerCalls
@@ -80,10 +80,15 @@
         self._url = f"http://{address}/peer/v1/advise"
 
     async def ask(
-        self, step: str, workers: list[str], timeout_s: float
+        self, step: str, workers: list[str], timeout_s: float, slow: bool = False
     ) -> tuple[dict[str, str], float] | None:
         """Return tickets by worker and their life in seconds; None if refused."""
-        body = {"step": step, "workers": workers, "timeout_s": timeout_s}
+        body = {
+            "step": step,
+            "workers": workers,
+            "timeout_s": timeout_s,
+            "slow": slow,
+        }
         reply = await self._peers.post(self._url, body, timeout_s)
         if reply.status != 200 or not isinstance(reply.body, dict):
             return None
@@ -120,7 +125,7 @@
         self.owners: dict[str, GroupOwner] = {}
         self._storage = storage
         self._calls = calls
-        self._advisor = advisor
+        self._advisor = OwnLine(advisor)
         self._peers = peers
         self._formats = formats
         self._clock = clock
@@ -137,7 +142,7 @@
         self._config = Watched(storage, config_prefix, self._config_changed)
         self._claim_watch = Watched(storage, "owner/", self._claim_changed)
         self._members: dict[str, records.Member] = {}
-        self._lines = AdviceLines(advisor)
+        self._lines = AdviceLines(self._advisor)
         self._member_watch = Watched(storage, "member/", self._member_changed, 5.0)
         self._worker_watch = Watched(
             storage, formats.worker_prefix, self._worker_changed
@@ -338,7 +343,10 @@
     async def advise(self, body: t.Any) -> dict[str, t.Any] | None:
         """Ask for advice in the name of this process, for a peer."""
         answer = await self._advisor.ask(
-            str(body["step"]), list(body["workers"]), float(body["timeout_s"])
+            str(body["step"]),
+            list(body["workers"]),
+            float(body["timeout_s"]),
+            bool(body["slow"]),
         )
         if answer is None:
             return None
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -94,6 +94,14 @@
         return LEASE_TTL_S + GRACE_S + longest_lease_s + LAPSE_SLACK_S
 
 
+def _is_slow(cost_s: float) -> bool:
+    return cost_s > SLOW_S
+
+
+def _is_quick(cost_s: float) -> bool:
+    return cost_s <= SLOW_S
+
+
 class GroupOwner:
     """Owner of one group of workers, from its claim until it is closed.
 
@@ -359,9 +367,7 @@
         for slow in (False, True):
             line = self._lines.pick(slow, now)
             while line is not None:
-                request = partition.next_advice(
-                    now, lambda cost_s, slow=slow: (cost_s > SLOW_S) is slow
-                )
+                request = partition.next_advice(now, _is_slow if slow else _is_quick)
                 if request is None:
                     break
                 self._spawn(self._advise(line, request))
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -53,8 +53,8 @@
 # Advice for a step is asked for when the steps before it are expected to end within
 # this many seconds.
 ADVICE_AHEAD_S = 0.8
-# Wait before the next call for advice when none of the workers may run a step.
-ADVICE_RETRY_S = 0.3
+# Wait before the next call for advice on a step after one that failed, in seconds.
+ADVICE_RETRY_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
