Call the store through a peer while it turns this process away

Cause: an owner or an entry that the store did not serve refused jobs and lost its groups although its peers were served. The list of workers that may hold work was never pruned, so a worker that had left blocked all jobs of an earlier owner for the whole quarantine (13.6 s).

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -10,11 +10,14 @@
 from ..workload.acceptance import Accepted
 from ..workload.model import JobState, Queue
 from ..workload.node import Node
+from ..workload.relay import RELAY_PATH, answer_relayed
 from .codec import DecodeFailed, decode_submission
 
 __all__ = ["Front", "PlatformFront"]
 
 READY_PATH = "/poplaryard/readyz"
+# Largest call of a peer: a transaction of 16 jobs of the largest size.
+MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
 # Clients name a job by 16 hexadecimal digits.
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 
@@ -29,6 +32,7 @@
     status: int
     body: t.Any = None
     retry_s: float = 0.0
+    raw: bytes = b""
 
 
 class _TooLarge(Exception):
@@ -86,8 +90,13 @@
         return Front(405)
 
     async def _answer_peer(self, path: str, receive: Receive) -> Front:
+        body = await _body(receive, MAX_PEER_BODY_BYTES)
         try:
-            question = json.loads(await _body(receive, 65536))
+            if path == RELAY_PATH:
+                return Front(
+                    200, raw=await answer_relayed(self._node.direct_storage, body)
+                )
+            question = json.loads(body)
         except ValueError:
             return Front(400)
         if not isinstance(question, dict):
@@ -144,7 +153,9 @@
 
 
 async def _respond(answer: Front, send: Send, close: bool) -> None:
-    content = b"" if answer.body is None else json.dumps(answer.body).encode()
+    content = answer.raw
+    if answer.body is not None:
+        content = json.dumps(answer.body).encode()
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(content)).encode()),
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -18,6 +18,7 @@
 from .membership import ProcessLease
 from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
 from .owner import GroupOwner, OwnerLimits, WorkerCalls
+from .relay import RelayedStorage
 from .storage import Change, Storage, Transaction
 from .watching import Watched
 
@@ -126,6 +127,8 @@
         self.queues = QueueTable()
         self.stopping = False
         self.owners: dict[str, GroupOwner] = {}
+        self.direct_storage = storage
+        storage = RelayedStorage(storage, peers, self._peer_addresses, clock)
         self._storage = storage
         self._calls = calls
         self._advisor = OwnLine(advisor)
@@ -164,8 +167,8 @@
 
     async def start(self) -> None:
         """Begin to follow the store and to claim groups."""
-        for work in (self._config.run(), self._claim_watch.run()):
-            self._spawn(work)
+        for watch in (self._config, self._claim_watch, self._member_watch):
+            self._spawn(watch.run())
         self._owning = [self._spawn(self._lease.run()), self._spawn(self._claim_loop())]
 
     async def hand_over(self) -> None:
@@ -189,9 +192,6 @@
 
     async def submit(self, spec: JobSpec) -> Accepted:
         """Store a job."""
-        if not self._lease.store_answers:
-            # Nothing was sent, so the job certainly does not run.
-            return Accepted.REFUSED
         return await self._acceptance.submit(spec)
 
     async def state(self, queue: Queue, job_id: str) -> JobState | None:
@@ -336,6 +336,9 @@
                 logger.error("unreadable member", extra={"reason": str(exc)})
         self._set_lines()
 
+    def _peer_addresses(self) -> list[str]:
+        return [member.address for member in self._members.values()]
+
     def _set_lines(self) -> None:
         """Tell the owners through which processes advice may be asked for."""
         owners = {claim.process for claim, _ in self._claims.values()}
@@ -449,7 +452,6 @@
         began = time.monotonic()
         if self._worker_task is None:
             self._worker_task = self._spawn(self._worker_watch.run())
-            self._spawn(self._member_watch.run())
         self._claims[group] = claim, revision
         owner = GroupOwner(
             group,
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -39,6 +39,8 @@
 # Finished jobs are removed from the store this long after callers may ask for them.
 FORGET_SLACK_S = 30.0
 FORGET_EVERY_S = 15.0
+# Time between two looks for workers that are gone, in seconds.
+PRUNE_EVERY_S = 1.0
 FORGET_BATCH = 10
 
 
@@ -141,6 +143,7 @@
         self._noted = asyncio.Event()
         self._known_workers: set[str] = set()
         self._orders_in_flight = 0
+        self._prune_at = clock.now() + PRUNE_EVERY_S
         self._forget_at = clock.now() + FORGET_EVERY_S
         self.partition: Partition | None = None
         self.loaded = False
@@ -295,7 +298,7 @@
         """Write which workers may hold work before any is started on new ones."""
         while added - self._known_workers:
             partition = t.cast(Partition, self.partition)
-            wanted = partition.may_hold_work() | added
+            wanted = partition.may_hold_work(self._clock.now()) | added
             transaction = self._owned()
             value = records.encode(sorted(wanted))
             transaction.puts.append((records.workers_key(self.group), value, 0))
@@ -304,6 +307,18 @@
                 return
             await asyncio.sleep(HOLD_RETRY_S)
 
+    async def _prune_workers(self) -> None:
+        """Take gone workers off the list; a later owner would wait for them."""
+        partition = t.cast(Partition, self.partition)
+        wanted = partition.may_hold_work(self._clock.now())
+        if not self._known_workers - wanted:
+            return
+        transaction = self._owned()
+        value = records.encode(sorted(wanted))
+        transaction.puts.append((records.workers_key(self.group), value, 0))
+        if await self._commit(transaction):
+            self._known_workers = wanted
+
     # Decisions
 
     async def _advance_loop(self) -> None:
@@ -443,6 +458,9 @@
             now = self._clock.now()
             if partition.has_notes and not await self._write_notes():
                 await asyncio.sleep(HOLD_RETRY_S)
+            if now >= self._prune_at:
+                self._prune_at = now + PRUNE_EVERY_S
+                await self._prune_workers()
             if now >= self._forget_at:
                 self._forget_at = now + FORGET_EVERY_S
                 await self._forget()
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -324,13 +324,19 @@
             self._run_gone(run, now, reason)
         worker.foreign.clear()
 
-    def may_hold_work(self) -> set[str]:
+    def may_hold_work(self, now: float) -> set[str]:
         """Return the workers that a later owner has to hear of."""
         return {
             worker.worker_id
             for worker in self.workers.values()
             if worker.runs or (worker.listed and not worker.gone)
-        } | self._suspects
+        } | self._open_suspects(now)
+
+    def _open_suspects(self, now: float) -> set[str]:
+        """Return the workers that may hold runs of an earlier owner."""
+        if now >= self._quarantine_until:
+            self._suspects.clear()
+        return self._suspects
 
     def hold_failed(
         self,
@@ -728,7 +734,7 @@
 
     def _blocked(self, job: JobRun, now: float) -> bool:
         """Whether a task of the job may run on a worker that has not reported."""
-        return not job.fresh and bool(self._suspects) and now < self._quarantine_until
+        return not job.fresh and bool(self._open_suspects(now))
 
     def _waiting_steps(self, now: float) -> list[StepRun]:
         steps = [
--- /dev/null
+++ b/src/poplaryard/workload/relay.py
@@ -0,0 +1,263 @@
+"""Calls of the store through a peer while the store does not serve this process.
+
+The store may turn single processes away, or be out of their reach, while it serves
+their peers.
+"""
+
+import random
+import typing as t
+
+import msgspec
+
+from ..client import HttpClient
+from ..clock import Clock
+from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
+from ..logs import logger
+from .storage import Change, Item, Storage, Transaction
+
+__all__ = ["RELAY_PATH", "RelayedStorage", "answer_relayed"]
+
+RELAY_PATH = "/peer/v1/store"
+# Time that a relayed call has, in seconds; the peer's own call takes up to one.
+RELAY_TIMEOUT_S = 1.2
+WATCH_SLACK_S = 0.8
+# Time between two attempts to reach the store directly again, in seconds.
+PROBE_S = 1.0
+# Peers that are tried for one call, and the pause after all of them failed, in
+# seconds: the store is then down for all, and relayed calls only add load.
+PEERS_TRIED = 2
+FAILED_PAUSE_S = 0.5
+
+
+class _Call(msgspec.Struct):
+    """Call of the store in a peer's name."""
+
+    call: str
+    key: str = ""
+    transaction: Transaction | None = None
+    after: int = 0
+    wait_s: float = 0.0
+    ttl_s: float = 0.0
+    lease: int = 0
+
+
+class _Outcome(msgspec.Struct):
+    """Result of a relayed call, or the kind of error."""
+
+    error: str = ""
+    item: Item | None = None
+    items: list[Item | None] | None = None
+    changes: list[Change] | None = None
+    revision: int = 0
+    flag: bool = False
+
+
+_calls = msgspec.json.Decoder(_Call)
+_outcomes = msgspec.json.Decoder(_Outcome)
+_ERRORS: dict[str, type[StoreDown | StoreReplyLost | LeaseLost]] = {
+    "down": StoreDown,
+    "reply lost": StoreReplyLost,
+    "lease lost": LeaseLost,
+}
+
+
+async def answer_relayed(storage: Storage, body: bytes) -> bytes:
+    """Carry out a peer's call and return the encoded result.
+
+    Raises `msgspec.DecodeError` if the body is malformed.
+    """
+    call = _calls.decode(body)
+    try:
+        outcome = await _carry_out(storage, call)
+    except LeaseLost:
+        outcome = _Outcome("lease lost")
+    except StoreDown:
+        outcome = _Outcome("down")
+    except StoreReplyLost:
+        outcome = _Outcome("reply lost")
+    return msgspec.json.encode(outcome)
+
+
+async def _carry_out(storage: Storage, call: _Call) -> _Outcome:
+    match call.call:
+        case "get":
+            return _Outcome(item=await storage.get(call.key))
+        case "scan":
+            items, revision = await storage.scan(call.key)
+            return _Outcome(items=list(items), revision=revision)
+        case "watch":
+            found = await storage.watch(call.key, call.after, call.wait_s)
+            if found is None:
+                return _Outcome()
+            return _Outcome(changes=found[0], revision=found[1])
+        case "commit" if call.transaction is not None:
+            result = await storage.commit(call.transaction)
+            if isinstance(result, int):
+                return _Outcome(revision=result, flag=True)
+            return _Outcome(items=result)
+        case "grant":
+            return _Outcome(revision=await storage.grant(call.ttl_s))
+        case "renew":
+            return _Outcome(flag=await storage.renew(call.lease))
+        case "revoke":
+            await storage.revoke(call.lease)
+            return _Outcome()
+    raise msgspec.ValidationError(f"unknown call {call.call!r}")
+
+
+class RelayedStorage:
+    """Storage that is reached directly, or through a peer while that fails.
+
+    Parameters
+    ----------
+    direct : Storage
+    client : HttpClient
+        Client for calls to peers.
+    peers : callable
+        Returns the addresses of peers.
+    """
+
+    def __init__(
+        self,
+        direct: Storage,
+        client: HttpClient,
+        peers: t.Callable[[], list[str]],
+        clock: Clock,
+    ):
+        self.direct = direct
+        self._client = client
+        self._peers = peers
+        self._clock = clock
+        self._direct_ok = True
+        self._probe_at = 0.0
+        self._relay_at = 0.0
+
+    async def get(self, key: str) -> Item | None:
+        """Return the item of a key, or None."""
+        if self._use_direct():
+            try:
+                return self._reached(await self.direct.get(key))
+            except (StoreDown, StoreReplyLost) as exc:
+                self._failed(exc)
+        return (await self._relay(_Call("get", key))).item
+
+    async def scan(self, prefix: str) -> tuple[list[Item], int]:
+        """Return all items under a prefix and the revision to watch from."""
+        if self._use_direct():
+            try:
+                return self._reached(await self.direct.scan(prefix))
+            except (StoreDown, StoreReplyLost) as exc:
+                self._failed(exc)
+        found = await self._relay(_Call("scan", prefix))
+        return [item for item in found.items or [] if item], found.revision
+
+    async def watch(
+        self, prefix: str, after: int, wait_s: float
+    ) -> tuple[list[Change], int] | None:
+        """Wait for changes after a revision; None if that history is gone."""
+        if self._use_direct():
+            try:
+                return self._reached(await self.direct.watch(prefix, after, wait_s))
+            except (StoreDown, StoreReplyLost) as exc:
+                self._failed(exc)
+        call = _Call("watch", prefix, after=after, wait_s=wait_s)
+        found = await self._relay(call, wait_s + WATCH_SLACK_S)
+        return None if found.changes is None else (found.changes, found.revision)
+
+    async def commit(self, transaction: Transaction) -> int | list[Item | None]:
+        """Return the new revision, or the present items of the expected keys."""
+        if self._use_direct():
+            try:
+                return self._reached(await self.direct.commit(transaction))
+            except StoreDown as exc:
+                self._failed(exc)
+            except StoreReplyLost as exc:
+                self._failed(exc)
+                raise  # it may have been carried out
+        found = await self._relay(_Call("commit", transaction=transaction))
+        return found.revision if found.flag else list(found.items or [])
+
+    async def grant(self, ttl_s: float) -> int:
+        """Return the id of a new lease."""
+        if self._use_direct():
+            try:
+                return self._reached(await self.direct.grant(ttl_s))
+            except (StoreDown, StoreReplyLost) as exc:
+                self._failed(exc)
+        return (await self._relay(_Call("grant", ttl_s=ttl_s))).revision
+
+    async def renew(self, lease: int) -> bool:
+        """Renew a lease; False if it has ended."""
+        if self._use_direct():
+            try:
+                return self._reached(await self.direct.renew(lease))
+            except (StoreDown, StoreReplyLost) as exc:
+                self._failed(exc)
+        return (await self._relay(_Call("renew", lease=lease))).flag
+
+    async def revoke(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        if self._use_direct():
+            try:
+                await self.direct.revoke(lease)
+                self._reached(None)
+                return
+            except (StoreDown, StoreReplyLost) as exc:
+                self._failed(exc)
+        await self._relay(_Call("revoke", lease=lease))
+
+    def _use_direct(self) -> bool:
+        if self._direct_ok:
+            return True
+        now = self._clock.now()
+        if now < self._probe_at:
+            return False
+        self._probe_at = now + PROBE_S
+        return True
+
+    def _reached(self, result: t.Any) -> t.Any:
+        if not self._direct_ok:
+            logger.warning("store reached directly again")
+        self._direct_ok = True
+        return result
+
+    def _failed(self, exc: PoplaryardError) -> None:
+        if self._direct_ok:
+            extra = {"reason": exc.detail}
+            logger.warning("store not reached; calling it through peers", extra=extra)
+            self._probe_at = self._clock.now() + PROBE_S
+        self._direct_ok = False
+
+    async def _relay(self, call: _Call, timeout_s: float = RELAY_TIMEOUT_S) -> _Outcome:
+        """Make a call through up to `PEERS_TRIED` peers."""
+        if self._clock.now() < self._relay_at:
+            raise StoreDown
+        addresses = self._peers()
+        addresses = random.sample(addresses, min(PEERS_TRIED, len(addresses)))
+        for address in addresses:
+            outcome = await self._relay_to(address, call, timeout_s)
+            if outcome is not None and outcome.error != "down":
+                if outcome.error:
+                    raise _ERRORS[outcome.error]()
+                return outcome
+        self._relay_at = self._clock.now() + FAILED_PAUSE_S
+        raise StoreDown
+
+    async def _relay_to(
+        self, address: str, call: _Call, timeout_s: float
+    ) -> _Outcome | None:
+        """Return a peer's result, or None if it certainly did nothing."""
+        body = msgspec.json.encode(call)
+        url = f"http://{address}{RELAY_PATH}"
+        try:
+            reply = await self._client.raw("POST", url, body, timeout_s)
+        except PoplaryardError as exc:
+            if call.call == "commit":
+                raise StoreReplyLost(exc.detail) from exc
+            return None
+        if reply.status != 200:
+            return None
+        try:
+            return _outcomes.decode(reply.content)
+        except msgspec.DecodeError as exc:
+            raise StoreReplyLost(f"malformed answer of a peer: {exc}") from exc
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -10,9 +10,7 @@
 
 
 def used_at_most(cell, cpu):
-    return all(
-        sum(1 for _ in sim.runs) * 1000 <= cpu for sim in cell.sims.values()
-    )
+    return all(sum(1 for _ in sim.runs) * 1000 <= cpu for sim in cell.sims.values())
 
 
 def test_steps_run_in_order():
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -3,7 +3,12 @@
 import asyncio
 import itertools
 
-from poplaryard.exceptions import LeaseLost, StoreDown, StoreReplyLost, WorkerUnreachable
+from poplaryard.exceptions import (
+    LeaseLost,
+    StoreDown,
+    StoreReplyLost,
+    WorkerUnreachable,
+)
 from poplaryard.workload.model import Ended, EndedRun, RunningRun, StartOutcome
 from poplaryard.workload.partition import Partition, StartOrder
 from poplaryard.workload.storage import Change, Item
