Hold and make room for gangs and large tasks; log advice and group state

Cause: small tasks of less urgent jobs took every gap on the two or three workers that may run a gang.

--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -39,6 +39,8 @@
 # Finished jobs are removed from the store this long after callers may ask for them.
 FORGET_SLACK_S = 30.0
 FORGET_EVERY_S = 15.0
+# Time between two log lines on the state of a group, in seconds.
+SUMMARY_EVERY_S = 2.0
 # Time between two looks for workers that are gone, in seconds.
 PRUNE_EVERY_S = 1.0
 FORGET_BATCH = 10
@@ -143,6 +145,7 @@
         self._noted = asyncio.Event()
         self._known_workers: set[str] = set()
         self._orders_in_flight = 0
+        self._summary_at = clock.now() + SUMMARY_EVERY_S
         self._prune_at = clock.now() + PRUNE_EVERY_S
         self._forget_at = clock.now() + FORGET_EVERY_S
         self.partition: Partition | None = None
@@ -411,6 +414,19 @@
             now = self._clock.now()
             partition.advice_answered(request, tickets, until, now)
             self._wake.set()
+            logger.info(
+                "advice answered" if tickets is not None else "advice refused",
+                extra={
+                    "request": request.step.job.spec.job_id,
+                    "step": request.step.name,
+                    "queue": request.step.job.spec.queue,
+                    "line": line.name,
+                    "asked": len(request.workers),
+                    "good": len(tickets or ()),
+                    "expected_s": round(request.cost_s, 3),
+                    "took_s": round(now - sent_at, 3),
+                },
+            )
 
     # The store
 
@@ -458,6 +474,10 @@
             now = self._clock.now()
             if partition.has_notes and not await self._write_notes():
                 await asyncio.sleep(HOLD_RETRY_S)
+            if now >= self._summary_at:
+                self._summary_at = now + SUMMARY_EVERY_S
+                extra = {"group": self.group, **partition.summary(now)}
+                logger.info("group state", extra=extra)
             if now >= self._prune_at:
                 self._prune_at = now + PRUNE_EVERY_S
                 await self._prune_workers()
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 from ..logs import logger
+from ..resources import ZERO
 from . import placing
 from .model import (
     Ended,
@@ -21,6 +22,7 @@
     WorkerInfo,
 )
 from .records import encode
+from .room import Holds, Plan, plan_room
 from .runtime import JobRun, Permit, Run, RunPhase, StepRun, Task, Worker
 
 __all__ = ["AdviceRequest", "Notes", "Partition", "StartOrder", "StopOrder"]
@@ -46,6 +48,10 @@
 # time, is moved. Percentages are whole numbers.
 STALL_S = 2.5
 STALL_SHARE = 0.03
+# Steps that hold room at the same time; each hold leaves some of it idle.
+MAX_PLANS = 4
+# Share of a worker from which on a task counts as large.
+LARGE_SHARE = 0.25
 # Most workers that one call for advice may name.
 ADVICE_MAX_WORKERS = 100
 # Part of a permit's life that is left unused, in seconds: the start has to arrive.
@@ -145,6 +151,8 @@
         self._dirty: set[str] = set()
         self._open_steps: dict[str, StepRun] = {}
         self._tasks: dict[str, Task] = {}
+        self._holds = Holds()
+        self._plans: dict[str, Plan] = {}
 
     # Jobs
 
@@ -260,6 +268,11 @@
                 "state": str(state),
                 "age_s": round(now - job.arrived_at, 3),
                 "objective_s": round(job.spec.objective_s(), 3),
+                "waited_s": round(max(0.0, job.first_start_at - job.arrived_at), 3),
+                "chain_s": round(job.spec.chain_s(), 3),
+                "steps": len(job.spec.steps),
+                "priority": job.spec.priority,
+                "lost_runs": job.lost_runs,
             },
         )
 
@@ -448,6 +461,8 @@
         task.run = max(task.run, ended.run)
         job = task.step.job
         job.started = True
+        if ended.how is not Ended.DONE:
+            job.lost_runs += 1
         if ended.checkpoint and not task.done:
             self._keep_checkpoint(task, ended.checkpoint)
         if ended.how is Ended.DONE and not task.step.spec.lasting:
@@ -575,6 +590,8 @@
         task.run = number
         task.runs.append(run)
         step.job.started = True
+        if not step.job.first_start_at:
+            step.job.first_start_at = now
         worker.add(run)
         permit = step.permits.get(worker.worker_id)
         ticket = permit.ticket if permit is not None else ""
@@ -710,16 +727,19 @@
             if not worker.usable(now) or not placing.admits(step, worker):
                 continue
             verdict = step.verdicts.get(worker.worker_id)
-            if verdict is False:
-                continue
             permit = step.permits.get(worker.worker_id)
-            if permit is not None and permit.until > now:
-                if step.need.fits_in(worker.free()) and not step.spec.gang:
-                    return None  # a start is possible without a further call
-                continue
-            if not step.spec.gang and not step.need.fits_in(worker.free()):
+            if verdict is False:
                 continue
-            (good if verdict else unknown).append(worker)
+            permitted = permit is not None and permit.until > now
+            fits = step.need.fits_in(self._holds.free(step, worker))
+            if permitted and fits and not step.spec.gang:
+                return None  # a start is possible without a further call
+            if verdict is None and (fits or step.spec.gang):
+                unknown.append(worker)
+            elif not permitted and (fits or self._planned(step, worker)):
+                good.append(worker)
+        if step.spec.gang and not unknown and not self._gang_could_start(step, now):
+            return None
         if not good and not unknown:
             return None
         room = sorted(unknown, key=lambda worker: -worker.free().cpu_m)
@@ -730,6 +750,15 @@
         cost_s = advice.base_s + advice.per_worker_s * len(named)
         return AdviceRequest(step, tuple(named), cost_s)
 
+    def _planned(self, step: StepRun, worker: Worker) -> bool:
+        plan = self._plans.get(step.name)
+        return plan is not None and worker in plan.workers
+
+    def _gang_could_start(self, step: StepRun, now: float) -> bool:
+        """Whether a gang will have room within the life of a permit."""
+        plan = self._plans.get(step.name)
+        return plan is not None and plan.ready_at <= now + ADVICE_AHEAD_S
+
     # Passes
 
     def _blocked(self, job: JobRun, now: float) -> bool:
@@ -754,26 +783,61 @@
         if not self.accepts_starts or self.fenced:
             return
         usable = [worker for worker in self.workers.values() if worker.usable(now)]
+        self._holds.clear()
+        self._plans.clear()
         for step in self._waiting_steps(now):
-            self._start_step(step, usable, now)
+            if not self._start_step(step, usable, now):
+                self._plan_room(step, now)
 
-    def _start_step(self, step: StepRun, usable: list[Worker], now: float) -> None:
+    def _plan_room(self, step: StepRun, now: float) -> None:
+        """Hold room for a step that does not fit, and stop less urgent runs there."""
+        if len(self._plans) >= MAX_PLANS or not self._is_large(step):
+            return
+        plan = plan_room(step, self.workers.values(), self._holds, now)
+        if plan is None:
+            return
+        self._plans[step.name] = plan
+        self._holds.hold(step, plan.workers)
+        for run in plan.victims:
+            logger.info(
+                "run preempted",
+                extra={
+                    "request": run.task.step.job.spec.job_id,
+                    "task": run.task.name,
+                    "worker": run.worker.worker_id,
+                    "for": step.name,
+                },
+            )
+            self._stop(run, now)
+
+    def _is_large(self, step: StepRun) -> bool:
+        """Whether gaps that small tasks leave are rarely large enough for a step."""
+        if step.spec.gang:
+            return True
+        return any(
+            step.need.dominant_share(worker.info.capacity) >= LARGE_SHARE
+            for worker in self.workers.values()
+        )
+
+    def _start_step(self, step: StepRun, usable: list[Worker], now: float) -> bool:
+        """Start what fits; False if tasks are left that could start."""
         waiting = step.waiting(now)
         if step.spec.gang:
             if len(waiting) < step.spec.count:
-                return
-            chosen = placing.place_gang(step, usable, now)
+                return True
+            chosen = placing.place_gang(step, usable, self._holds.free, now)
             if chosen is None:
-                return
+                return False
             number = max(task.run for task in step.tasks) + 1
             for task, worker in zip(step.tasks, chosen, strict=True):
                 self._start(task, worker, number, now)
-            return
+            return True
         for task in waiting:
-            found = placing.place(step, task, usable, now)
+            found = placing.place(step, task, usable, self._holds.free, now)
             if found is None:
-                return
+                return False
             self._start(task, found, task.run + 1, now)
+        return True
 
     def _expire(self, now: float) -> None:
         for worker in list(self.workers.values()):
@@ -819,6 +883,27 @@
             return False
         return now - run.moved_at > STALL_S + STALL_SHARE * spec.estimate_s
 
+    def summary(self, now: float) -> dict[str, t.Any]:
+        """Return the figures that say how busy the group is."""
+        workers = [worker for worker in self.workers.values() if not worker.gone]
+        total = sum((worker.info.capacity for worker in workers), ZERO)
+        used = sum((worker.used for worker in workers), ZERO)
+        steps = self._waiting_steps(now)
+        return {
+            "workers": len(workers),
+            "usable": sum(worker.usable(now) for worker in workers),
+            "runs": sum(len(worker.runs) for worker in workers),
+            "waiting_steps": len([step for step in steps if step.waiting(now)]),
+            "waiting_tasks": sum(len(step.waiting(now)) for step in steps),
+            "cpu_share": round(used.cpu_m / max(1, total.cpu_m), 3),
+            "gpu_share": round(used.gpus / max(1, total.gpus), 3),
+            "plans": len(self._plans),
+            "suspects": len(self._suspects),
+            "oldest_s": round(
+                max((now - step.job.arrived_at for step in steps), default=0.0), 1
+            ),
+        }
+
     # Notes
 
     def take_notes(self) -> Notes:
--- a/src/poplaryard/workload/placing.py
+++ b/src/poplaryard/workload/placing.py
@@ -35,6 +35,9 @@
     return (remote, (free - step.need).dominant_share(capacity), worker.worker_id)
 
 
+Room: t.TypeAlias = t.Callable[[StepRun, Worker], Resources]
+
+
 def _permitted(step: StepRun, worker: Worker, now: float) -> bool:
     if step.job.spec.advice is None:
         return True
@@ -48,15 +51,21 @@
 
 
 def place(
-    step: StepRun, task: Task, workers: t.Iterable[Worker], now: float
+    step: StepRun, task: Task, workers: t.Iterable[Worker], room: Room, now: float
 ) -> Worker | None:
-    """Return the worker on which a task should start now, or None."""
+    """Return the worker on which a task should start now, or None.
+
+    Parameters
+    ----------
+    room : callable
+        Returns what the step may use of a worker.
+    """
     best: Worker | None = None
     best_score: tuple[t.Any, ...] = ()
     for worker in workers:
         if not worker.usable(now) or not _permitted(step, worker, now):
             continue
-        free = worker.free()
+        free = room(step, worker)
         if not step.need.fits_in(free) or not admits(step, worker):
             continue
         if not _has_place(step, worker, 0):
@@ -68,7 +77,7 @@
 
 
 def place_gang(
-    step: StepRun, workers: t.Iterable[Worker], now: float
+    step: StepRun, workers: t.Iterable[Worker], room: Room, now: float
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, or None unless all can start now."""
     usable = [
@@ -81,13 +90,13 @@
         racks.sort(key=lambda rack: rack != step.spec.rack)
         for rack in racks:
             members = [worker for worker in usable if worker.info.rack == rack]
-            chosen = _fill(step, members)
+            chosen = _fill(step, members, room)
             if chosen is not None:
                 return chosen
-    return _fill(step, usable)
+    return _fill(step, usable, room)
 
 
-def _fill(step: StepRun, workers: list[Worker]) -> list[Worker] | None:
+def _fill(step: StepRun, workers: list[Worker], room: Room) -> list[Worker] | None:
     """Spread all tasks of a gang over workers, the fullest worker first."""
     avoided: set[str] = set()
     for task in step.tasks:
@@ -97,11 +106,11 @@
         workers,
         key=lambda worker: (
             worker.worker_id in avoided,
-            _score(step, worker, worker.free()),
+            _score(step, worker, room(step, worker)),
         ),
     )
     for worker in ranked:
-        free = worker.free()
+        free = room(step, worker)
         placed = 0
         while (
             len(chosen) < step.spec.count
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -247,6 +247,10 @@
         Time by which it should be done, on the owner's clock.
     stored_state : JobState or None
         Final state that the store keeps; shown to callers only then.
+    first_start_at : float
+        Time of its first start by this owner; 0 before.
+    lost_runs : int
+        Runs that ended in another way than done.
     """
 
     spec: JobSpec
@@ -260,6 +264,8 @@
     started: bool = False
     due_at: float = 0.0
     stored_state: JobState | None = None
+    first_start_at: float = 0.0
+    lost_runs: int = 0
 
     @property
     def state(self) -> JobState:
