--- a/src/poplaryard/workload/advice.py
+++ b/src/poplaryard/workload/advice.py
@@ -18,6 +18,9 @@
 SLOW_S = 0.1
 # Quick calls that may wait at the advice service for each other.
 QUICK_CALLS = 3
+# An owner uses its own line for slow calls if it made no quick one for this long, in
+# seconds.
+QUICK_IDLE_S = 5.0
 # Pauses of a line that failed, and of one that another owner uses, in seconds.
 FAILED_PAUSE_S = 1.0
 BUSY_PAUSE_S = 0.05
@@ -84,6 +87,7 @@
     quick: int = 0
     paused_until: float = 0.0
     used_at: float = 0.0
+    quick_at: float = float("-inf")
 
 
 class AdviceLines:
@@ -114,6 +118,8 @@
     def _slow_line(self, now: float) -> Line | None:
         peers = [line for line in self._peers.values() if now >= line.paused_until]
         candidates = [line for line in peers if not line.owns] or peers or [self._own]
+        if now > self._own.quick_at + QUICK_IDLE_S and self._own not in candidates:
+            candidates = [*candidates, self._own]
         free = [line for line in candidates if not line.slow and not line.quick]
         return min(free, key=lambda line: line.used_at, default=None)
 
@@ -146,6 +152,7 @@
             line.slow += 1
         else:
             line.quick += 1
+            self._own.quick_at = clock()
         timeout_s = cost_s * (1 + line.quick) + TIMEOUT_SLACK_S
         answer = None
         pause_s = BUSY_PAUSE_S
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from ..logs import logger
-from ..resources import ZERO
+from ..resources import ZERO, Resources
 from . import placing
 from .model import (
     Ended,
@@ -683,11 +683,14 @@
         fits : callable
             Whether a call that takes this many seconds can be made now.
         """
+        claimed: dict[Worker, Resources] = {}
         for step in [*self._waiting_steps(now), *self._steps_ahead(now)]:
-            if step.job.spec.advice is None or step.asking or now < step.ask_after:
+            if step.job.spec.advice is None:
                 continue
-            request = self._advice_for(step, now)
-            if request is not None and fits(request.cost_s):
+            request = self._advice_for(step, claimed, now)
+            if request is None or step.asking or now < step.ask_after:
+                continue
+            if fits(request.cost_s):
                 step.asking = True
                 return request
         return None
@@ -716,43 +719,67 @@
                     return False
         return True
 
-    def _advice_for(self, step: StepRun, now: float) -> AdviceRequest | None:
-        """Name the workers with room that may run the step, as far as is known."""
+    def _advice_for(
+        self, step: StepRun, claimed: dict[Worker, Resources], now: float
+    ) -> AdviceRequest | None:
+        """Name the workers that may run the step, if one of them has room for it.
+
+        Workers that are known to be good are all named, with room or without: a name
+        costs little, and their permits serve when room is given back. `claimed` is
+        the room that more urgent steps will take.
+        """
         advice = step.job.spec.advice
         if advice is None:
             return None
         good: list[Worker] = []
         unknown: list[Worker] = []
+        has_room = False
+        could_start = False
+        waiting = len(step.waiting(now))
         for worker in self.workers.values():
-            if not worker.usable(now) or not placing.admits(step, worker):
-                continue
             verdict = step.verdicts.get(worker.worker_id)
-            permit = step.permits.get(worker.worker_id)
-            if verdict is False:
+            if verdict is False or not worker.usable(now):
                 continue
-            permitted = permit is not None and permit.until > now
-            fits = step.need.fits_in(self._holds.free(step, worker))
-            if permitted and fits and not step.spec.gang:
-                return None  # a start is possible without a further call
-            if verdict is None and (fits or step.spec.gang):
-                unknown.append(worker)
-            elif not permitted and (fits or self._planned(step, worker)):
+            if not placing.admits(step, worker):
+                continue
+            room = self._holds.free(step, worker) - claimed.get(worker, ZERO)
+            fits = step.need.fits_in(room)
+            permit = step.permits.get(worker.worker_id)
+            if permit is not None and permit.until > now:
+                could_start = could_start or fits
+            elif verdict:
                 good.append(worker)
-        if step.spec.gang and not unknown and not self._gang_could_start(step, now):
-            return None
-        if not good and not unknown:
+                has_room = has_room or fits
+            elif fits or step.spec.gang:
+                unknown.append(worker)
+            if fits and waiting and verdict is not False:
+                self._claim(step, worker, room, claimed)
+        if step.spec.gang:
+            wanted = bool(unknown) or self._gang_could_start(step, now)
+        else:
+            wanted = not could_start and (has_room or bool(unknown))
+        if not wanted or not (good or unknown):
             return None
-        room = sorted(unknown, key=lambda worker: -worker.free().cpu_m)
-        waiting = len(step.waiting(now))
+        unknown.sort(key=lambda worker: -worker.free().cpu_m)
         count = int(max(4 * waiting, advice.base_s / max(advice.per_worker_s, 1e-6)))
-        named = [worker.worker_id for worker in good + room]
+        named = [worker.worker_id for worker in good + unknown]
         named = named[: min(max(count, 4), ADVICE_MAX_WORKERS)]
         cost_s = advice.base_s + advice.per_worker_s * len(named)
         return AdviceRequest(step, tuple(named), cost_s)
 
-    def _planned(self, step: StepRun, worker: Worker) -> bool:
-        plan = self._plans.get(step.name)
-        return plan is not None and worker in plan.workers
+    def _claim(
+        self,
+        step: StepRun,
+        worker: Worker,
+        room: Resources,
+        claimed: dict[Worker, Resources],
+    ) -> None:
+        """Count the room that a step's waiting tasks would take on a worker."""
+        for _ in step.tasks:
+            if not step.need.fits_in(room):
+                return
+            room = room - step.need
+            claimed[worker] = claimed.get(worker, ZERO) + step.need
 
     def _gang_could_start(self, step: StepRun, now: float) -> bool:
         """Whether a gang will have room within the life of a permit."""
