--- /dev/null
+++ b/tests/workload/test_room.py
@@ -0,0 +1,62 @@
+"""Large tasks among many small ones."""
+
+from poplaryard.workload.model import JobState
+from tests.workload.builders import ADVICE, job, step, worker_info
+from tests.workload.world import Cell
+
+
+def small_jobs(cell, count, first=0, **fields):
+    fields.setdefault("estimate_s", 2.0)
+    for number in range(first, first + count):
+        cell.submit(job(f"{number:016x}", step(1, **fields), priority=2))
+
+
+def test_gang_starts_soon_among_a_stream_of_small_tasks():
+    """Pattern: small tasks of less urgent jobs take every gap on all workers."""
+    cell = Cell(workers=2)
+    gang = job("f" * 16, step(2, cpu=4000, gang=True), priority=1)
+    for number in range(40):
+        small_jobs(cell, 1, number)
+        if number == 10:
+            cell.submit(gang)
+            submitted = cell.now
+        cell.run(0.25)
+    started = cell.partition.jobs["f" * 16].first_start_at
+    assert 0 < started - submitted < 4.0
+
+
+def test_gang_takes_the_room_of_checkpointed_tasks_at_once():
+    cell = Cell(workers=1)
+    small_jobs(cell, 4, estimate_s=30.0, checkpointable=True)
+    cell.run(0.5)
+    cell.submit(job("f" * 16, step(2, cpu=2000, gang=True), priority=1))
+    cell.run(1.0)
+    assert cell.partition.jobs["f" * 16].started
+
+
+def test_tasks_that_keep_no_checkpoint_are_not_stopped():
+    """Guards against throwing work away for a more urgent job."""
+    cell = Cell(workers=1)
+    small_jobs(cell, 4, estimate_s=5.0)
+    cell.run(0.5)
+    cell.submit(job("f" * 16, step(2, cpu=2000, gang=True), priority=1))
+    cell.run(12)
+    states = {job.state for job in cell.partition.jobs.values()}
+    assert states == {JobState.DONE}
+    assert len(cell.starts()) == 6
+
+
+def test_several_waiting_steps_ask_for_one_free_slot_once():
+    """Pattern: many jobs wait for few workers, and advice is slow."""
+    cell = Cell(workers=0)
+    cell.add_worker(worker_info(0, cpu=1000))
+    cell.run(0.2)
+    for number in range(6):
+        cell.submit(job(f"{number:016x}", advice=ADVICE))
+    asked = []
+    while True:
+        request = cell.partition.next_advice(cell.now, lambda cost_s: True)
+        if request is None:
+            break
+        asked.append(request.step.name)
+    assert len(asked) == 1
