Start jobs that can still be in time first; claim room only once

Cause: after a restart 39 steps waited with GPUs idle: a waiting gang counted the room of all workers as taken, so that less urgent steps did not ask for advice, and the oldest jobs, late already, came first.

--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -235,6 +235,10 @@
             step.remaining = sum(not task.done for task in step.tasks)
             steps.append(step)
         job.occurrences[number] = steps
+        for step in reversed(steps):
+            later = (other for other in steps if step.number in other.spec.after)
+            rest_s = max((other.rest_s for other in later), default=0.0)
+            step.rest_s = step.spec.estimate_s + rest_s
         for step in steps:
             if step.remaining:
                 self._open_steps[step.name] = step
@@ -735,6 +739,7 @@
         unknown: list[Worker] = []
         has_room = False
         could_start = False
+        candidates: list[tuple[Worker, Resources]] = []
         waiting = len(step.waiting(now))
         for worker in self.workers.values():
             verdict = step.verdicts.get(worker.worker_id)
@@ -752,10 +757,13 @@
                 has_room = has_room or fits
             elif fits or step.spec.gang:
                 unknown.append(worker)
-            if fits and waiting and verdict is not False:
-                self._claim(step, worker, room, claimed)
+            if fits:
+                candidates.append((worker, room))
+        self._claim(step, candidates, waiting, claimed)
         if step.spec.gang:
-            wanted = bool(unknown) or self._gang_could_start(step, now)
+            wanted = (bool(unknown) and len(candidates) > 0) or (
+                self._gang_could_start(step, now)
+            )
         else:
             wanted = not could_start and (has_room or bool(unknown))
         if not wanted or not (good or unknown):
@@ -770,16 +778,16 @@
     def _claim(
         self,
         step: StepRun,
-        worker: Worker,
-        room: Resources,
+        candidates: list[tuple[Worker, Resources]],
+        waiting: int,
         claimed: dict[Worker, Resources],
     ) -> None:
-        """Count the room that a step's waiting tasks would take on a worker."""
-        for _ in step.tasks:
-            if not step.need.fits_in(room):
-                return
-            room = room - step.need
-            claimed[worker] = claimed.get(worker, ZERO) + step.need
+        """Count the room that a step's waiting tasks are expected to take."""
+        for worker, room in candidates:
+            while waiting > 0 and step.need.fits_in(room):
+                room = room - step.need
+                waiting -= 1
+                claimed[worker] = claimed.get(worker, ZERO) + step.need
 
     def _gang_could_start(self, step: StepRun, now: float) -> bool:
         """Whether a gang will have room within the life of a permit."""
@@ -798,7 +806,9 @@
             for step in self._open_steps.values()
             if self._ready(step) and not self._blocked(step.job, now)
         ]
-        steps.sort(key=lambda step: step.job.order())
+        for step in steps:
+            step.rank = step.job.rank(step.rest_s, now)
+        steps.sort(key=lambda step: step.rank)
         return steps
 
     def advance(self, now: float) -> None:
--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -53,7 +53,7 @@
         """Return the room that a step may use on a worker."""
         free = worker.free()
         for holder, amount in self._held.get(worker, ()):
-            if holder is not step and holder.job.order() <= step.job.order():
+            if holder is not step and holder.rank <= step.rank:
                 free = free - amount
         return free
 
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -10,6 +10,9 @@
 
 # A worker's steady clock may run this share too slow.
 CLOCK_DRIFT = 0.02
+# A job that ends after its objective is late, and of no use to its caller once this
+# many further objectives have passed: the users' pages count up to three in all.
+LATE_FACTOR = 2.0
 # Added to the moment at which a worker's leases must have lapsed: it checks them, and
 # listing the ends takes, a little later.
 LAPSE_SLACK_S = 0.5
@@ -189,6 +192,10 @@
         Whether a worker may run the step, as far as the advice service was asked.
     asking : bool
         Whether a call for advice is in progress.
+    rest_s : float
+        Estimated run time from this step to the job's end, in seconds.
+    rank : tuple
+        Place among waiting steps at the last look; the lowest comes first.
     """
 
     job: "JobRun"
@@ -201,7 +208,8 @@
     permits: dict[str, Permit] = field(default_factory=dict)
     asking: bool = False
     ask_after: float = 0.0
-    ready_at: float = 0.0
+    rest_s: float = 0.0
+    rank: tuple[int, int, float] = (0, 0, 0.0)
 
     @property
     def name(self) -> str:
@@ -274,6 +282,22 @@
             return self.stored_state
         return JobState.RUNNING if self.started else JobState.QUEUED
 
-    def order(self) -> tuple[int, float]:
-        """Return its place among waiting jobs; the lowest comes first."""
-        return self.spec.priority, self.due_at
+    def rank(self, rest_s: float, now: float) -> tuple[int, int, float]:
+        """Return the place of a step among waiting ones; the lowest comes first.
+
+        Jobs that can still be done in time come before those that can't: under
+        overload, serving the oldest first would make every job late. Those whose
+        callers have long given up come last.
+
+        Parameters
+        ----------
+        rest_s : float
+            Estimated run time that is left, in seconds.
+        """
+        if now + rest_s <= self.due_at:
+            lateness = 0
+        elif now + rest_s <= self.due_at + LATE_FACTOR * self.spec.objective_s():
+            lateness = 1
+        else:
+            lateness = 2
+        return self.spec.priority, lateness, self.due_at
