Order the writes of an owner; list workers that come back

Ruled out: lost notes, workers missing from the list of suspects. Each write of an owner now replaces a sequence key and requires its last revision. Also found by reading: a worker whose entry lapsed and came back was not listed again; the list had two writers; an owner whose lease may have lapsed could begin jobs that a later owner starts as well. Tests: test_late_write_does_not_undo_newer_progress and two more fail without the change.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -313,6 +313,9 @@
         if change.item is None:
             self._claims.pop(group, None)
             self._set_lines()
+            if group in self.owners:
+                logger.warning("claim removed", extra={"group": group})
+                self._drop(group)
             return
         try:
             claim = records.decode_claim(change.item.value)
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -27,8 +27,9 @@
 NOTE_DELAY_S = 0.04
 # Longest pause of the renewals of a worker whose ends are not written yet, in seconds.
 ENDS_KEPT_S = 0.25
-# Entries that one transaction may have; one is the owner's claim.
+# Entries that one transaction may have, and those that are needed to order them.
 TRANSACTION_ENTRIES = 32
+ORDER_ENTRIES = 3
 # Time that a start has to reach its worker, in seconds. A start that arrives later is
 # refused there, so an order that was held up does not run unexpectedly.
 START_WINDOW_S = 1.6
@@ -142,6 +143,9 @@
         self._holds: dict[str, asyncio.Task[t.Any]] = {}
         self._wake = asyncio.Event()
         self._notes_wake = asyncio.Event()
+        self._writing = asyncio.Lock()
+        self._listing = asyncio.Lock()
+        self._sequence = 0
         self._noted = asyncio.Event()
         self._known_workers: set[str] = set()
         self._orders_in_flight = 0
@@ -154,6 +158,8 @@
     async def start(self, workers: dict[str, WorkerInfo]) -> None:
         """Load the group's jobs and begin to schedule them."""
         began = self._clock.now()
+        sequence = await self._storage.get(records.sequence_key(self.group))
+        self._sequence = sequence.revision if sequence is not None else 0
         suspects = await self._suspects()
         progress, _ = await self._storage.scan(records.progress_prefix(self.group))
         now = self._clock.now()
@@ -173,6 +179,7 @@
         await watch.reload()
         self._progress.clear()
         await self._keep_workers(set(workers))
+        self.partition.keep_workers(self._known_workers)
         self.loaded = True
         for info in workers.values():
             self.worker_listed(info)
@@ -247,7 +254,7 @@
         partition = t.cast(Partition, self.partition)
         if worker.worker_id not in self._known_workers:
             await self._keep_workers({worker.worker_id})
-        while not worker.gone and (worker.listed or worker.runs or worker.reachable):
+        while partition.is_watched(worker, self._clock.now()):
             if not self._lease.has_authority():
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
@@ -300,27 +307,31 @@
     async def _keep_workers(self, added: set[str]) -> None:
         """Write which workers may hold work before any is started on new ones."""
         while added - self._known_workers:
-            partition = t.cast(Partition, self.partition)
+            if not await self._write_workers(added):
+                await asyncio.sleep(HOLD_RETRY_S)
+
+    async def _list_workers(self) -> None:
+        """List workers that came back, and take off those that are gone.
+
+        A later owner waits for all that are listed.
+        """
+        partition = t.cast(Partition, self.partition)
+        if self._known_workers != partition.may_hold_work(self._clock.now()):
+            await self._write_workers(set())
+
+    async def _write_workers(self, added: set[str]) -> bool:
+        partition = t.cast(Partition, self.partition)
+        async with self._listing:
             wanted = partition.may_hold_work(self._clock.now()) | added
+            partition.keep_workers(wanted & self._known_workers)
             transaction = self._owned()
             value = records.encode(sorted(wanted))
             transaction.puts.append((records.workers_key(self.group), value, 0))
-            if await self._commit(transaction):
-                self._known_workers = wanted
-                return
-            await asyncio.sleep(HOLD_RETRY_S)
-
-    async def _prune_workers(self) -> None:
-        """Take gone workers off the list; a later owner would wait for them."""
-        partition = t.cast(Partition, self.partition)
-        wanted = partition.may_hold_work(self._clock.now())
-        if not self._known_workers - wanted:
-            return
-        transaction = self._owned()
-        value = records.encode(sorted(wanted))
-        transaction.puts.append((records.workers_key(self.group), value, 0))
-        if await self._commit(transaction):
+            if not await self._commit(transaction):
+                return False
             self._known_workers = wanted
+            partition.keep_workers(wanted)
+            return True
 
     # Decisions
 
@@ -329,6 +340,7 @@
         while True:
             now = self._clock.now()
             if self._lease.has_authority():
+                partition.sole_owner = self._lease.has_lease()
                 partition.advance(now)
                 self._send_orders()
                 self._ask_advice(now)
@@ -480,7 +492,7 @@
                 logger.info("group state", extra=extra)
             if now >= self._prune_at:
                 self._prune_at = now + PRUNE_EVERY_S
-                await self._prune_workers()
+                await self._list_workers()
             if now >= self._forget_at:
                 self._forget_at = now + FORGET_EVERY_S
                 await self._forget()
@@ -506,7 +518,7 @@
             (records.progress_key(self.group, job_id), value, 0)
             for job_id, value in notes.progress.items()
         ]
-        size = TRANSACTION_ENTRIES - 1
+        size = TRANSACTION_ENTRIES - ORDER_ENTRIES
         for begin in range(0, len(entries), size):
             transaction = self._owned()
             transaction.puts = entries[begin : begin + size]
@@ -538,14 +550,32 @@
         return Transaction(expected={records.claim_key(self.group): self.revision})
 
     async def _commit(self, transaction: Transaction) -> bool:
-        try:
-            found = await self._storage.commit(transaction)
-        except (StoreDown, StoreReplyLost, LeaseLost) as exc:
-            extra = {"group": self.group, "reason": exc.detail}
-            logger.warning("write failed", extra=extra)
-            return False
-        if isinstance(found, int):
-            return True
+        """Write as the owner, after the owner's earlier writes.
+
+        A write without an answer may be carried out seconds later. Every write replaces
+        the sequence key and requires its last revision, so a late one fails instead of
+        undoing newer progress.
+        """
+        async with self._writing:
+            key = records.sequence_key(self.group)
+            transaction.expected[key] = self._sequence
+            transaction.puts.append((key, b"", 0))
+            try:
+                found = await self._storage.commit(transaction)
+            except (StoreDown, StoreReplyLost, LeaseLost) as exc:
+                extra = {"group": self.group, "reason": exc.detail}
+                logger.warning("write failed", extra=extra)
+                return False
+            if isinstance(found, int):
+                self._sequence = found
+                return True
+            present = {item.key: item.revision for item in found if item is not None}
+            if present.get(records.claim_key(self.group)) == self.revision:
+                self._sequence = present.get(key, 0)
+                logger.info(
+                    "earlier write was carried out", extra={"group": self.group}
+                )
+                return False
         logger.warning("group has another owner", extra={"group": self.group})
         self.abandon()
         return False
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -144,6 +144,8 @@
         self.fenced = False
         self.notes_urgent = False
         self.accepts_starts = True
+        self.sole_owner = True
+        self._kept: set[str] = set()
         self._wall_offset = wall_offset
         self._quarantine_until = quarantine_until
         self._suspects = set(suspects)
@@ -349,6 +351,25 @@
             if worker.runs or (worker.listed and not worker.gone)
         } | self._open_suspects(now)
 
+    def is_watched(self, worker: Worker, now: float) -> bool:
+        """Whether a worker's reports matter: it is listed, or may hold runs."""
+        if worker.gone:
+            return False
+        if worker.listed or worker.runs or worker.reachable:
+            return True
+        return worker.worker_id in self._open_suspects(now)
+
+    def keep_workers(self, worker_ids: set[str]) -> None:
+        """Start tasks only on these workers: a later owner will hear of them."""
+        self._kept = worker_ids
+
+    def _usable(self, now: float) -> list[Worker]:
+        return [
+            worker
+            for worker in self.workers.values()
+            if worker.worker_id in self._kept and worker.usable(now)
+        ]
+
     def _open_suspects(self, now: float) -> set[str]:
         """Return the workers that may hold runs of an earlier owner."""
         if now >= self._quarantine_until:
@@ -797,7 +818,13 @@
     # Passes
 
     def _blocked(self, job: JobRun, now: float) -> bool:
-        """Whether a task of the job may run on a worker that has not reported."""
+        """Whether another owner may be, or may have been, running the job's tasks.
+
+        An owner whose lease may have lapsed goes on with what it began, but begins
+        nothing: a later owner starts jobs that are new to it at once.
+        """
+        if not self.sole_owner and not job.started:
+            return True
         return not job.fresh and bool(self._open_suspects(now))
 
     def _waiting_steps(self, now: float) -> list[StepRun]:
@@ -819,7 +846,7 @@
                 self._open_due(job, now)
         if not self.accepts_starts or self.fenced:
             return
-        usable = [worker for worker in self.workers.values() if worker.usable(now)]
+        usable = self._usable(now)
         self._holds.clear()
         self._plans.clear()
         for step in self._waiting_steps(now):
@@ -880,7 +907,7 @@
         for worker in list(self.workers.values()):
             if not worker.reachable and worker.runs and worker.clock_at:
                 self._expire_runs(worker, now)
-            elif not worker.runs and not worker.listed and not worker.reachable:
+            elif not worker.runs and not self.is_watched(worker, now):
                 del self.workers[worker.worker_id]
             for run in list(worker.runs.values()):
                 self._watch_run(run, now)
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -23,6 +23,7 @@
     "member_key",
     "progress_key",
     "progress_prefix",
+    "sequence_key",
     "workers_key",
 ]
 
@@ -90,6 +91,11 @@
     return f"member/{process}"
 
 
+def sequence_key(group: str) -> str:
+    """Return the key that every write of a group's owner replaces."""
+    return f"sequence/{group}"
+
+
 def workers_key(group: str) -> str:
     """Return the key of the ids of workers that may hold work of a group."""
     return f"workers/{group}"
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -164,3 +164,45 @@
         owning.close()
 
     asyncio.run(run())
+
+
+def test_late_write_does_not_undo_newer_progress():
+    """Guards against a write that is held up and carried out after newer ones."""
+
+    async def run():
+        owning = Owning()
+        owner = await owning.claim()
+        await owner.start(owning.infos())
+        await owning.store(job(JOB, step(1), step(1, after=(0,))))
+        await until(lambda: owner.partition.jobs)
+        owning.storage.faults["commit"] = ["late"]
+        await until(lambda: owner.state(JOB) is JobState.DONE)
+        [result] = await owning.storage.deliver()
+        assert not isinstance(result, int)
+        kept = owning.storage.items[records.progress_key("desk", JOB)]
+        assert records.decode_progress(kept.value).state is JobState.DONE
+        owning.close()
+
+    asyncio.run(run())
+
+
+def test_worker_that_comes_back_is_listed_before_it_is_used():
+    """Guards against a later owner that does not wait for such a worker."""
+
+    async def run():
+        owning = Owning()
+        owner = await owning.claim()
+        await owner.start(owning.infos())
+        owner.worker_unlisted("w1")
+
+        def listed():
+            item = owning.storage.items[records.workers_key("desk")]
+            return records.decode_workers(item.value)
+
+        await until(lambda: listed() == ["w0"])
+        owner.worker_listed(worker_info(1))
+        assert "w1" not in {w.worker_id for w in owner.partition._usable(CLOCK.now())}
+        await until(lambda: listed() == ["w0", "w1"])
+        owning.close()
+
+    asyncio.run(run())
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -270,3 +270,18 @@
     sim.deadline = sim.clock(cell.now) + 6.0
     cell.run(4)
     assert state(cell) is JobState.DONE
+
+
+def test_owner_without_a_certain_lease_begins_no_new_job():
+    """Guards against two owners that both start a job that is new to them."""
+    cell = Cell()
+    cell.submit(job("b" * 16, step(2), step(1, after=(0,))))
+    cell.run(0.5)
+    cell.partition.sole_owner = False
+    cell.submit(job(JOB))
+    cell.run(4)
+    assert state(cell, "b" * 16) is JobState.DONE
+    assert cell.starts(f"{JOB}.0.0.0") == []
+    cell.partition.sole_owner = True
+    cell.run(2)
+    assert state(cell) is JobState.DONE
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -1,6 +1,7 @@
 """Workers and a store in memory for tests of the workload package."""
 
 import asyncio
+import copy
 import itertools
 
 from poplaryard.exceptions import (
@@ -115,6 +116,7 @@
             self.now += step_s
 
     def step(self):
+        self.partition.keep_workers(self.partition.may_hold_work(self.now))
         for sim in self.sims.values():
             sim.advance(self.now)
             worker = self.partition.workers.get(sim.info.worker_id)
@@ -182,7 +184,11 @@
 
 
 class MemoryStorage:
-    """Storage in memory; ``faults`` lists "down", "lost" or "dropped" by method."""
+    """Storage in memory.
+
+    ``faults`` lists "down", "lost" (done, no reply), "dropped" (not done, no reply) or
+    "late" (no reply, done by `deliver`) by method.
+    """
 
     def __init__(self):
         self.items = {}
@@ -191,6 +197,7 @@
         self.faults = {}
         self.calls = []
         self._log = []
+        self._late = []
         self._changed = asyncio.Event()
         self._ids = itertools.count(1)
 
@@ -240,6 +247,9 @@
 
     async def commit(self, transaction):
         fault = self._fault("commit")
+        if fault == "late":
+            self._late.append(copy.deepcopy(transaction))
+            raise StoreReplyLost
         for _, _, lease in transaction.puts:
             if lease and lease not in self.leases:
                 raise LeaseLost
@@ -259,6 +269,11 @@
             raise StoreReplyLost
         return self.revision
 
+    async def deliver(self):
+        """Carry out the late writes, if their conditions still hold."""
+        late, self._late = self._late, []
+        return [await self.commit(transaction) for transaction in late]
+
     async def grant(self, ttl_s):
         self._fault("grant")
         lease = next(self._ids)
