Tell owners of stored jobs; serve metrics; write logs without blocking

The watch of new jobs costs a call each time and is slow when the store is; the process that stored a job now also tells its owner. Logs go to standard output through a bounded buffer and a thread; lines that nobody reads are dropped and counted.

--- a/src/poplaryard/logs.py
+++ b/src/poplaryard/logs.py
@@ -1,16 +1,25 @@
 """JSON lines on the error stream, with the ids of process, ticket and request."""
 
 import asyncio
+import collections
 import contextlib
 import contextvars
 import logging
 import sys
+import threading
 import time
 import typing as t
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["configure", "log_failure", "logger", "request_id", "requests_id"]
+__all__ = [
+    "BackgroundStream",
+    "configure",
+    "log_failure",
+    "logger",
+    "request_id",
+    "requests_id",
+]
 
 logger = logging.getLogger("poplaryard")
 
@@ -20,6 +29,75 @@
 _RENAMED = {"asctime": "time", "levelname": "level"}
 
 
+# Lines that wait for a reader, at most; about 1 MB.
+MAX_WAITING_LINES = 4000
+# Lines of this long are written together, in seconds: each write wakes the reader.
+WRITE_EVERY_S = 0.05
+
+
+class BackgroundStream:
+    """Text stream that never blocks its writers.
+
+    A thread writes the lines. Lines that come while too many wait for a reader are
+    dropped, and a line says how many.
+
+    Parameters
+    ----------
+    stream : text stream
+
+    Attributes
+    ----------
+    dropped : int
+        Lines dropped so far.
+    """
+
+    def __init__(self, stream: t.TextIO, limit: int = MAX_WAITING_LINES):
+        self._stream = stream
+        self._limit = limit
+        self._lines: collections.deque[str] = collections.deque()
+        self._filled = threading.Event()
+        self._reported = 0
+        self.dropped = 0
+        threading.Thread(target=self._run, daemon=True, name="log writer").start()
+
+    def write(self, text: str) -> int:
+        """Take a line, or drop it if too many wait."""
+        if len(self._lines) >= self._limit:
+            self.dropped += 1
+        else:
+            self._lines.append(text)
+            self._filled.set()
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing: the thread writes."""
+
+    def close(self, timeout_s: float = 0.5) -> None:
+        """Wait until the lines are written, for at most `timeout_s` seconds."""
+        end = time.monotonic() + timeout_s
+        while self._lines and time.monotonic() < end:
+            time.sleep(0.01)
+
+    def _run(self) -> None:
+        while True:
+            self._filled.wait()
+            time.sleep(WRITE_EVERY_S)
+            self._filled.clear()
+            lines = [self._lines.popleft() for _ in range(len(self._lines))]
+            if self.dropped > self._reported:
+                count, self._reported = self.dropped - self._reported, self.dropped
+                lines.append(
+                    f'{{"level": "WARNING", "message": "log lines dropped", '
+                    f'"count": {count}}}\n'
+                )
+            try:
+                self._stream.write("".join(lines))
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads any more; there is nowhere left to report it.
+                self.dropped += len(lines)
+
+
 class _Ids(logging.Filter):
     """Adds the ids that hold at the time of a record."""
 
@@ -40,7 +118,7 @@
     process: str,
     level: str,
     ticket: t.Callable[[], int] = lambda: 0,
-    stream: t.TextIO | None = None,
+    stream: t.TextIO | BackgroundStream | None = None,
 ) -> None:
     """Write the package's records as JSON lines.
 
--- a/src/poplaryard/platform/entry.py
+++ b/src/poplaryard/platform/entry.py
@@ -49,6 +49,7 @@
     callers: str
     ready: str
     peers: str
+    metrics: str
 
 
 class EntrySettings(msgspec.Struct):
@@ -94,8 +95,10 @@
 
 
 async def _serve(cfg: EntrySettings, path: str) -> None:
-    logs.configure(cfg.process, cfg.log_level, stream=sys.stdout)
+    stream = logs.BackgroundStream(sys.stdout)
+    logs.configure(cfg.process, cfg.log_level, stream=stream)
     client = HttpClient(connections=1024)
+    store = PlatformStore(client, cfg.store)
     node = Node(
         NodeConfig(
             cfg.process,
@@ -108,18 +111,29 @@
                 early_s=cfg.early_ms / 1000,
             ),
         ),
-        PlatformStore(client, cfg.store),
+        store,
         WorkerClient(client, ORDER_TIMEOUT_S),
         AdviceClient(client, cfg.advice),
         client,
         Formats(CONFIG_KEY, WORKER_PREFIX, decode_config, decode_worker, DecodeFailed),
         SystemClock(),
     )
-    front = PlatformFront(node)
+
+    def read_gauges() -> None:
+        node.meters.set("poplaryard_log_lines_dropped", {}, stream.dropped)
+        for call, count in store.calls.items():
+            node.meters.set("poplaryard_store_calls", {"call": call}, count)
+
+    front = PlatformFront(node, read_gauges)
     servers = [
         _server(front, address)
         for address in dict.fromkeys(
-            [cfg.listen.ready, cfg.listen.peers, cfg.listen.callers]
+            [
+                cfg.listen.ready,
+                cfg.listen.peers,
+                cfg.listen.metrics,
+                cfg.listen.callers,
+            ]
         )
     ]
     stop = asyncio.Event()
@@ -138,6 +152,7 @@
     await asyncio.gather(*(server.stop() for server in servers))
     await node.stop()
     logger.info("process stopped")
+    stream.close()
 
 
 def _server(app: t.Any, address: str) -> HttpServer:
--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -5,6 +5,8 @@
 import time
 import typing as t
 
+import msgspec
+
 from ..exceptions import PoplaryardError
 from ..logs import logger
 from ..workload.acceptance import Accepted
@@ -16,6 +18,7 @@
 __all__ = ["Front", "PlatformFront"]
 
 READY_PATH = "/poplaryard/readyz"
+METRICS_PATH = "/metrics"
 # Largest call of a peer: a transaction of 16 jobs of the largest size.
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
 # Clients name a job by 16 hexadecimal digits.
@@ -45,10 +48,13 @@
     Parameters
     ----------
     node : Node
+    read_gauges : callable
+        Brings the gauges up to date before metrics are read.
     """
 
-    def __init__(self, node: Node):
+    def __init__(self, node: Node, read_gauges: t.Callable[[], None]):
         self._node = node
+        self._read_gauges = read_gauges
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
@@ -67,6 +73,9 @@
         path, method = scope["path"], scope["method"]
         if path == READY_PATH:
             return Front(200 if self._node.ready else 503)
+        if path == METRICS_PATH:
+            self._read_gauges()
+            return Front(200, raw=self._node.meters.text())
         if path.startswith("/peer/v1/"):
             return await self._answer_peer(path, receive)
         if not self._node.queues.version:
@@ -96,8 +105,11 @@
                 return Front(
                     200, raw=await answer_relayed(self._node.direct_storage, body)
                 )
+            if path == "/peer/v1/stored":
+                self._node.jobs_stored(body)
+                return Front(200)
             question = json.loads(body)
-        except ValueError:
+        except (ValueError, msgspec.MsgspecError):
             return Front(400)
         if not isinstance(question, dict):
             return Front(400)
--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import typing as t
 from collections import deque
 from dataclasses import dataclass
 
@@ -22,6 +23,9 @@
 MAX_WAITING = 512
 
 
+OnStored: t.TypeAlias = t.Callable[[list[JobSpec], int], None]
+
+
 class Accepted(enum.Enum):
     """What became of a job that was handed in."""
 
@@ -46,10 +50,13 @@
     Parameters
     ----------
     storage : Storage
+    on_stored : callable
+        Called with the jobs of a transaction and its revision.
     """
 
-    def __init__(self, storage: Storage):
+    def __init__(self, storage: Storage, on_stored: OnStored):
         self._storage = storage
+        self._on_stored = on_stored
         self._waiting: deque[_Waiting] = deque()
         self._commits: set[asyncio.Task[None]] = set()
 
@@ -105,6 +112,7 @@
         )
         found = await self._storage.commit(transaction)
         if isinstance(found, int):
+            self._on_stored([waiting.spec for waiting in unique.values()], found)
             self._settle(batch, Accepted.STORED, None)
             return []
         present = {item.key for item in found if isinstance(item, Item)}
--- /dev/null
+++ b/src/poplaryard/workload/meters.py
@@ -0,0 +1,76 @@
+"""Counters and latency histograms of one process."""
+
+import os
+import pathlib
+import typing as t
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["Meters"]
+
+BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, float("inf")]
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+
+_COUNTERS = {
+    "poplaryard_jobs_total": "Jobs handed in, by outcome.",
+    "poplaryard_jobs_finished_total": "Jobs that this owner finished, by state.",
+    "poplaryard_starts_total": "Orders to start a run, by outcome.",
+    "poplaryard_runs_ended_total": "Runs that ended, by how.",
+    "poplaryard_advice_total": "Calls for advice, by outcome.",
+    "poplaryard_workers_ejected_total": "Workers ejected after failed runs.",
+    "poplaryard_owner_changes_total": "Groups taken over and given up.",
+}
+_HISTOGRAMS = {
+    "poplaryard_accept_seconds": "Time to store a job that was handed in.",
+    "poplaryard_first_start_seconds": "Time from acceptance to the first start.",
+    "poplaryard_job_seconds": "Time from acceptance to the end of a job.",
+    "poplaryard_take_over_seconds": "Time from a claim until work can start.",
+    "poplaryard_note_seconds": "Time of a write of progress.",
+}
+_GAUGES = {
+    "poplaryard_store_calls": "Calls of the store so far, by call.",
+    "poplaryard_group": "Figures of the groups that the process owns.",
+    "poplaryard_log_lines_dropped": "Log lines that nobody read in time.",
+    "process_resident_memory_bytes": "Resident memory.",
+    "process_cpu_seconds": "Processor time used.",
+}
+
+
+class Meters:
+    """Registry of counters, histograms and gauges; labels have few values."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._counters = {
+            name: Counter(name, doc, registry=self._registry)
+            for name, doc in _COUNTERS.items()
+        }
+        self._histograms = {
+            name: Histogram(name, doc, registry=self._registry, buckets=BUCKETS_S)
+            for name, doc in _HISTOGRAMS.items()
+        }
+        self._gauges = {
+            name: Gauge(name, doc, registry=self._registry)
+            for name, doc in _GAUGES.items()
+        }
+
+    def count(self, name: str, outcome: str = "") -> None:
+        """Count an event."""
+        self._counters[name].inc({"outcome": outcome} if outcome else {})
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Take in a duration in seconds."""
+        self._histograms[name].observe({}, seconds)
+
+    def set(self, name: str, labels: dict[str, str], value: float) -> None:
+        """Set a gauge."""
+        self._gauges[name].set(labels, value)
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+        times = os.times()
+        self.set("process_resident_memory_bytes", {}, pages * _PAGE_BYTES)
+        self.set("process_cpu_seconds", {}, times.user + times.system)
+        content: t.Any = render(self._registry, [])[0]
+        return bytes(content)
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -16,6 +16,7 @@
 from .acceptance import Acceptance, Accepted
 from .advice import AdviceLines, Advisor, OwnLine
 from .membership import ProcessLease
+from .meters import Meters
 from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
 from .owner import GroupOwner, OwnerLimits, WorkerCalls
 from .relay import RelayedStorage
@@ -124,6 +125,7 @@
         clock: Clock,
     ):
         self.cfg = cfg
+        self.meters = Meters()
         self.queues = QueueTable()
         self.stopping = False
         self.owners: dict[str, GroupOwner] = {}
@@ -135,7 +137,7 @@
         self._peers = peers
         self._formats = formats
         self._clock = clock
-        self._acceptance = Acceptance(storage)
+        self._acceptance = Acceptance(storage, self._tell_owner)
         member = records.Member(
             cfg.process, cfg.peer_address, cfg.data_centre, cfg.cores
         )
@@ -192,7 +194,11 @@
 
     async def submit(self, spec: JobSpec) -> Accepted:
         """Store a job."""
-        return await self._acceptance.submit(spec)
+        began = self._clock.now()
+        accepted = await self._acceptance.submit(spec)
+        self.meters.count("poplaryard_jobs_total", accepted.value)
+        self.meters.observe("poplaryard_accept_seconds", self._clock.now() - began)
+        return accepted
 
     async def state(self, queue: Queue, job_id: str) -> JobState | None:
         """Return the state of a job, or None if there is none.
@@ -237,6 +243,36 @@
             raise _unavailable("the owner of the group does not answer")
         return found["pending"]
 
+    def _tell_owner(self, specs: list[JobSpec], revision: int) -> None:
+        """Tell the owners of jobs that were stored, without waiting for an answer."""
+        for group in {spec.group for spec in specs}:
+            mine = [spec for spec in specs if spec.group == group]
+            owner = self.owners.get(group)
+            if owner is not None:
+                for spec in mine:
+                    owner.job_stored(spec, revision)
+            elif group in self._claims:
+                address = self._claims[group][0].address
+                stored = records.Stored(group, revision, mine)
+                self._spawn(self._send_stored(address, records.encode(stored)))
+
+    async def _send_stored(self, address: str, body: bytes) -> None:
+        url = f"http://{address}/peer/v1/stored"
+        try:
+            await self._peers.raw("POST", url, body, PEER_TIMEOUT_S)
+        except PoplaryardError as exc:
+            # The owner's watch reports the jobs a little later.
+            logger.info("owner not told of jobs", extra={"reason": exc.detail})
+
+    def jobs_stored(self, body: bytes) -> None:
+        """Take jobs that a peer stored; raises `msgspec.DecodeError`."""
+        stored = records.decode_stored(body)
+        owner = self.owners.get(stored.group)
+        if owner is None:
+            return
+        for spec in stored.specs:
+            owner.job_stored(spec, stored.revision)
+
     def answer_peer(self, body: t.Any) -> dict[str, t.Any]:
         """Answer another process's question about a group that this one owns."""
         owner = self.owners.get(str(body.get("group")))
@@ -465,6 +501,7 @@
             self._lease,
             self._clock,
             self.cfg.limits,
+            self.meters,
         )
         self.owners[group] = owner
         await self._worker_watch.loaded.wait()
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -12,6 +12,7 @@
 from . import records
 from .advice import SLOW_S, AdviceLines, Line
 from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
+from .meters import Meters
 from .model import HoldReport, JobSpec, JobState, StartOutcome, WorkerInfo
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
@@ -40,6 +41,9 @@
 # Finished jobs are removed from the store this long after callers may ask for them.
 FORGET_SLACK_S = 30.0
 FORGET_EVERY_S = 15.0
+# Time between two reads of new jobs and cancellations, in seconds. Processes also
+# tell the owner of the jobs that they store; the watch finds what got lost on the way.
+JOBS_BATCH_S = 0.1
 # Time between two log lines on the state of a group, in seconds.
 SUMMARY_EVERY_S = 2.0
 # Time between two looks for workers that are gone, in seconds.
@@ -129,8 +133,10 @@
         lease: ProcessLease,
         clock: Clock,
         limits: OwnerLimits,
+        meters: Meters | None = None,
     ):
         self.group = group
+        self._meters = meters or Meters()
         self.closed = asyncio.Event()
         self.revision = claim_revision
         self._storage = storage
@@ -170,17 +176,23 @@
             began + self._limits.quarantine_s(),
             suspects | set(workers),
             self._limits.early_s,
+            self._meters,
         )
         self._known_workers = suspects
         self._progress = {item.key: item.value for item in progress}
         watch = Watched(
-            self._storage, records.job_prefix(self.group), self._job_changed
+            self._storage,
+            records.job_prefix(self.group),
+            self._job_changed,
+            pause_s=JOBS_BATCH_S,
         )
         await watch.reload()
         self._progress.clear()
         await self._keep_workers(set(workers))
         self.partition.keep_workers(self._known_workers)
         self.loaded = True
+        self._meters.count("poplaryard_owner_changes_total", "taken over")
+        self._meters.observe("poplaryard_take_over_seconds", self._clock.now() - began)
         for info in workers.values():
             self.worker_listed(info)
         logger.info(
@@ -209,6 +221,7 @@
     def abandon(self) -> None:
         """Stop at once, as when another process owns the group."""
         if not self.closed.is_set():
+            self._meters.count("poplaryard_owner_changes_total", "given up")
             logger.info("group given up", extra={"group": self.group})
         self.closed.set()
         for task in [*self._tasks, *self._holds.values()]:
@@ -426,6 +439,8 @@
             now = self._clock.now()
             partition.advice_answered(request, tickets, until, now)
             self._wake.set()
+            outcome = "refused" if tickets is None else "answered"
+            self._meters.count("poplaryard_advice_total", outcome)
             logger.info(
                 "advice answered" if tickets is not None else "advice refused",
                 extra={
@@ -461,10 +476,21 @@
             extra = {"request": name, "reason": str(exc)}
             logger.error("unreadable job in the store", extra=extra)
             return
+        if spec.job_id in partition.jobs:
+            return
         fresh = change.revision > self.revision
         self._log_job(spec, fresh)
         partition.add_job(spec, now, fresh, progress)
 
+    def job_stored(self, spec: JobSpec, revision: int) -> None:
+        """Take a job from the process that stored it, before the watch reports it."""
+        if self.partition is None or not self.loaded or revision <= self.revision:
+            return
+        if spec.job_id not in self.partition.jobs:
+            self._log_job(spec, True)
+            self.partition.add_job(spec, self._clock.now(), True)
+            self._wake.set()
+
     def _log_job(self, spec: JobSpec, fresh: bool) -> None:
         logger.info(
             "job taken",
@@ -488,8 +514,11 @@
                 await asyncio.sleep(HOLD_RETRY_S)
             if now >= self._summary_at:
                 self._summary_at = now + SUMMARY_EVERY_S
-                extra = {"group": self.group, **partition.summary(now)}
-                logger.info("group state", extra=extra)
+                figures = partition.summary(now)
+                logger.info("group state", extra={"group": self.group, **figures})
+                for name, value in figures.items():
+                    labels = {"group": self.group, "figure": name}
+                    self._meters.set("poplaryard_group", labels, value)
             if now >= self._prune_at:
                 self._prune_at = now + PRUNE_EVERY_S
                 await self._list_workers()
@@ -514,6 +543,7 @@
     async def _write_notes(self) -> bool:
         partition = t.cast(Partition, self.partition)
         notes = partition.take_notes()
+        began = self._clock.now()
         entries = [
             (records.progress_key(self.group, job_id), value, 0)
             for job_id, value in notes.progress.items()
@@ -526,6 +556,7 @@
                 partition.notes_failed(notes)
                 return False
         partition.notes_written(notes)
+        self._meters.observe("poplaryard_note_seconds", self._clock.now() - began)
         self._noted.set()
         self._noted.clear()
         return True
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -10,6 +10,7 @@
 from ..logs import logger
 from ..resources import ZERO, Resources
 from . import placing
+from .meters import Meters
 from .model import (
     Ended,
     EndedRun,
@@ -135,6 +136,7 @@
         quarantine_until: float = 0.0,
         suspects: t.Iterable[str] = (),
         early_s: float = 0.0,
+        meters: Meters | None = None,
     ):
         self.group = group
         self.fence = claim_revision
@@ -150,6 +152,7 @@
         self._quarantine_until = quarantine_until
         self._suspects = set(suspects)
         self._early_s = early_s
+        self._meters = meters or Meters()
         self._dirty: set[str] = set()
         self._open_steps: dict[str, StepRun] = {}
         self._tasks: dict[str, Task] = {}
@@ -267,6 +270,8 @@
                         self._stop(run, now)
                     if not task.runs:
                         self._tasks.pop(task.name, None)
+        self._meters.count("poplaryard_jobs_finished_total", str(state))
+        self._meters.observe("poplaryard_job_seconds", now - job.arrived_at)
         logger.info(
             "job finished",
             extra={
@@ -486,6 +491,7 @@
         task.run = max(task.run, ended.run)
         job = task.step.job
         job.started = True
+        self._meters.count("poplaryard_runs_ended_total", str(ended.how))
         if ended.how is not Ended.DONE:
             job.lost_runs += 1
         if ended.checkpoint and not task.done:
@@ -567,6 +573,7 @@
         pause_s = min(EJECT_S * 2**worker.ejections, EJECT_MAX_S)
         worker.ejections += 1
         worker.paused_until = now + pause_s
+        self._meters.count("poplaryard_workers_ejected_total")
         logger.warning(
             "worker ejected",
             extra={
@@ -617,6 +624,8 @@
         step.job.started = True
         if not step.job.first_start_at:
             step.job.first_start_at = now
+            waited_s = now - step.job.arrived_at
+            self._meters.observe("poplaryard_first_start_seconds", waited_s)
         worker.add(run)
         permit = step.permits.get(worker.worker_id)
         ticket = permit.ticket if permit is not None else ""
@@ -630,6 +639,7 @@
 
     def start_answered(self, run: Run, outcome: StartOutcome, now: float) -> None:
         """Take the answer to the order to start a run."""
+        self._meters.count("poplaryard_starts_total", outcome.value)
         if run.key not in run.worker.runs:
             return
         if outcome is StartOutcome.STARTED:
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -10,12 +10,14 @@
     "CANCEL_SUFFIX",
     "Claim",
     "Member",
+    "Stored",
     "cancel_key",
     "claim_key",
     "decode_claim",
     "decode_job",
     "decode_member",
     "decode_progress",
+    "decode_stored",
     "decode_workers",
     "encode",
     "job_key",
@@ -50,6 +52,15 @@
     cores: float = 1.0
 
 
+class Stored(msgspec.Struct, frozen=True):
+    """Jobs that a process has stored in one transaction."""
+
+    group: str
+    revision: int
+    specs: list[JobSpec]
+
+
+_stored = msgspec.json.Decoder(Stored)
 _claims = msgspec.json.Decoder(Claim)
 _members = msgspec.json.Decoder(Member)
 _workers = msgspec.json.Decoder(list[str])
@@ -111,6 +122,11 @@
     return _progress.decode(value)
 
 
+def decode_stored(value: bytes) -> Stored:
+    """Decode a message about stored jobs; raises `msgspec.DecodeError`."""
+    return _stored.decode(value)
+
+
 def decode_claim(value: bytes) -> Claim:
     """Decode a claim; raises `msgspec.DecodeError`."""
     return _claims.decode(value)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,6 +1,8 @@
 import asyncio
 import io
 import json
+import threading
+import time
 
 import testtools
 
@@ -39,3 +41,36 @@
 
         asyncio.run(run())
         self.assertIn("ValueError: fault", json.loads(stream.getvalue())["exc_info"])
+
+
+class StuckStream:
+    """Stream whose reader does not read until it is released."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.text = ""
+
+    def write(self, text):
+        self.released.wait(5)
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def test_reader_that_stops_reading_does_not_stop_the_process():
+    """Guards against a write to standard output that blocks, and unbounded memory."""
+    stuck = StuckStream()
+    stream = logs.BackgroundStream(stuck, limit=100)
+    began = time.monotonic()
+    for number in range(1000):
+        stream.write(f"{number}\n")
+    assert time.monotonic() - began < 0.5
+    assert stream.dropped >= 800
+    stuck.released.set()
+    stream.write("last\n")
+    stream.close(2)
+    deadline = time.monotonic() + 2
+    while "log lines dropped" not in stuck.text and time.monotonic() < deadline:
+        time.sleep(0.01)
+    assert "log lines dropped" in stuck.text
--- a/tests/workload/test_acceptance.py
+++ b/tests/workload/test_acceptance.py
@@ -8,7 +8,7 @@
 
 def submit_all(storage, specs):
     async def run():
-        acceptance = Acceptance(storage)
+        acceptance = Acceptance(storage, lambda specs, revision: None)
         return await asyncio.gather(*(acceptance.submit(spec) for spec in specs))
 
     return asyncio.run(run())
@@ -46,3 +46,20 @@
     storage.faults["commit"] = ["lost"]
     assert submit_all(storage, [job()]) == [Accepted.UNKNOWN]
     assert submit_all(storage, [job()]) == [Accepted.STORED]
+
+
+def test_owner_is_told_of_jobs_only_once_they_are_stored():
+    """Guards against a start of a job that a caller is told was refused."""
+
+    async def run():
+        storage = MemoryStorage()
+        storage.faults["commit"] = ["down", "lost"]
+        told = []
+        acceptance = Acceptance(storage, lambda specs, revision: told.append(specs))
+        await acceptance.submit(job("a" * 16))
+        await acceptance.submit(job("b" * 16))
+        assert told == []
+        await acceptance.submit(job("c" * 16))
+        assert [[spec.job_id for spec in specs] for specs in told] == [["c" * 16]]
+
+    asyncio.run(run())
