--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -21,6 +21,7 @@
     "standin": "standin:standin",
     "status": "ticket_cli:status",
     "ticket": "ticket_cli:ticket",
+    "trace": "trace:trace",
 }
 
 
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -49,6 +49,10 @@
 # time, is moved. Percentages are whole numbers.
 STALL_S = 2.5
 STALL_SHARE = 0.03
+# A task is slow once it has run for this share of its estimate and is expected to need
+# more than this many estimates beside.
+COPY_AFTER = 0.6
+COPY_GAIN = 1.3
 # Steps that hold room at the same time; each hold leaves some of it idle.
 MAX_PLANS = 4
 # Share of a worker from which on a task counts as large.
@@ -561,6 +565,17 @@
             failed.append(number)
         job.progress.run = max(job.progress.run, task.run)
         self._dirty.add(job.spec.job_id)
+        logger.info(
+            "run failed",
+            extra={
+                "request": job.spec.job_id,
+                "task": task.name,
+                "run": number,
+                "worker": worker.worker_id,
+                "failures": len(failed),
+                "attempts": job.spec.attempts,
+            },
+        )
         if len(failed) >= job.spec.attempts:
             self._finish(job, JobState.FAILED, now)
 
@@ -759,8 +774,8 @@
     ) -> AdviceRequest | None:
         """Name the workers that may run the step, if one of them has room for it.
 
-        Workers that are known to be good are all named, with room or without: a name
-        costs little, and their permits serve when room is given back. `claimed` is
+        Workers without room are named as well: a name costs little, and their permits
+        serve when room is given back. `claimed` is
         the room that more urgent steps will take.
         """
         advice = step.job.spec.advice
@@ -783,20 +798,17 @@
             permit = step.permits.get(worker.worker_id)
             if permit is not None and permit.until > now:
                 could_start = could_start or fits
-            elif verdict:
-                good.append(worker)
+            else:
+                (good if verdict else unknown).append(worker)
                 has_room = has_room or fits
-            elif fits or step.spec.gang:
-                unknown.append(worker)
             if fits:
                 candidates.append((worker, room))
         self._claim(step, candidates, waiting, claimed)
         if step.spec.gang:
-            wanted = (bool(unknown) and len(candidates) > 0) or (
-                self._gang_could_start(step, now)
-            )
+            asks_first = bool(unknown) and has_room
+            wanted = asks_first or self._gang_could_start(step, now)
         else:
-            wanted = not could_start and (has_room or bool(unknown))
+            wanted = not could_start and has_room
         if not wanted or not (good or unknown):
             return None
         unknown.sort(key=lambda worker: -worker.free().cpu_m)
@@ -860,8 +872,69 @@
         self._holds.clear()
         self._plans.clear()
         for step in self._waiting_steps(now):
+            ordered = len(self.orders)
             if not self._start_step(step, usable, now):
                 self._plan_room(step, now)
+            self._log_starts(step, ordered, now)
+        self._copy_stragglers(usable, now)
+
+    def _copy_stragglers(self, usable: list[Worker], now: float) -> None:
+        """Start a copy of slow tasks, where the job allows it and room is left."""
+        for step in self._open_steps.values():
+            if not step.spec.speculative or step.spec.gang or step.spec.lasting:
+                continue
+            for task in step.tasks:
+                if task.done or len(task.runs) != 1:
+                    continue
+                run = task.runs[0]
+                if not self._is_straggler(run, now):
+                    continue
+                others = [worker for worker in usable if worker is not run.worker]
+                found = placing.place(step, task, others, self._holds.free, now)
+                if found is None:
+                    continue
+                logger.info(
+                    "copy started",
+                    extra={
+                        "request": step.job.spec.job_id,
+                        "task": task.name,
+                        "worker": found.worker_id,
+                        "slow_worker": run.worker.worker_id,
+                        "percent": run.percent,
+                        "elapsed_s": round(now - run.sent_at, 3),
+                    },
+                )
+                self._start(task, found, task.run + 1, now)
+
+    def _is_straggler(self, run: Run, now: float) -> bool:
+        """Whether a new run is expected to end well before this one."""
+        estimate_s = run.task.step.spec.estimate_s
+        elapsed_s = now - run.sent_at
+        if run.phase is not RunPhase.RUNNING or elapsed_s < COPY_AFTER * estimate_s:
+            return False
+        if run.percent < 1:
+            return elapsed_s > 2 * COPY_AFTER * estimate_s
+        left_s = elapsed_s * (100 - run.percent) / run.percent
+        return left_s > COPY_GAIN * estimate_s
+
+    def _log_starts(self, step: StepRun, ordered: int, now: float) -> None:
+        """Log the tasks of a step that were started, in one line."""
+        orders = self.orders[ordered:]
+        runs = [order.run for order in orders if isinstance(order, StartOrder)]
+        if not runs:
+            return
+        logger.info(
+            "tasks started",
+            extra={
+                "request": step.job.spec.job_id,
+                "step": step.name,
+                "tasks": len(runs),
+                "of": step.spec.count,
+                "workers": sorted({run.worker.worker_id for run in runs})[:8],
+                "fence": self.fence,
+                "waited_s": round(now - step.job.arrived_at, 3),
+            },
+        )
 
     def _plan_room(self, step: StepRun, now: float) -> None:
         """Hold room for a step that does not fit, and stop less urgent runs there."""
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -43,7 +43,7 @@
             names(_BAD) | names(Health(ready=False)) | names(Health(store_ok=False))
         )
         self.assertEqual(set(ALARMS), raised)
-        page = pathlib.Path(__file__).parent.parent / "docs" / "operations.md"
+        page = pathlib.Path(__file__).parent.parent / "docs" / "OPERATIONS.md"
         text = page.read_text()
         for name in [*ALARMS, *metrics._READ]:
             self.assertIn(f"`{name}`", text)
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -285,3 +285,19 @@
     cell.partition.sole_owner = True
     cell.run(2)
     assert state(cell) is JobState.DONE
+
+
+def test_slow_task_is_copied_where_the_job_allows_it():
+    """Pattern: a worker that is six times slower than the others."""
+    cell = Cell(workers=2)
+    cell.sims["w0"].slowness = 6.0
+    cell.submit(job(JOB, step(1, speculative=True)))
+    cell.submit(job("b" * 16, step(1)))
+    began = cell.now
+    while not state(cell).final:
+        cell.run(0.1)
+    assert cell.now - began < 3.0
+    assert len(cell.starts(f"{JOB}.0.0.0")) <= 2
+    cell.run(8)
+    assert not any(sim.runs for sim in cell.sims.values())
+    assert len(cell.starts(f"{'b' * 16}.0.0.0")) == 1
