Give no silent worker up without a certain lease

Ruled out: clock drift, the copy of slow tasks (the step allows none). Test: test_owner_without_a_certain_lease_gives_no_silent_worker_up fails without the change.

--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -987,9 +987,15 @@
         return True
 
     def _expire(self, now: float) -> None:
+        """Free runs whose leases have lapsed, repeat stops and find stalled runs.
+
+        Without a certain lease of its own, this owner can't tell whether a later one
+        renews the leases of a worker that is silent here.
+        """
         for worker in list(self.workers.values()):
             if not worker.reachable and worker.runs and worker.clock_at:
-                self._expire_runs(worker, now)
+                if self.sole_owner:
+                    self._expire_runs(worker, now)
             elif not worker.runs and not self.is_watched(worker, now):
                 del self.workers[worker.worker_id]
             for run in list(worker.runs.values()):
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -301,3 +301,18 @@
     cell.run(8)
     assert not any(sim.runs for sim in cell.sims.values())
     assert len(cell.starts(f"{'b' * 16}.0.0.0")) == 1
+
+
+def test_owner_without_a_certain_lease_gives_no_silent_worker_up():
+    """Guards against a restart of a task whose lease a later owner renews."""
+    cell = Cell(workers=2)
+    cell.submit(job(JOB, step(1, estimate_s=30.0)))
+    cell.run(1)
+    holder = cell.starts()[0][0]
+    cell.sims[holder].cut = True
+    cell.partition.sole_owner = False
+    cell.run(10)
+    assert len(cell.starts()) == 1
+    cell.partition.sole_owner = True
+    cell.run(1)
+    assert len(cell.starts()) == 2
