Report not ready while the data centre is cut off; claim at once on a new lease

Cause: callers of a zone that was cut off stayed with its processes, which can store nothing; a process that was restarted looked for groups to claim only every 0.5 s.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -18,6 +18,9 @@
 __all__ = ["Front", "PlatformFront"]
 
 READY_PATH = "/poplaryard/readyz"
+# Seconds after which a refused client should return: by then the platform's balancer
+# has noticed a process that is not ready, or a short outage is over.
+RETRY_S = 1.0
 METRICS_PATH = "/metrics"
 # Largest call of a peer: a transaction of 16 jobs of the largest size.
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
@@ -66,8 +69,9 @@
             answer = Front(413)
         except PoplaryardError as exc:
             logger.info("question not answered", extra={"reason": exc.detail})
-            answer = Front(503, retry_s=1.0)
-        await _respond(answer, send, close=self._node.stopping)
+            answer = Front(503, retry_s=RETRY_S)
+        close = self._node.stopping or self._node.isolated
+        await _respond(answer, send, close)
 
     async def _answer(self, scope: Scope, receive: Receive) -> Front:
         path, method = scope["path"], scope["method"]
@@ -79,7 +83,7 @@
         if path.startswith("/peer/v1/"):
             return await self._answer_peer(path, receive)
         if not self._node.queues.version:
-            return Front(503, retry_s=1.0)
+            return Front(503, retry_s=RETRY_S)
         queue = self._node.queues.find(_host(scope), path)
         if queue is None:
             return Front(404)
@@ -99,6 +103,8 @@
         return Front(405)
 
     async def _answer_peer(self, path: str, receive: Receive) -> Front:
+        if path == "/peer/v1/ping":
+            return Front(200)
         body = await _body(receive, MAX_PEER_BODY_BYTES)
         try:
             if path == RELAY_PATH:
@@ -137,7 +143,7 @@
         if accepted is Accepted.STORED:
             return Front(200, {})
         if accepted is Accepted.REFUSED:
-            return Front(503, retry_s=1.0)
+            return Front(503, retry_s=RETRY_S)
         # The job may have been stored: the client has to send it again.
         return Front(504)
 
--- a/src/poplaryard/platform/store.py
+++ b/src/poplaryard/platform/store.py
@@ -12,9 +12,9 @@
 
 __all__ = ["PlatformStore"]
 
-# Half of `config_apply_ms`: a connection that has gone silent must be noticed and its
-# call repeated within that bound.
-CALL_TIMEOUT_S = 1.0
+# A slow store takes 0.24 s for an answer. A connection that has gone silent must be
+# noticed, and its call repeated, well within `config_apply_ms` of 2 s.
+CALL_TIMEOUT_S = 0.7
 # Time that an answer to a watch may take beyond the wait that was asked for.
 WATCH_SLACK_S = 0.5
 _NOTHING_DONE = (429, 503)
--- a/src/poplaryard/workload/membership.py
+++ b/src/poplaryard/workload/membership.py
@@ -1,6 +1,7 @@
 """A process's lease in the store, and how long it may act on it."""
 
 import asyncio
+import typing as t
 
 from ..clock import Clock
 from ..exceptions import LeaseLost, StoreDown, StoreReplyLost
@@ -32,6 +33,8 @@
     clock : Clock
     member : records.Member
         Entry that peers find the process by.
+    on_change : callable
+        Called when a lease was granted or lost.
 
     Attributes
     ----------
@@ -41,8 +44,15 @@
         Number of leases that were lost.
     """
 
-    def __init__(self, storage: Storage, clock: Clock, member: records.Member):
+    def __init__(
+        self,
+        storage: Storage,
+        clock: Clock,
+        member: records.Member,
+        on_change: t.Callable[[], None] = lambda: None,
+    ):
         self._storage = storage
+        self._on_change = on_change
         self._clock = clock
         self._member = member
         self.lease = 0
@@ -84,6 +94,7 @@
         self._valid_until = sent_at + LEASE_TTL_S - AUTHORITY_SLACK_S
         logger.info("lease granted", extra={"lease": lease})
         self.changed.set()
+        self._on_change()
 
     async def _renew(self, sent_at: float) -> None:
         if await self._storage.renew(self.lease):
@@ -97,7 +108,7 @@
         self.lease = 0
         self.generation += 1
         self._valid_until = float("-inf")
-        self.changed.set()
+        self._on_change()
 
     async def end(self) -> None:
         """End the lease, which removes the process's keys."""
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -1,6 +1,7 @@
 """One process: takes jobs from callers and owns groups of workers."""
 
 import asyncio
+import random
 import time
 import typing as t
 from dataclasses import dataclass
@@ -35,6 +36,10 @@
 # them are read together.
 HEARTBEAT_BATCH_S = 0.25
 CLAIM_CHECK_S = 0.5
+# Time between two looks whether the data centre is cut off, in seconds, and peers of
+# others that are asked then.
+ISOLATION_CHECK_S = 0.4
+ISOLATION_PEERS = 3
 
 
 class Unavailable(PoplaryardError):
@@ -128,9 +133,11 @@
         self.meters = Meters()
         self.queues = QueueTable()
         self.stopping = False
+        self.isolated = False
         self.owners: dict[str, GroupOwner] = {}
         self.direct_storage = storage
-        storage = RelayedStorage(storage, peers, self._peer_addresses, clock)
+        self._relayed = RelayedStorage(storage, peers, self._peer_addresses, clock)
+        storage = self._relayed
         self._storage = storage
         self._calls = calls
         self._advisor = OwnLine(advisor)
@@ -141,9 +148,9 @@
         member = records.Member(
             cfg.process, cfg.peer_address, cfg.data_centre, cfg.cores
         )
-        self._lease = ProcessLease(storage, clock, member)
         self._claims: dict[str, tuple[records.Claim, int]] = {}
         self._claims_changed = asyncio.Event()
+        self._lease = ProcessLease(storage, clock, member, self._claims_changed.set)
         self._workers: dict[str, WorkerInfo] = {}
         self._unreadable: dict[str, bytes] = {}
         config_prefix = formats.config_key.rpartition("/")[0] + "/"
@@ -165,14 +172,45 @@
     @property
     def ready(self) -> bool:
         """Whether new connections should come here."""
-        return not self.stopping and bool(self.queues.version)
+        return not (self.stopping or self.isolated) and bool(self.queues.version)
 
     async def start(self) -> None:
         """Begin to follow the store and to claim groups."""
         for watch in (self._config, self._claim_watch, self._member_watch):
             self._spawn(watch.run())
+        self._spawn(self._watch_isolation())
         self._owning = [self._spawn(self._lease.run()), self._spawn(self._claim_loop())]
 
+    async def _watch_isolation(self) -> None:
+        """Find out whether this process's data centre is cut off.
+
+        It can then serve nobody. Callers should be sent to other data centres, which
+        happens once no process of this one says that it is ready. While the store is
+        down for all, that would not help.
+        """
+        while True:
+            await asyncio.sleep(ISOLATION_CHECK_S)
+            outside = [
+                member.address
+                for member in self._members.values()
+                if member.data_centre != self.cfg.data_centre
+            ]
+            isolated = False
+            if outside and not self._relayed.direct_ok:
+                asked = random.sample(outside, min(ISOLATION_PEERS, len(outside)))
+                answered = await asyncio.gather(*(map(self._answers, asked)))
+                isolated = not any(answered) and not self._relayed.direct_ok
+            if isolated != self.isolated:
+                self.isolated = isolated
+                logger.warning("cut off" if isolated else "no longer cut off")
+
+    async def _answers(self, address: str) -> bool:
+        try:
+            await self._peers.get(f"http://{address}/peer/v1/ping", PEER_TIMEOUT_S)
+        except PoplaryardError:
+            return False
+        return True
+
     async def hand_over(self) -> None:
         """Give up all groups, so that another process takes them at once."""
         self.stopping = True
--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -115,6 +115,11 @@
         Client for calls to peers.
     peers : callable
         Returns the addresses of peers.
+
+    Attributes
+    ----------
+    direct_ok : bool
+        Whether the store answered the last direct call.
     """
 
     def __init__(
@@ -128,7 +133,7 @@
         self._client = client
         self._peers = peers
         self._clock = clock
-        self._direct_ok = True
+        self.direct_ok = True
         self._probe_at = 0.0
         self._relay_at = 0.0
 
@@ -207,7 +212,7 @@
         await self._relay(_Call("revoke", lease=lease))
 
     def _use_direct(self) -> bool:
-        if self._direct_ok:
+        if self.direct_ok:
             return True
         now = self._clock.now()
         if now < self._probe_at:
@@ -216,17 +221,17 @@
         return True
 
     def _reached(self, result: t.Any) -> t.Any:
-        if not self._direct_ok:
+        if not self.direct_ok:
             logger.warning("store reached directly again")
-        self._direct_ok = True
+        self.direct_ok = True
         return result
 
     def _failed(self, exc: PoplaryardError) -> None:
-        if self._direct_ok:
+        if self.direct_ok:
             extra = {"reason": exc.detail}
             logger.warning("store not reached; calling it through peers", extra=extra)
             self._probe_at = self._clock.now() + PROBE_S
-        self._direct_ok = False
+        self.direct_ok = False
 
     async def _relay(self, call: _Call, timeout_s: float = RELAY_TIMEOUT_S) -> _Outcome:
         """Make a call through up to `PEERS_TRIED` peers."""
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -1,6 +1,8 @@
 import asyncio
 import json
 
+import msgspec
+
 from poplaryard.client import HttpClient
 from poplaryard.clock import SystemClock
 from poplaryard.platform.codec import (
@@ -162,3 +164,23 @@
         assert b"poplaryard_jobs_total" in reply.content
 
     with_system(work, entries=1)
+
+
+def test_process_that_is_cut_off_is_not_ready():
+    """Guards against callers kept at a data centre that can serve nobody."""
+
+    async def work(platform, first, second):
+        # To the first, the second is a peer of another data centre.
+        await asyncio.sleep(0.3)
+        member = first.node._members["p1"]
+        first.node._members["p1"] = msgspec.structs.replace(
+            member, data_centre="dc2", address="127.0.0.1:9"
+        )
+        platform.refuse = True
+        await until(first, "/poplaryard/readyz", 503)
+        # The second reaches a peer of its own data centre only: all may be down.
+        assert (await second.call("GET", "/poplaryard/readyz"))[0] == 200
+        platform.refuse = False
+        await until(first, "/poplaryard/readyz", 200)
+
+    with_system(work)
