--- a/src/poplaryard/logs.py
+++ b/src/poplaryard/logs.py
@@ -33,6 +33,8 @@
 MAX_WAITING_LINES = 4000
 # Lines of this long are written together, in seconds: each write wakes the reader.
 WRITE_EVERY_S = 0.05
+# Lines in one write: readers that take only what a pipe holds cut longer ones.
+LINES_PER_WRITE = 16
 
 
 class BackgroundStream:
@@ -90,12 +92,16 @@
                     f'{{"level": "WARNING", "message": "log lines dropped", '
                     f'"count": {count}}}\n'
                 )
-            try:
-                self._stream.write("".join(lines))
-                self._stream.flush()
-            except (OSError, ValueError):
-                # Nobody reads any more; there is nowhere left to report it.
-                self.dropped += len(lines)
+            for begin in range(0, len(lines), LINES_PER_WRITE):
+                self._write(lines[begin : begin + LINES_PER_WRITE])
+
+    def _write(self, lines: list[str]) -> None:
+        try:
+            self._stream.write("".join(lines))
+            self._stream.flush()
+        except (OSError, ValueError):
+            # Nobody reads any more; there is nowhere left to report it.
+            self.dropped += len(lines)
 
 
 class _Ids(logging.Filter):
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -479,7 +479,8 @@
         if spec.job_id in partition.jobs:
             return
         fresh = change.revision > self.revision
-        self._log_job(spec, fresh)
+        if progress is None or not progress.state.final:
+            self._log_job(spec, fresh)
         partition.add_job(spec, now, fresh, progress)
 
     def job_stored(self, spec: JobSpec, revision: int) -> None:
