--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -22,7 +22,7 @@
 RELAY_TIMEOUT_S = 1.2
 WATCH_SLACK_S = 0.8
 # Time between two attempts to reach the store directly again, in seconds.
-PROBE_S = 1.0
+PROBE_S = 0.3
 # Peers that are tried for one call, and the pause after all of them failed, in
 # seconds: the store is then down for all, and relayed calls only add load.
 PEERS_TRIED = 2
