--- /dev/null
+++ b/src/poplaryard/workload/advising.py
@@ -0,0 +1,158 @@
+"""Which steps to ask the advice service about, and which workers to name."""
+
+import typing as t
+
+from ..resources import ZERO, Resources
+from . import placing
+from .jobtable import JobTable
+from .orders import AdviceRequest
+from .runtime import Permit, StepRun, Worker
+
+__all__ = ["Advising"]
+
+# Most workers that one call for advice may name.
+ADVICE_MAX_WORKERS = 100
+# Part of a permit's life that is left unused, in seconds: the start has to arrive.
+PERMIT_SLACK_S = 0.15
+# Advice for a step is asked for when the steps before it are expected to end within
+# this many seconds.
+ADVICE_AHEAD_S = 0.8
+# Wait before the next call for advice on a step after one that failed, in seconds.
+ADVICE_RETRY_S = 0.02
+
+
+class Advising(JobTable):
+    """Chooses the calls for advice and takes their answers in."""
+
+    def advice_answered(
+        self,
+        request: AdviceRequest,
+        tickets: dict[str, str] | None,
+        until: float,
+        now: float,
+    ) -> None:
+        """Take the advice for a step; `tickets` is None if the call failed."""
+        step = request.step
+        step.asking = False
+        if tickets is None:
+            step.ask_after = now + ADVICE_RETRY_S
+            return
+        for worker_id in request.workers:
+            step.verdicts[worker_id] = worker_id in tickets
+            if worker_id in tickets:
+                permit = Permit(tickets[worker_id], until - PERMIT_SLACK_S)
+                step.permits[worker_id] = permit
+
+    def next_advice(
+        self, now: float, fits: t.Callable[[float], bool]
+    ) -> AdviceRequest | None:
+        """Return the most urgent call for advice whose cost fits, or None.
+
+        Parameters
+        ----------
+        fits : callable
+            Whether a call that takes this many seconds can be made now.
+        """
+        claimed: dict[Worker, Resources] = {}
+        for step in [*self._waiting_steps(now), *self._steps_ahead(now)]:
+            if step.job.spec.advice is None:
+                continue
+            request = self._advice_for(step, claimed, now)
+            if request is None or step.asking or now < step.ask_after:
+                continue
+            if fits(request.cost_s):
+                step.asking = True
+                return request
+        return None
+
+    def _steps_ahead(self, now: float) -> list[StepRun]:
+        """Return steps that are expected to become ready within a permit's life."""
+        return [
+            step
+            for step in self._open_steps.values()
+            if step.spec.after
+            and not step.permits
+            and not self._ready(step)
+            and self._ready_soon(step, now)
+        ]
+
+    def _ready_soon(self, step: StepRun, now: float) -> bool:
+        steps = step.job.occurrences[step.occurrence]
+        for number in step.spec.after:
+            for task in steps[number].tasks:
+                if task.done:
+                    continue
+                if not task.runs:
+                    return False
+                ends_at = task.runs[0].sent_at + steps[number].spec.estimate_s
+                if ends_at > now + ADVICE_AHEAD_S:
+                    return False
+        return True
+
+    def _advice_for(
+        self, step: StepRun, claimed: dict[Worker, Resources], now: float
+    ) -> AdviceRequest | None:
+        """Name the workers that may run the step, if one of them has room for it.
+
+        Workers without room are named as well: a name costs little, and their permits
+        serve when room is given back. `claimed` is
+        the room that more urgent steps will take.
+        """
+        advice = step.job.spec.advice
+        if advice is None:
+            return None
+        good: list[Worker] = []
+        unknown: list[Worker] = []
+        has_room = False
+        could_start = False
+        candidates: list[tuple[Worker, Resources]] = []
+        waiting = len(step.waiting(now))
+        for worker in self.workers.values():
+            verdict = step.verdicts.get(worker.worker_id)
+            if verdict is False or not worker.usable(now):
+                continue
+            if not placing.admits(step, worker):
+                continue
+            room = self._holds.free(step, worker) - claimed.get(worker, ZERO)
+            fits = step.need.fits_in(room)
+            permit = step.permits.get(worker.worker_id)
+            if permit is not None and permit.until > now:
+                could_start = could_start or fits
+            else:
+                (good if verdict else unknown).append(worker)
+                has_room = has_room or fits
+            if fits:
+                candidates.append((worker, room))
+        self._claim(step, candidates, waiting, claimed)
+        if step.spec.gang:
+            asks_first = bool(unknown) and has_room
+            wanted = asks_first or self._gang_could_start(step, now)
+        else:
+            wanted = not could_start and has_room
+        if not wanted or not (good or unknown):
+            return None
+        unknown.sort(key=lambda worker: -worker.free().cpu_m)
+        count = int(max(4 * waiting, advice.base_s / max(advice.per_worker_s, 1e-6)))
+        named = [worker.worker_id for worker in good + unknown]
+        named = named[: min(max(count, 4), ADVICE_MAX_WORKERS)]
+        cost_s = advice.base_s + advice.per_worker_s * len(named)
+        return AdviceRequest(step, tuple(named), cost_s)
+
+    def _claim(
+        self,
+        step: StepRun,
+        candidates: list[tuple[Worker, Resources]],
+        waiting: int,
+        claimed: dict[Worker, Resources],
+    ) -> None:
+        """Count the room that a step's waiting tasks are expected to take."""
+        for worker, room in candidates:
+            while waiting > 0 and step.need.fits_in(room):
+                room = room - step.need
+                waiting -= 1
+                claimed[worker] = claimed.get(worker, ZERO) + step.need
+
+    def _gang_could_start(self, step: StepRun, now: float) -> bool:
+        """Whether a gang will have room within the life of a permit."""
+        plan = self._plans.get(step.name)
+        return plan is not None and plan.ready_at <= now + ADVICE_AHEAD_S
--- /dev/null
+++ b/src/poplaryard/workload/ends.py
@@ -0,0 +1,168 @@
+"""What follows from the end of a run."""
+
+from ..logs import logger
+from .jobtable import JobTable
+from .model import Ended, EndedRun, JobState
+from .runtime import Run, Task, Worker
+
+__all__ = ["Ends"]
+
+# First pause of a worker on which the runs of several jobs failed, in seconds; it
+# doubles with each further ejection.
+EJECT_S = 2.0
+EJECT_MAX_S = 16.0
+# Jobs that fail in a row on a worker before it is ejected. One job may be at fault
+# itself.
+EJECT_AFTER = 2
+
+
+class Ends(JobTable):
+    """Takes ends of runs in: finished and failed tasks, gangs, bad workers."""
+
+    def _ended(self, worker: Worker, ended: EndedRun, now: float) -> None:
+        run = worker.runs.get((ended.task, ended.run))
+        task = run.task if run is not None else self._tasks.get(ended.task)
+        worker.foreign.discard((ended.task, ended.run))
+        if task is None:
+            if ended.task.partition(".")[0] not in self.jobs:
+                extra = {"task": ended.task, "worker": worker.worker_id}
+                logger.warning("end of an unknown task", extra=extra)
+            return
+        if run is not None:
+            worker.release(run)
+            task.runs.remove(run)
+        task.run = max(task.run, ended.run)
+        job = task.step.job
+        job.started = True
+        self._meters.count("poplaryard_runs_ended_total", str(ended.how))
+        if ended.how is not Ended.DONE:
+            job.lost_runs += 1
+        if ended.checkpoint and not task.done:
+            self._keep_checkpoint(task, ended.checkpoint)
+        if ended.how is Ended.DONE and not task.step.spec.lasting:
+            self._task_done(worker, task, now)
+        elif ended.how is Ended.FAILED:
+            self._task_failed(worker, task, ended.run, now)
+        if ended.how is Ended.ALONE or ended.how is Ended.LAPSED:
+            logger.warning(
+                "run ended early",
+                extra={
+                    "request": job.spec.job_id,
+                    "task": ended.task,
+                    "worker": worker.worker_id,
+                    "how": str(ended.how),
+                },
+            )
+        if task.step.spec.gang:
+            self._end_gang(task, ended.run, now)
+        if job.progress.state.final and not task.runs:
+            self._tasks.pop(task.name, None)
+
+    def _keep_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keep a checkpoint; any member's is valid for its whole gang."""
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            member.checkpoint = checkpoint
+
+    def _task_done(self, worker: Worker, task: Task, now: float) -> None:
+        worker.failed_jobs.clear()
+        members = task.step.tasks if task.step.spec.gang else [task]
+        for member in members:
+            self._mark_done(member, now)
+
+    def _mark_done(self, task: Task, now: float) -> None:
+        step, job = task.step, task.step.job
+        if task.done or job.progress.state.final:
+            return
+        task.done = True
+        step.remaining -= 1
+        job.progress.done.setdefault(step.key, []).append(task.index)
+        job.progress.run = max(job.progress.run, task.run)
+        self._dirty.add(job.spec.job_id)
+        for run in list(task.runs):
+            if not step.spec.gang:
+                self._stop(run, now)
+        if step.remaining:
+            return
+        self._open_steps.pop(step.name, None)
+        steps = job.occurrences[step.occurrence]
+        if any(other.remaining for other in steps):
+            return
+        self._close_occurrence(job, step.occurrence)
+        if not job.occurrences_left:
+            self._finish(job, JobState.DONE, now)
+
+    def _task_failed(self, worker: Worker, task: Task, number: int, now: float) -> None:
+        job = task.step.job
+        self._blame(worker, job.spec.job_id, now)
+        task.avoid.add(worker.worker_id)
+        if task.done or job.progress.state.final or task.step.spec.lasting:
+            return
+        key = task.step.key if task.step.spec.gang else task.name
+        failed = job.progress.failures.setdefault(key, [])
+        if number not in failed:
+            failed.append(number)
+        job.progress.run = max(job.progress.run, task.run)
+        self._dirty.add(job.spec.job_id)
+        logger.info(
+            "run failed",
+            extra={
+                "request": job.spec.job_id,
+                "task": task.name,
+                "run": number,
+                "worker": worker.worker_id,
+                "failures": len(failed),
+                "attempts": job.spec.attempts,
+            },
+        )
+        if len(failed) >= job.spec.attempts:
+            self._finish(job, JobState.FAILED, now)
+
+    def _blame(self, worker: Worker, job_id: str, now: float) -> None:
+        """Count a failed run against its worker; eject it if several jobs failed."""
+        if job_id not in worker.failed_jobs:
+            worker.failed_jobs.append(job_id)
+        if len(worker.failed_jobs) < EJECT_AFTER:
+            return
+        pause_s = min(EJECT_S * 2**worker.ejections, EJECT_MAX_S)
+        worker.ejections += 1
+        worker.paused_until = now + pause_s
+        self._meters.count("poplaryard_workers_ejected_total")
+        logger.warning(
+            "worker ejected",
+            extra={
+                "worker": worker.worker_id,
+                "failed_jobs": worker.failed_jobs[-3:],
+                "pause_s": pause_s,
+            },
+        )
+        worker.failed_jobs.clear()
+
+    def _end_gang(self, task: Task, number: int, now: float) -> None:
+        """Stop the other members of a gang's run, unless it is done."""
+        if task.done:
+            return
+        for member in task.step.tasks:
+            for run in list(member.runs):
+                if run.number == number:
+                    self._stop(run, now)
+
+    def _run_gone(self, run: Run, now: float, reason: str) -> None:
+        """Free a run that has certainly ended without being listed."""
+        if not run.worker.release(run):
+            return
+        run.task.runs.remove(run)
+        logger.info(
+            "run lost",
+            extra={
+                "request": run.task.step.job.spec.job_id,
+                "task": run.task.name,
+                "run": run.number,
+                "worker": run.worker.worker_id,
+                "reason": reason,
+            },
+        )
+        if run.task.step.spec.gang:
+            self._end_gang(run.task, run.number, now)
+        if run.task.step.job.progress.state.final and not run.task.runs:
+            self._tasks.pop(run.task.name, None)
--- /dev/null
+++ b/src/poplaryard/workload/jobtable.py
@@ -0,0 +1,260 @@
+"""Jobs of a group: their occurrences, their order, and what has to be kept of them."""
+
+import typing as t
+
+from ..logs import logger
+from .meters import Meters
+from .model import JobSpec, JobState, Progress
+from .orders import Notes, StartOrder, StopOrder
+from .records import encode
+from .room import Holds, Plan
+from .runtime import JobRun, Run, RunPhase, StepRun, Task, Worker
+
+__all__ = ["JobTable"]
+
+# Least gap that a new owner leaves to the run numbers it knows of: starts are not
+# written to the store, so the earlier owner may have used some above them.
+RUN_GAP = 16
+
+
+class JobTable:
+    """State of one group, and the decisions on its jobs.
+
+    Parameters
+    ----------
+    group : str
+    claim_revision : int
+        Revision of the owner's claim, which is its fencing token.
+    wall_offset : float
+        Wall-clock time minus the owner's clock, in seconds.
+    quarantine_until : float
+        Time until which workers that did not report may hold runs of an earlier owner.
+    suspects : iterable of str
+        Workers that may hold such runs.
+    """
+
+    def __init__(
+        self,
+        group: str,
+        claim_revision: int,
+        wall_offset: float,
+        quarantine_until: float = 0.0,
+        suspects: t.Iterable[str] = (),
+        early_s: float = 0.0,
+        meters: Meters | None = None,
+    ):
+        self.group = group
+        self.fence = claim_revision
+        self.jobs: dict[str, JobRun] = {}
+        self.workers: dict[str, Worker] = {}
+        self.orders: list[StartOrder | StopOrder] = []
+        self.fenced = False
+        self.notes_urgent = False
+        self.accepts_starts = True
+        self.sole_owner = True
+        self._kept: set[str] = set()
+        self._wall_offset = wall_offset
+        self._quarantine_until = quarantine_until
+        self._suspects = set(suspects)
+        self._early_s = early_s
+        self._meters = meters or Meters()
+        self._dirty: set[str] = set()
+        self._open_steps: dict[str, StepRun] = {}
+        self._tasks: dict[str, Task] = {}
+        self._holds = Holds()
+        self._plans: dict[str, Plan] = {}
+
+    def add_job(
+        self, spec: JobSpec, now: float, fresh: bool, progress: Progress | None = None
+    ) -> JobRun:
+        """Take a job that the store holds; a known one is left as it is."""
+        known = self.jobs.get(spec.job_id)
+        if known is not None:
+            return known
+        age_s = now + self._wall_offset - spec.accepted_at if not fresh else 0.0
+        job = JobRun(spec, fresh, now - max(0.0, age_s))
+        job.due_at = job.arrived_at + spec.objective_s()
+        if progress is not None:
+            job.progress = progress
+            if progress.state.final:
+                job.stored_state = progress.state
+            job.started = bool(progress.done or progress.failures or progress.run)
+        self.jobs[spec.job_id] = job
+        if job.progress.state.final:
+            return job
+        job.occurrences_left = max(1, spec.times)
+        self._open_due(job, now)
+        return job
+
+    def cancel(self, job_id: str, now: float) -> None:
+        """Cancel a job and stop what runs of it."""
+        job = self.jobs.get(job_id)
+        if job is None or job.cancelled:
+            return
+        job.cancelled = True
+        if not job.progress.state.final:
+            self._finish(job, JobState.CANCELLED, now)
+
+    def pending(self, queue: str) -> int:
+        """Return the number of a queue's jobs of which nothing has started."""
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.spec.queue == queue and not job.started and not job.state.final
+        )
+
+    def forget_finished(self, before_wall: float) -> list[str]:
+        """Return the jobs that ended before a wall-clock time, and drop them."""
+        old = [
+            job_id
+            for job_id, job in self.jobs.items()
+            if job.progress.state.final
+            and job_id not in self._dirty
+            and job.progress.finished_at < before_wall
+        ]
+        for job_id in old:
+            del self.jobs[job_id]
+        return old
+
+    def _open_due(self, job: JobRun, now: float) -> None:
+        """Create the occurrences that are due."""
+        spec = job.spec
+        while job.next_occurrence < max(1, spec.times):
+            if spec.times:
+                due = spec.first_at + job.next_occurrence * spec.interval_s
+                if due - self._wall_offset > now:
+                    return
+                job.due_at = due - self._wall_offset + spec.objective_s()
+            self._open_occurrence(job, job.next_occurrence)
+            job.next_occurrence += 1
+
+    def _open_occurrence(self, job: JobRun, number: int) -> None:
+        steps = []
+        base = 0 if job.fresh else job.progress.run + RUN_GAP
+        for index, spec in enumerate(job.spec.steps):
+            step = StepRun(job, number, index, spec)
+            done = set(job.progress.done.get(step.key, ()))
+            for position in range(spec.count):
+                name = f"{step.name}.{position}"
+                task = Task(name, step, position, run=base, done=position in done)
+                step.tasks.append(task)
+                if not task.done:
+                    self._tasks[name] = task
+            step.remaining = sum(not task.done for task in step.tasks)
+            steps.append(step)
+        job.occurrences[number] = steps
+        for step in reversed(steps):
+            later = (other for other in steps if step.number in other.spec.after)
+            rest_s = max((other.rest_s for other in later), default=0.0)
+            step.rest_s = step.spec.estimate_s + rest_s
+        for step in steps:
+            if step.remaining:
+                self._open_steps[step.name] = step
+        if not any(step.remaining for step in steps):
+            self._close_occurrence(job, number)
+
+    def _ready(self, step: StepRun) -> bool:
+        steps = step.job.occurrences[step.occurrence]
+        return all(not steps[number].remaining for number in step.spec.after)
+
+    def _close_occurrence(self, job: JobRun, number: int) -> None:
+        job.occurrences_left -= 1
+
+    def _finish(self, job: JobRun, state: JobState, now: float) -> None:
+        job.progress.state = state
+        job.progress.finished_at = now + self._wall_offset
+        self._dirty.add(job.spec.job_id)
+        self.notes_urgent = True
+        for steps in job.occurrences.values():
+            for step in steps:
+                self._open_steps.pop(step.name, None)
+                for task in step.tasks:
+                    for run in list(task.runs):
+                        self._stop(run, now)
+                    if not task.runs:
+                        self._tasks.pop(task.name, None)
+        self._meters.count("poplaryard_jobs_finished_total", str(state))
+        self._meters.observe("poplaryard_job_seconds", now - job.arrived_at)
+        logger.info(
+            "job finished",
+            extra={
+                "request": job.spec.job_id,
+                "state": str(state),
+                "age_s": round(now - job.arrived_at, 3),
+                "objective_s": round(job.spec.objective_s(), 3),
+                "waited_s": round(max(0.0, job.first_start_at - job.arrived_at), 3),
+                "chain_s": round(job.spec.chain_s(), 3),
+                "steps": len(job.spec.steps),
+                "priority": job.spec.priority,
+                "lost_runs": job.lost_runs,
+            },
+        )
+
+    def _stop(self, run: Run, now: float) -> None:
+        run.stop_sent_at = now
+        if run.phase is not RunPhase.IN_DOUBT:
+            run.phase = RunPhase.STOPPING
+        self.orders.append(StopOrder(run.worker, run.task.name, run.number, run))
+
+    def _open_suspects(self, now: float) -> set[str]:
+        """Return the workers that may hold runs of an earlier owner."""
+        if now >= self._quarantine_until:
+            self._suspects.clear()
+        return self._suspects
+
+    def _blocked(self, job: JobRun, now: float) -> bool:
+        """Whether another owner may be, or may have been, running the job's tasks.
+
+        An owner whose lease may have lapsed goes on with what it began, but begins
+        nothing: a later owner starts jobs that are new to it at once.
+        """
+        if not self.sole_owner and not job.started:
+            return True
+        return not job.fresh and bool(self._open_suspects(now))
+
+    def _waiting_steps(self, now: float) -> list[StepRun]:
+        steps = [
+            step
+            for step in self._open_steps.values()
+            if self._ready(step) and not self._blocked(step.job, now)
+        ]
+        for step in steps:
+            step.rank = step.job.rank(step.rest_s, now)
+        steps.sort(key=lambda step: step.rank)
+        return steps
+
+    def take_notes(self) -> Notes:
+        """Return what has to be written; `notes_written` follows on success."""
+        jobs = [self.jobs[job_id] for job_id in self._dirty if job_id in self.jobs]
+        self._dirty.clear()
+        self.notes_urgent = False
+        return Notes(
+            progress={job.spec.job_id: encode(job.progress) for job in jobs},
+            states={job.spec.job_id: job.progress.state for job in jobs},
+            seen={
+                worker: (worker.born_ms, worker.seen_seq)
+                for worker in self.workers.values()
+            },
+        )
+
+    def notes_written(self, notes: Notes) -> None:
+        """Show the states that are now kept, and allow ends to be acknowledged."""
+        for job_id, state in notes.states.items():
+            job = self.jobs.get(job_id)
+            if job is not None and state.final:
+                job.stored_state = state
+        for worker, (born_ms, seq) in notes.seen.items():
+            if worker.born_ms == born_ms:
+                worker.acked_seq = max(worker.acked_seq, seq)
+
+    def notes_failed(self, notes: Notes) -> None:
+        """Keep notes for the next write."""
+        self._dirty |= set(notes.progress)
+        self.notes_urgent = True
+
+    @property
+    def has_notes(self) -> bool:
+        """Whether anything has to be written or acknowledged."""
+        return bool(self._dirty) or any(
+            worker.acked_seq < worker.seen_seq for worker in self.workers.values()
+        )
