--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -60,3 +60,23 @@
             break
         asked.append(request.step.name)
     assert len(asked) == 1
+
+
+def test_overload_leaves_most_jobs_in_time_and_finishes_the_rest():
+    """Pattern: a burst at three times the capacity, oldest jobs already late."""
+    cell = Cell(workers=2)
+    for number in range(72):
+        spec = job(f"{number:016x}", stretch=2.0, slack_s=1.0)
+        cell.submit(spec)
+        if number % 6 == 5:
+            cell.run(0.25)
+    in_time = 0
+    while not all(job.state.final for job in cell.partition.jobs.values()):
+        cell.run(0.25)
+        assert cell.now < 200
+    for done in cell.partition.jobs.values():
+        age_s = done.progress.finished_at - 1_000_000.0 - done.arrived_at
+        in_time += age_s <= done.spec.objective_s()
+    # Half of the jobs, although the workers have room for a third of them at a time.
+    # In order of arrival 30 are in time, since late jobs are then served first.
+    assert in_time >= 36
