--- a/src/poplaryard/workload/membership.py
+++ b/src/poplaryard/workload/membership.py
@@ -124,8 +124,3 @@
             self._store_answers = answers
             message = "store answers again" if answers else "store does not answer"
             logger.warning(message, extra={"reason": detail} if detail else {})
-
-    @property
-    def store_answers(self) -> bool:
-        """Whether the last call to the store was answered."""
-        return self._store_answers
--- a/src/poplaryard/workload/placing.py
+++ b/src/poplaryard/workload/placing.py
@@ -5,7 +5,7 @@
 from ..resources import Resources
 from .runtime import StepRun, Task, Worker
 
-__all__ = ["admits", "can_ever_hold", "place", "place_gang"]
+__all__ = ["admits", "place", "place_gang"]
 
 
 def admits(step: StepRun, worker: Worker) -> bool:
@@ -15,11 +15,6 @@
     )
 
 
-def can_ever_hold(step: StepRun, workers: t.Iterable[Worker]) -> bool:
-    """Whether any worker could run a task of the step if it were empty."""
-    return any(admits(step, worker) for worker in workers if not worker.gone)
-
-
 def _score(step: StepRun, worker: Worker, free: Resources) -> tuple[t.Any, ...]:
     """Order workers: data close by, then the one that is left the fullest.
 
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -22,7 +22,6 @@
         elif info.born_ms and worker.born_ms and info.born_ms > worker.born_ms:
             self._new_life(worker, info.born_ms, now)
         if info.draining and not worker.info.draining:
-            worker.drain_at = now
             logger.info("worker leaves", extra={"worker": info.worker_id})
         worker.info = info
         worker.listed = True
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -75,7 +75,6 @@
     paused_until: float = 0.0
     failed_jobs: list[str] = field(default_factory=list)
     ejections: int = 0
-    drain_at: float = 0.0
 
     @property
     def worker_id(self) -> str:
