Let neglected jobs into idle room; ask for advice before room is free

Gangs of a more urgent queue held room while they waited for advice, and each hold was renewed without end. A run that had passed its estimate below 5% also counted as ending now, which kept holds alive.

Ruled out: missing permits. The job had permits on three workers and started on none.

Change: a job with nothing running for 1.5 s comes first, and takes room that was held for over 2.5 s, while under 0.55 of the group is busy. Advice for gangs and for tasks is asked for when room is expected within the time of the call, not when it is free. Expected ends follow the measured speed of a run.

--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -14,9 +14,15 @@
 ADVICE_MAX_WORKERS = 100
 # Part of a permit's life that is left unused, in seconds: the start has to arrive.
 PERMIT_SLACK_S = 0.15
-# Advice for a step is asked for when the steps before it are expected to end within
-# this many seconds.
-ADVICE_AHEAD_S = 0.8
+# Advice is asked for so long before it is expected to be needed, beside the time of the
+# call, in seconds: expected ends are rough.
+ADVICE_AHEAD_S = 0.3
+# Gangs that may learn which workers they may use before any of these has room. Room
+# is only held for a gang that knows; each more takes a slow call from other steps.
+GANGS_AHEAD = 6
+# Time for which the expected ends of runs are used before they are worked out again, in
+# seconds.
+ENDS_FRESH_S = 0.1
 # Wait before the next call for advice on a step after one that failed, in seconds.
 ADVICE_RETRY_S = 0.02
 
@@ -24,6 +30,11 @@
 class Advising(JobTable):
     """Chooses the calls for advice and takes their answers in."""
 
+    def __init__(self, *args: t.Any, **fields: t.Any):
+        super().__init__(*args, **fields)
+        self._ending: dict[tuple[Worker, float], Resources] = {}
+        self._ending_at = 0.0
+
     def advice_answered(
         self,
         request: AdviceRequest,
@@ -54,10 +65,12 @@
             Whether a call that takes this many seconds can be made now.
         """
         claimed: dict[Worker, Resources] = {}
+        gangs = 0
         for step in [*self._waiting_steps(now), *self._steps_ahead(now)]:
             if step.job.spec.advice is None:
                 continue
-            request = self._advice_for(step, claimed, now)
+            gangs += step.spec.gang
+            request = self._advice_for(step, claimed, gangs <= GANGS_AHEAD, now)
             if request is None or step.asking or now < step.ask_after:
                 continue
             if fits(request.cost_s):
@@ -77,26 +90,46 @@
         ]
 
     def _ready_soon(self, step: StepRun, now: float) -> bool:
+        until = now + ADVICE_AHEAD_S + self._call_s(step)
         steps = step.job.occurrences[step.occurrence]
         for number in step.spec.after:
             for task in steps[number].tasks:
                 if task.done:
                     continue
-                if not task.runs:
-                    return False
-                ends_at = task.runs[0].sent_at + steps[number].spec.estimate_s
-                if ends_at > now + ADVICE_AHEAD_S:
+                if not task.runs or task.runs[0].ends_at(now) > until:
                     return False
         return True
 
+    def _call_s(self, step: StepRun) -> float:
+        """Return the time of a call that names all workers, in seconds."""
+        advice = step.job.spec.advice
+        if advice is None:
+            return 0.0
+        named = min(len(self.workers), ADVICE_MAX_WORKERS)
+        return round(advice.base_s + advice.per_worker_s * named, 1)
+
+    def _ending_room(self, worker: Worker, within_s: float, now: float) -> Resources:
+        """Return the room that a worker's runs are expected to give back."""
+        if now > self._ending_at + ENDS_FRESH_S:
+            self._ending.clear()
+            self._ending_at = now
+        key = worker, within_s
+        if key not in self._ending:
+            self._ending[key] = worker.ending_room(now + within_s, now)
+        return self._ending[key]
+
     def _advice_for(
-        self, step: StepRun, claimed: dict[Worker, Resources], now: float
+        self,
+        step: StepRun,
+        claimed: dict[Worker, Resources],
+        ahead: bool,
+        now: float,
     ) -> AdviceRequest | None:
-        """Name the workers that may run the step, if one of them has room for it.
+        """Name the workers that may run the step, if one will have room for it.
 
         Workers without room are named as well: a name costs little, and their permits
-        serve when room is given back. `claimed` is
-        the room that more urgent steps will take.
+        serve when room is given back. `claimed` is the room that more urgent steps
+        will take; `ahead` lets a gang ask before any worker has room.
         """
         advice = step.job.spec.advice
         if advice is None:
@@ -107,6 +140,7 @@
         could_start = False
         candidates: list[tuple[Worker, Resources]] = []
         waiting = len(step.waiting(now))
+        within_s = self._call_s(step) + ADVICE_AHEAD_S
         for worker in self.workers.values():
             verdict = step.verdicts.get(worker.worker_id)
             if verdict is False or not worker.usable(now):
@@ -114,9 +148,12 @@
             if not placing.admits(step, worker):
                 continue
             room = self._holds.free(step, worker) - claimed.get(worker, ZERO)
-            fits = step.need.fits_in(room)
             permit = step.permits.get(worker.worker_id)
-            if permit is not None and permit.until > now:
+            permitted = permit is not None and permit.until > now
+            if not permitted and not step.need.fits_in(room):
+                room = room + self._ending_room(worker, within_s, now)
+            fits = step.need.fits_in(room)
+            if permitted:
                 could_start = could_start or fits
             else:
                 (good if verdict else unknown).append(worker)
@@ -125,7 +162,7 @@
                 candidates.append((worker, room))
         self._claim(step, candidates, waiting, claimed)
         if step.spec.gang:
-            asks_first = bool(unknown) and has_room
+            asks_first = bool(unknown) and (ahead or has_room)
             wanted = asks_first or self._gang_could_start(step, now)
         else:
             wanted = not could_start and has_room
@@ -155,4 +192,5 @@
     def _gang_could_start(self, step: StepRun, now: float) -> bool:
         """Whether a gang will have room within the life of a permit."""
         plan = self._plans.get(step.name)
-        return plan is not None and plan.ready_at <= now + ADVICE_AHEAD_S
+        soon = now + ADVICE_AHEAD_S + self._call_s(step)
+        return plan is not None and plan.ready_at <= soon
--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -34,6 +34,7 @@
         task.run = max(task.run, ended.run)
         job = task.step.job
         job.started = True
+        job.active_at = now
         self._meters.count("poplaryard_runs_ended_total", str(ended.how))
         if ended.how is not Ended.DONE:
             job.lost_runs += 1
@@ -152,6 +153,7 @@
         if not run.worker.release(run):
             return
         run.task.runs.remove(run)
+        run.task.step.job.active_at = now
         logger.info(
             "run lost",
             extra={
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from ..logs import logger
+from ..resources import Resources
 from .meters import Meters
 from .model import JobSpec, JobState, Progress
 from .orders import Notes, StartOrder, StopOrder
@@ -15,6 +16,20 @@
 # Least gap that a new owner leaves to the run numbers it knows of: starts are not
 # written to the store, so the earlier owner may have used some above them.
 RUN_GAP = 16
+# A job of which nothing has run for this long comes first, and takes room that was held
+# too long, while less than this share of the group is busy. Urgent work that waits for
+# room or advice would otherwise keep it out; the users' pages count three seconds of
+# that, with half of the group idle, as a lost job.
+NEGLECTED_S = 1.5
+IDLE_SHARE = 0.55
+# Before the most urgent priority.
+NEGLECTED_RANK = -1
+# Thousandths of a core that a GPU counts as, from the users' prices.
+GPU_CPU_M = 8000
+
+
+def _weight(amount: Resources) -> int:
+    return amount.cpu_m + GPU_CPU_M * amount.gpus
 
 
 class JobTable:
@@ -74,6 +89,7 @@
         age_s = now + self._wall_offset - spec.accepted_at if not fresh else 0.0
         job = JobRun(spec, fresh, now - max(0.0, age_s))
         job.due_at = job.arrived_at + spec.objective_s()
+        job.active_at = now
         if progress is not None:
             job.progress = progress
             if progress.state.final:
@@ -213,16 +229,34 @@
         return not job.fresh and bool(self._open_suspects(now))
 
     def _waiting_steps(self, now: float) -> list[StepRun]:
+        """Return the steps whose turn has come, the most urgent first."""
         steps = [
             step
             for step in self._open_steps.values()
             if self._ready(step) and not self._blocked(step.job, now)
         ]
+        busy = self._busy_share() if steps else 1.0
         for step in steps:
             step.rank = step.job.rank(step.rest_s, now)
+            step.neglected = (
+                busy < IDLE_SHARE
+                and now > step.job.active_at + NEGLECTED_S
+                and step.job.idle()
+            )
+            if step.neglected:
+                step.rank = NEGLECTED_RANK, *step.rank[1:]
         steps.sort(key=lambda step: step.rank)
         return steps
 
+    def _busy_share(self) -> float:
+        """Return the share of the group's capacity that runs use; 1 without any."""
+        total = used = 0
+        for worker in self.workers.values():
+            if not worker.gone:
+                total += _weight(worker.info.capacity)
+                used += _weight(worker.used)
+        return used / total if total else 1.0
+
     def take_notes(self) -> Notes:
         """Return what has to be written; `notes_written` follows on success."""
         jobs = [self.jobs[job_id] for job_id in self._dirty if job_id in self.jobs]
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -90,6 +90,7 @@
         task.run = number
         task.runs.append(run)
         step.job.started = True
+        step.job.active_at = now
         if not step.job.first_start_at:
             step.job.first_start_at = now
             waited_s = now - step.job.arrived_at
@@ -217,7 +218,7 @@
         if plan is None:
             return
         self._plans[step.name] = plan
-        self._holds.hold(step, plan.workers)
+        self._holds.hold(step, plan.workers, now)
         for run in plan.victims:
             logger.info(
                 "run preempted",
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -161,6 +161,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at = now
             run.moved_at = now
+            run.first_percent = running.percent
         if running.percent != run.percent:
             run.percent = running.percent
             run.moved_at = now
@@ -180,6 +181,7 @@
         task.run = max(task.run, running.run)
         task.runs.append(run)
         task.step.job.started = True
+        task.step.job.active_at = now
         worker.add(run)
         return run
 
--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -17,6 +17,9 @@
 # Room is held only on workers that are expected to have it within this many seconds:
 # holding it for longer costs more than it gains.
 HOLD_AHEAD_S = 4.0
+# Room that was held for longer is open to jobs that have long had nothing running:
+# ends were expected too early, or the step waits for advice.
+HOLD_MAX_S = 2.5
 
 
 @dataclass(slots=True)
@@ -44,8 +47,11 @@
         """Drop all holds."""
         self._held.clear()
 
-    def hold(self, step: StepRun, workers: t.Iterable[Worker]) -> None:
+    def hold(self, step: StepRun, workers: t.Iterable[Worker], now: float) -> None:
         """Hold room for one task of a step on each of the workers."""
+        if now > step.held_until + HOLD_MAX_S:
+            step.held_at = now
+        step.held_until = now
         for worker in workers:
             self._held.setdefault(worker, []).append((step, step.need))
 
@@ -53,11 +59,17 @@
         """Return the room that a step may use on a worker."""
         free = worker.free()
         for holder, amount in self._held.get(worker, ()):
-            if holder is not step and holder.rank <= step.rank:
+            if holder is step or holder.rank > step.rank:
+                continue
+            if not (step.neglected and _held_too_long(holder)):
                 free = free - amount
         return free
 
 
+def _held_too_long(holder: StepRun) -> bool:
+    return holder.held_until - holder.held_at > HOLD_MAX_S
+
+
 def plan_room(
     step: StepRun, workers: t.Iterable[Worker], holds: Holds, now: float
 ) -> Plan | None:
@@ -129,14 +141,6 @@
 
 def _ends_at(step: StepRun, run: Run, now: float) -> float:
     """Return the time at which a run is expected to give its room back."""
-    if run.phase is RunPhase.STOPPING or _may_stop(step, run):
+    if _may_stop(step, run):
         return now
-    spec = run.task.step.spec
-    if spec.lasting:
-        return float("inf")
-    elapsed = now - run.sent_at
-    if run.percent >= 5:
-        left = elapsed * (100 - run.percent) / run.percent
-    else:
-        left = max(0.0, spec.estimate_s - elapsed)
-    return now + left
+    return run.ends_at(now)
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -16,6 +16,9 @@
 # Added to the moment at which a worker's leases must have lapsed: it checks them, and
 # listing the ends takes, a little later.
 LAPSE_SLACK_S = 0.5
+# Percent points from which on a run's speed says more than its estimate. Percentages
+# are whole numbers.
+LEAST_PROGRESS = 5
 
 
 class RunPhase(enum.Enum):
@@ -106,6 +109,11 @@
         """Return the capacity that no run uses."""
         return self.info.capacity - self.used
 
+    def ending_room(self, until: float, now: float) -> Resources:
+        """Return the room that runs are expected to give back by a time."""
+        ending = (run.need for run in self.runs.values() if run.ends_at(now) <= until)
+        return sum(ending, ZERO)
+
     def add(self, run: "Run") -> None:
         """Charge a run."""
         self.runs[run.key] = run
@@ -133,6 +141,9 @@
         Time after which a start without an answer can't take effect any more.
     moved_at : float
         Time at which its percentage last changed.
+    first_percent : float
+        Percentage that its worker reported first: a run that was adopted, or resumed
+        from a checkpoint, does not begin at 0.
     """
 
     task: "Task"
@@ -148,13 +159,25 @@
     percent: float = 0.0
     moved_at: float = 0.0
     load: float = 0.0
-    pace: int = 100
+    first_percent: float = 0.0
 
     @property
     def key(self) -> tuple[str, int]:
         """Task name and run number."""
         return self.task.name, self.number
 
+    def ends_at(self, now: float) -> float:
+        """Return the time at which the run is expected to end, in seconds."""
+        if self.phase is RunPhase.STOPPING:
+            return now
+        spec = self.task.step.spec
+        if spec.lasting:
+            return float("inf")
+        progress = self.percent - self.first_percent
+        if progress >= LEAST_PROGRESS:
+            return now + (now - self.confirmed_at) * (100 - self.percent) / progress
+        return now + max(0.0, self.sent_at + spec.estimate_s - now)
+
 
 @dataclass(slots=True, eq=False)
 class Task:
@@ -195,6 +218,10 @@
         Estimated run time from this step to the job's end, in seconds.
     rank : tuple
         Place among waiting steps at the last look; the lowest comes first.
+    neglected : bool
+        Whether its job has long had nothing running while much of the group was idle.
+    held_at, held_until : float
+        Time since which, and at which last, room was held for it.
     """
 
     job: "JobRun"
@@ -209,6 +236,9 @@
     ask_after: float = 0.0
     rest_s: float = 0.0
     rank: tuple[int, int, float] = (0, 0, 0.0)
+    neglected: bool = False
+    held_at: float = float("-inf")
+    held_until: float = float("-inf")
 
     @property
     def name(self) -> str:
@@ -258,6 +288,8 @@
         Time of its first start by this owner; 0 before.
     lost_runs : int
         Runs that ended in another way than done.
+    active_at : float
+        Time at which one of its tasks last began or ended.
     """
 
     spec: JobSpec
@@ -273,6 +305,7 @@
     stored_state: JobState | None = None
     first_start_at: float = 0.0
     lost_runs: int = 0
+    active_at: float = 0.0
 
     @property
     def state(self) -> JobState:
@@ -300,3 +333,12 @@
         else:
             lateness = 2
         return self.spec.priority, lateness, self.due_at
+
+    def idle(self) -> bool:
+        """Whether none of its tasks runs."""
+        return not any(
+            task.runs
+            for steps in self.occurrences.values()
+            for step in steps
+            for task in step.tasks
+        )
--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -1,6 +1,6 @@
 """Large tasks among many small ones."""
 
-from poplaryard.workload.model import JobState
+from poplaryard.workload.model import AdviceCost, JobState
 from tests.workload.builders import ADVICE, job, step, worker_info
 from tests.workload.world import Cell
 
@@ -80,3 +80,66 @@
     # Half of the jobs, although the workers have room for a third of them at a time.
     # In order of arrival 30 are in time, since late jobs are then served first.
     assert in_time >= 36
+
+
+def test_room_held_for_gang_without_permit_does_not_starve_a_small_job():
+    """Pattern: advice for a gang fails again and again while its room stands idle."""
+    cell = Cell(workers=2)
+    cell.run(0.2)
+    gang = job("f" * 16, step(2, cpu=4000, gang=True), priority=1, advice=ADVICE)
+    cell.submit(gang)
+    request = cell.partition.next_advice(cell.now, lambda cost_s: True)
+    tickets = dict.fromkeys(request.workers, "t")
+    cell.partition.advice_answered(request, tickets, cell.now, cell.now)
+    cell._advise = lambda: None
+    cell.run(0.5)
+    small_jobs(cell, 1)
+    cell.run(2.5)
+    assert cell.partition.jobs["0" * 16].started
+
+
+def test_urgent_gang_keeps_the_room_it_holds_while_most_of_the_group_is_busy():
+    """Guards against small jobs that take held room as soon as they wait long."""
+    cell = Cell(workers=2)
+    small_jobs(cell, 1, cpu=4000, estimate_s=8.0)
+    small_jobs(cell, 1, 1, cpu=2000, estimate_s=5.0)
+    cell.run(2.0)
+    cell.submit(job("f" * 16, step(1, cpu=4000, gang=True), priority=1))
+    cell.run(0.2)
+    small_jobs(cell, 2, 2, cpu=1000)
+    cell.run(7.0)
+    gang = cell.partition.jobs["f" * 16]
+    assert gang.started
+    assert gang.first_start_at < cell.partition.jobs["3".zfill(16)].first_start_at
+
+
+def test_advice_for_a_gang_is_asked_before_its_room_is_there():
+    """Pattern: every worker is full, and a call for advice takes a second.
+
+    Asked for only when the room is free, advice leaves it idle for the time of a call.
+    """
+    cell = Cell(workers=1)
+    small_jobs(cell, 1, cpu=4000, estimate_s=3.0)
+    cell.run(0.3)
+    slow = AdviceCost(base_s=0.9, per_worker_s=0.01, valid_s=2.0)
+    cell.submit(job("f" * 16, step(1, cpu=4000, gang=True), priority=1, advice=slow))
+    first = cell.partition.next_advice(cell.now, lambda cost_s: True)
+    assert first is not None
+    cell.partition.advice_answered(first, {"w0": "t"}, cell.now + 2.0, cell.now)
+    cell._advise = lambda: None
+    cell.run(0.3)
+    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is None
+    cell.run(1.7)
+    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is not None
+
+
+def test_advice_for_a_task_is_asked_before_a_worker_has_room():
+    cell = Cell(workers=1)
+    small_jobs(cell, 1, cpu=4000, estimate_s=2.0)
+    cell.run(0.3)
+    advice = AdviceCost(base_s=0.3, per_worker_s=0.01, valid_s=2.0)
+    cell.submit(job("f" * 16, step(1, cpu=3000), advice=advice))
+    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is None
+    cell._advise = lambda: None
+    cell.run(1.5)
+    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is not None
