Look at a backlog in one pass, and use each advice line once

Its loop stood still for seconds, calls to the store timed out, and the lease was lost. A line was also counted as taken only when its call began, so one look sent several calls to one line, which refused all but the first.

Ruled out: the HTTP client, 83 us a call in a trial.

Change: one pass yields all calls for advice and stops looking at workers once the expected room is spoken for; steps without a permit or without room for them cost nothing; room is planned for eight steps at most; looks take a quarter of the loop.

--- a/src/poplaryard/workload/advice.py
+++ b/src/poplaryard/workload/advice.py
@@ -89,6 +89,24 @@
     used_at: float = 0.0
     quick_at: float = float("-inf")
 
+    def take(self, slow: bool, now: float) -> None:
+        """Count a call from the decision to make it on.
+
+        A line would otherwise be picked again before its first call has begun.
+        """
+        self.used_at = now
+        if slow:
+            self.slow += 1
+        else:
+            self.quick += 1
+
+    def release(self, slow: bool) -> None:
+        """Count a call as ended."""
+        if slow:
+            self.slow -= 1
+        else:
+            self.quick -= 1
+
 
 class AdviceLines:
     """Lines that an owner may use.
@@ -115,6 +133,12 @@
         """Return a line for a call, or None if all are taken."""
         return self._slow_line(now) if slow else self._quick_line(now)
 
+    def take(self, line: Line, slow: bool, now: float) -> None:
+        """Use a line for a call; `Line.release` follows when the call has ended."""
+        line.take(slow, now)
+        if not slow:
+            self._own.quick_at = now
+
     def _slow_line(self, now: float) -> Line | None:
         peers = [line for line in self._peers.values() if now >= line.paused_until]
         candidates = [line for line in peers if not line.owns] or peers or [self._own]
@@ -147,12 +171,6 @@
     ) -> tuple[dict[str, str], float] | None:
         """Ask through a line; None if no advice was given."""
         slow = cost_s > SLOW_S
-        line.used_at = clock()
-        if slow:
-            line.slow += 1
-        else:
-            line.quick += 1
-            self._own.quick_at = clock()
         timeout_s = cost_s * (1 + line.quick) + TIMEOUT_SLACK_S
         answer = None
         pause_s = BUSY_PAUSE_S
@@ -162,11 +180,6 @@
             extra = {"line": line.name, "step": step, "reason": exc.detail}
             logger.warning("no advice", extra=extra)
             pause_s = FAILED_PAUSE_S
-        finally:
-            if slow:
-                line.slow -= 1
-            else:
-                line.quick -= 1
         if answer is None:
             line.paused_until = clock() + pause_s
         return answer
--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -5,6 +5,7 @@
 from ..resources import ZERO, Resources
 from . import placing
 from .jobtable import JobTable
+from .model import AdviceCost
 from .orders import AdviceRequest
 from .runtime import Permit, StepRun, Worker
 
@@ -20,6 +21,13 @@
 # Gangs that may learn which workers they may use before any of these has room. Room
 # is only held for a gang that knows; each more takes a slow call from other steps.
 GANGS_AHEAD = 6
+# Workers named for each task that waits, and the least number: under half of them may
+# be allowed to run the step.
+NAMES_PER_TASK = 4
+LEAST_NAMES = 4
+# Room that is given back within this many seconds is counted as a whole before single
+# workers are looked at.
+FAR_AHEAD_S = 1.5
 # Time for which the expected ends of runs are used before they are worked out again, in
 # seconds.
 ENDS_FRESH_S = 0.1
@@ -54,29 +62,44 @@
                 permit = Permit(tickets[worker_id], until - PERMIT_SLACK_S)
                 step.permits[worker_id] = permit
 
-    def next_advice(
+    def advice_wanted(
         self, now: float, fits: t.Callable[[float], bool]
-    ) -> AdviceRequest | None:
-        """Return the most urgent call for advice whose cost fits, or None.
+    ) -> t.Iterator[AdviceRequest]:
+        """Yield the calls for advice to make now, the most urgent first.
+
+        Under overload most steps wait for room that more urgent ones will take. What
+        is left after those is added up, so that the rest costs no look at workers.
 
         Parameters
         ----------
         fits : callable
             Whether a call that takes this many seconds can be made now.
         """
-        claimed: dict[Worker, Resources] = {}
+        rooms = {
+            worker: worker.free()
+            for worker in self.workers.values()
+            if worker.usable(now)
+        }
+        left = sum(rooms.values(), ZERO)
+        for worker in rooms:
+            left = left + self._ending_room(worker, FAR_AHEAD_S, now)
         gangs = 0
-        for step in [*self._waiting_steps(now), *self._steps_ahead(now)]:
-            if step.job.spec.advice is None:
+        for step in [*self._waiting, *self._steps_ahead(now)]:
+            advice = step.job.spec.advice
+            if advice is None:
                 continue
             gangs += step.spec.gang
-            request = self._advice_for(step, claimed, gangs <= GANGS_AHEAD, now)
-            if request is None or step.asking or now < step.ask_after:
+            ahead = step.spec.gang and gangs <= GANGS_AHEAD
+            if now < step.ask_after or not (ahead or step.need.fits_in(left)):
+                continue
+            if not fits(advice.base_s + advice.per_worker_s):
+                continue
+            request, claimed = self._advice_for(step, rooms, ahead, now)
+            left = left - claimed
+            if request is None or step.asking or not fits(request.cost_s):
                 continue
-            if fits(request.cost_s):
-                step.asking = True
-                return request
-        return None
+            step.asking = True
+            yield request
 
     def _steps_ahead(self, now: float) -> list[StepRun]:
         """Return steps that are expected to become ready within a permit's life."""
@@ -119,75 +142,69 @@
         return self._ending[key]
 
     def _advice_for(
-        self,
-        step: StepRun,
-        claimed: dict[Worker, Resources],
-        ahead: bool,
-        now: float,
-    ) -> AdviceRequest | None:
+        self, step: StepRun, rooms: dict[Worker, Resources], ahead: bool, now: float
+    ) -> tuple[AdviceRequest | None, Resources]:
         """Name the workers that may run the step, if one will have room for it.
 
         Workers without room are named as well: a name costs little, and their permits
-        serve when room is given back. `claimed` is the room that more urgent steps
-        will take; `ahead` lets a gang ask before any worker has room.
+        serve when room is given back. The room that the step's tasks are expected to
+        take is taken off `rooms`, and returned. `ahead` lets a gang ask before any
+        worker has room.
         """
-        advice = step.job.spec.advice
-        if advice is None:
-            return None
         good: list[Worker] = []
         unknown: list[Worker] = []
-        has_room = False
-        could_start = False
-        candidates: list[tuple[Worker, Resources]] = []
+        has_room = could_start = False
         waiting = len(step.waiting(now))
+        claimed = ZERO
         within_s = self._call_s(step) + ADVICE_AHEAD_S
-        for worker in self.workers.values():
+        need = step.need
+        for worker, free in rooms.items():
             verdict = step.verdicts.get(worker.worker_id)
-            if verdict is False or not worker.usable(now):
-                continue
-            if not placing.admits(step, worker):
+            if verdict is False or not placing.admits(step, worker):
                 continue
-            room = self._holds.free(step, worker) - claimed.get(worker, ZERO)
+            held = self._holds.held_from(step, worker)
+            room = free - held if held is not ZERO else free
             permit = step.permits.get(worker.worker_id)
             permitted = permit is not None and permit.until > now
-            if not permitted and not step.need.fits_in(room):
-                room = room + self._ending_room(worker, within_s, now)
-            fits = step.need.fits_in(room)
-            if permitted:
-                could_start = could_start or fits
-            else:
+            if not permitted:
                 (good if verdict else unknown).append(worker)
-                has_room = has_room or fits
-            if fits:
-                candidates.append((worker, room))
-        self._claim(step, candidates, waiting, claimed)
+                if not need.fits_in(room):
+                    room = room + self._ending_room(worker, within_s, now)
+            if not need.fits_in(room):
+                continue
+            could_start = could_start or permitted
+            has_room = has_room or not permitted
+            while waiting > 0 and need.fits_in(room):
+                waiting -= 1
+                room = room - need
+                claimed = claimed + need
+                rooms[worker] = rooms[worker] - need
         if step.spec.gang:
             asks_first = bool(unknown) and (ahead or has_room)
             wanted = asks_first or self._gang_could_start(step, now)
         else:
             wanted = not could_start and has_room
-        if not wanted or not (good or unknown):
-            return None
-        unknown.sort(key=lambda worker: -worker.free().cpu_m)
-        count = int(max(4 * waiting, advice.base_s / max(advice.per_worker_s, 1e-6)))
-        named = [worker.worker_id for worker in good + unknown]
-        named = named[: min(max(count, 4), ADVICE_MAX_WORKERS)]
-        cost_s = advice.base_s + advice.per_worker_s * len(named)
-        return AdviceRequest(step, tuple(named), cost_s)
+        if step.asking or not wanted or not (good or unknown):
+            return None, claimed
+        return self._request(step, good, unknown, rooms), claimed
 
-    def _claim(
+    def _request(
         self,
         step: StepRun,
-        candidates: list[tuple[Worker, Resources]],
-        waiting: int,
-        claimed: dict[Worker, Resources],
-    ) -> None:
-        """Count the room that a step's waiting tasks are expected to take."""
-        for worker, room in candidates:
-            while waiting > 0 and step.need.fits_in(room):
-                room = room - step.need
-                waiting -= 1
-                claimed[worker] = claimed.get(worker, ZERO) + step.need
+        good: list[Worker],
+        unknown: list[Worker],
+        rooms: dict[Worker, Resources],
+    ) -> AdviceRequest:
+        """Return the call that names enough workers for the step's tasks."""
+        advice = t.cast(AdviceCost, step.job.spec.advice)
+        unknown.sort(key=lambda worker: -rooms[worker].cpu_m)
+        wanted = NAMES_PER_TASK * step.remaining
+        # Up to here the names take less time than the decision.
+        cheap = advice.base_s / max(advice.per_worker_s, 1e-6)
+        count = min(int(max(wanted, cheap, LEAST_NAMES)), ADVICE_MAX_WORKERS)
+        named = [worker.worker_id for worker in good + unknown][:count]
+        cost_s = advice.base_s + advice.per_worker_s * len(named)
+        return AdviceRequest(step, tuple(named), cost_s)
 
     def _gang_could_start(self, step: StepRun, now: float) -> bool:
         """Whether a gang will have room within the life of a permit."""
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -78,6 +78,8 @@
         self._tasks: dict[str, Task] = {}
         self._holds = Holds()
         self._plans: dict[str, Plan] = {}
+        self._waiting: list[StepRun] = []
+        self._timed: dict[str, JobRun] = {}
 
     def add_job(
         self, spec: JobSpec, now: float, fresh: bool, progress: Progress | None = None
@@ -99,6 +101,8 @@
         if job.progress.state.final:
             return job
         job.occurrences_left = max(1, spec.times)
+        if spec.times:
+            self._timed[spec.job_id] = job
         self._open_due(job, now)
         return job
 
@@ -179,6 +183,7 @@
     def _finish(self, job: JobRun, state: JobState, now: float) -> None:
         job.progress.state = state
         job.progress.finished_at = now + self._wall_offset
+        self._timed.pop(job.spec.job_id, None)
         self._dirty.add(job.spec.job_id)
         self.notes_urgent = True
         for steps in job.occurrences.values():
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -1,6 +1,7 @@
 """Carries out the decisions for one group of workers."""
 
 import asyncio
+import functools
 import typing as t
 from dataclasses import dataclass
 
@@ -23,6 +24,11 @@
 
 # Longest time between two looks at what is due, in seconds.
 TICK_S = 0.1
+# Least time between two looks, in seconds, and how many times as long as the last one
+# took. Events that come meanwhile are taken together; under a backlog, looks would
+# otherwise leave no time to renew leases.
+LOOK_GAP_S = 0.005
+LOOK_GAP_SHARE = 3.0
 # Ends of tasks that do not end their job are written together after this long, in
 # seconds. The worker lists them again until then, so renewals pause meanwhile.
 NOTE_DELAY_S = 0.04
@@ -103,12 +109,8 @@
         return LEASE_TTL_S + GRACE_S + longest_lease_s + LAPSE_SLACK_S
 
 
-def _is_slow(cost_s: float) -> bool:
-    return cost_s > SLOW_S
-
-
-def _is_quick(cost_s: float) -> bool:
-    return cost_s <= SLOW_S
+def _release(line: Line, slow: bool, _: "asyncio.Task[t.Any]") -> None:
+    line.release(slow)
 
 
 class GroupOwner:
@@ -361,6 +363,8 @@
                 logger.warning("fenced by a later owner", extra={"group": self.group})
                 self.abandon()
                 return
+            took_s = self._clock.now() - now
+            await asyncio.sleep(max(LOOK_GAP_S, LOOK_GAP_SHARE * took_s))
             self._wake.clear()
             try:
                 await asyncio.wait_for(self._wake.wait(), TICK_S)
@@ -411,14 +415,18 @@
 
     def _ask_advice(self, now: float) -> None:
         partition = t.cast(Partition, self.partition)
-        for slow in (False, True):
-            line = self._lines.pick(slow, now)
-            while line is not None:
-                request = partition.next_advice(now, _is_slow if slow else _is_quick)
-                if request is None:
-                    break
-                self._spawn(self._advise(line, request))
-                line = self._lines.pick(slow, now)
+        lines = {slow: self._lines.pick(slow, now) for slow in (False, True)}
+
+        def fits(cost_s: float) -> bool:
+            return lines[cost_s > SLOW_S] is not None
+
+        for request in partition.advice_wanted(now, fits):
+            slow = request.cost_s > SLOW_S
+            line = t.cast(Line, lines[slow])
+            self._lines.take(line, slow, now)
+            task = self._spawn(self._advise(line, request))
+            task.add_done_callback(functools.partial(_release, line, slow))
+            lines = {kind: self._lines.pick(kind, now) for kind in (False, True)}
 
     async def _advise(self, line: Line, request: AdviceRequest) -> None:
         partition = t.cast(Partition, self.partition)
@@ -612,11 +620,12 @@
         self.abandon()
         return False
 
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+    def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task[t.Any]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         task.add_done_callback(self._log_end)
+        return task
 
     def _log_end(self, task: "asyncio.Task[t.Any]") -> None:
         """Give the group up if one of its tasks failed: another process takes over."""
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -10,7 +10,7 @@
 import typing as t
 
 from ..logs import logger
-from ..resources import ZERO
+from ..resources import ZERO, Resources
 from . import placing
 from .advising import Advising
 from .model import StartOutcome
@@ -38,38 +38,85 @@
 COPY_GAIN = 1.3
 # Steps that hold room at the same time; each hold leaves some of it idle.
 MAX_PLANS = 4
+# Steps for which room is looked for at one time: each look goes over all workers.
+MAX_PLAN_LOOKS = 8
+# Time between two searches for slow tasks, in seconds.
+COPY_EVERY_S = 0.25
 # Share of a worker from which on a task counts as large.
 LARGE_SHARE = 0.25
 
 
+def _most_free(workers: t.Iterable[Worker]) -> Resources:
+    """Return the most of each resource that any worker has free."""
+    most = ZERO
+    for worker in workers:
+        free = worker.free()
+        if not free.fits_in(most):
+            most = most.maximum(free)
+    return most
+
+
+def _permitted(
+    step: StepRun, usable: dict[str, Worker], now: float
+) -> t.Collection[Worker]:
+    """Return the workers that may run a step's tasks now."""
+    if step.job.spec.advice is None:
+        return usable.values()
+    return [
+        usable[worker_id]
+        for worker_id, permit in step.permits.items()
+        if permit.until > now and worker_id in usable
+    ]
+
+
+def _is_large(step: StepRun, capacities: t.Iterable[Resources]) -> bool:
+    """Whether gaps that small tasks leave are rarely large enough for a step."""
+    return step.spec.gang or any(
+        step.need.dominant_share(capacity) >= LARGE_SHARE for capacity in capacities
+    )
+
+
 class Partition(Reports, Advising):
     """Decides what starts where and what is stopped or given up; see `JobTable`."""
 
+    def __init__(self, *args: t.Any, **fields: t.Any):
+        super().__init__(*args, **fields)
+        self._copies_at = 0.0
+
     def advance(self, now: float) -> None:
         """Start what can start; give up what is certainly lost."""
         self._expire(now)
-        for job in list(self.jobs.values()):
-            if job.spec.times and not job.progress.state.final:
-                self._open_due(job, now)
+        for job in self._timed.values():
+            self._open_due(job, now)
         if not self.accepts_starts or self.fenced:
             return
-        usable = self._usable(now)
+        usable = {worker.worker_id: worker for worker in self._usable(now)}
         self._holds.clear()
         self._plans.clear()
-        for step in self._waiting_steps(now):
+        self._waiting = self._waiting_steps(now)
+        most = _most_free(usable.values())
+        looks = MAX_PLAN_LOOKS
+        capacities = {worker.info.capacity for worker in self.workers.values()}
+        for step in self._waiting:
             ordered = len(self.orders)
-            if not self._start_step(step, usable, now):
+            if step.need.fits_in(most) and self._start_step(step, usable, now):
+                most = _most_free(usable.values())
+            elif looks and len(self._plans) < MAX_PLANS and _is_large(step, capacities):
+                looks -= 1
                 self._plan_room(step, now)
             self._log_starts(step, ordered, now)
-        self._copy_stragglers(usable, now)
+        if now >= self._copies_at:
+            self._copies_at = now + COPY_EVERY_S
+            self._copy_stragglers(usable, now)
 
-    def _start_step(self, step: StepRun, usable: list[Worker], now: float) -> bool:
+    def _start_step(self, step: StepRun, usable: dict[str, Worker], now: float) -> bool:
         """Start what fits; False if tasks are left that could start."""
+        candidates = _permitted(step, usable, now)
         waiting = step.waiting(now)
         if step.spec.gang:
             if len(waiting) < step.spec.count:
                 return True
-            chosen = placing.place_gang(step, usable, self._holds.free, now)
+            chosen = placing.place_gang(step, candidates, self._holds.free)
             if chosen is None:
                 return False
             number = max(task.run for task in step.tasks) + 1
@@ -77,7 +124,7 @@
                 self._start(task, worker, number, now)
             return True
         for task in waiting:
-            found = placing.place(step, task, usable, self._holds.free, now)
+            found = placing.place(step, task, candidates, self._holds.free)
             if found is None:
                 return False
             self._start(task, found, task.run + 1, now)
@@ -171,7 +218,7 @@
             },
         )
 
-    def _copy_stragglers(self, usable: list[Worker], now: float) -> None:
+    def _copy_stragglers(self, usable: dict[str, Worker], now: float) -> None:
         """Start a copy of slow tasks, where the job allows it and room is left."""
         for step in self._open_steps.values():
             if not step.spec.speculative or step.spec.gang or step.spec.lasting:
@@ -182,8 +229,12 @@
                 run = task.runs[0]
                 if not self._is_straggler(run, now):
                     continue
-                others = [worker for worker in usable if worker is not run.worker]
-                found = placing.place(step, task, others, self._holds.free, now)
+                others = [
+                    worker
+                    for worker in _permitted(step, usable, now)
+                    if worker is not run.worker
+                ]
+                found = placing.place(step, task, others, self._holds.free)
                 if found is None:
                     continue
                 logger.info(
@@ -212,8 +263,6 @@
 
     def _plan_room(self, step: StepRun, now: float) -> None:
         """Hold room for a step that does not fit, and stop less urgent runs there."""
-        if len(self._plans) >= MAX_PLANS or not self._is_large(step):
-            return
         plan = plan_room(step, self.workers.values(), self._holds, now)
         if plan is None:
             return
@@ -231,15 +280,6 @@
             )
             self._stop(run, now)
 
-    def _is_large(self, step: StepRun) -> bool:
-        """Whether gaps that small tasks leave are rarely large enough for a step."""
-        if step.spec.gang:
-            return True
-        return any(
-            step.need.dominant_share(worker.info.capacity) >= LARGE_SHARE
-            for worker in self.workers.values()
-        )
-
     def _expire(self, now: float) -> None:
         """Free runs whose leases have lapsed, repeat stops and find stalled runs.
 
@@ -295,7 +335,7 @@
         workers = [worker for worker in self.workers.values() if not worker.gone]
         total = sum((worker.info.capacity for worker in workers), ZERO)
         used = sum((worker.used for worker in workers), ZERO)
-        steps = self._waiting_steps(now)
+        steps = self._waiting
         return {
             "workers": len(workers),
             "usable": sum(worker.usable(now) for worker in workers),
--- a/src/poplaryard/workload/placing.py
+++ b/src/poplaryard/workload/placing.py
@@ -33,32 +33,27 @@
 Room: t.TypeAlias = t.Callable[[StepRun, Worker], Resources]
 
 
-def _permitted(step: StepRun, worker: Worker, now: float) -> bool:
-    if step.job.spec.advice is None:
-        return True
-    permit = step.permits.get(worker.worker_id)
-    return permit is not None and permit.until > now
-
-
 def _has_place(step: StepRun, worker: Worker, placed: int) -> bool:
     limit = step.spec.max_per_worker
     return not limit or step.on_worker(worker) + placed < limit
 
 
 def place(
-    step: StepRun, task: Task, workers: t.Iterable[Worker], room: Room, now: float
+    step: StepRun, task: Task, workers: t.Iterable[Worker], room: Room
 ) -> Worker | None:
     """Return the worker on which a task should start now, or None.
 
     Parameters
     ----------
+    workers : iterable of Worker
+        Workers that can be used, and that may run the step.
     room : callable
         Returns what the step may use of a worker.
     """
     best: Worker | None = None
     best_score: tuple[t.Any, ...] = ()
     for worker in workers:
-        if not worker.usable(now) or not _permitted(step, worker, now):
+        if not step.need.fits_in(worker.free()):
             continue
         free = room(step, worker)
         if not step.need.fits_in(free) or not admits(step, worker):
@@ -72,14 +67,10 @@
 
 
 def place_gang(
-    step: StepRun, workers: t.Iterable[Worker], room: Room, now: float
+    step: StepRun, workers: t.Iterable[Worker], room: Room
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, or None unless all can start now."""
-    usable = [
-        worker
-        for worker in workers
-        if worker.usable(now) and _permitted(step, worker, now) and admits(step, worker)
-    ]
+    usable = [worker for worker in workers if admits(step, worker)]
     if step.spec.same_rack:
         racks = sorted({worker.info.rack for worker in usable})
         racks.sort(key=lambda rack: rack != step.spec.rack)
--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -57,13 +57,18 @@
 
     def free(self, step: StepRun, worker: Worker) -> Resources:
         """Return the room that a step may use on a worker."""
-        free = worker.free()
+        held = self.held_from(step, worker)
+        return worker.free() if held is ZERO else worker.free() - held
+
+    def held_from(self, step: StepRun, worker: Worker) -> Resources:
+        """Return the room on a worker that more urgent steps hold."""
+        held = ZERO
         for holder, amount in self._held.get(worker, ()):
             if holder is step or holder.rank > step.rank:
                 continue
             if not (step.neglected and _held_too_long(holder)):
-                free = free - amount
-        return free
+                held = held + amount
+        return held
 
 
 def _held_too_long(holder: StepRun) -> bool:
--- a/tests/workload/test_advice.py
+++ b/tests/workload/test_advice.py
@@ -30,10 +30,24 @@
 
 
 async def ask(lines, step, cost_s):
-    line = lines.pick(cost_s > 0.1, clock())
+    slow = cost_s > 0.1
+    line = lines.pick(slow, clock())
     if line is None:
         return None
-    return await lines.ask(line, step, ["w0"], cost_s, clock)
+    lines.take(line, slow, clock())
+    try:
+        return await lines.ask(line, step, ["w0"], cost_s, clock)
+    finally:
+        line.release(slow)
+
+
+def test_calls_decided_at_the_same_time_use_different_lines():
+    """Guards against one line that is picked again before its call has begun."""
+    lines = AdviceLines(OwnLine(Service()))
+    lines.set_peers({f"p{n}": (OwnLine(Service()), False) for n in range(2)})
+    first = lines.pick(True, 1.0)
+    lines.take(first, True, 1.0)
+    assert lines.pick(True, 1.0) is not first
 
 
 def test_quick_calls_never_wait_behind_slow_ones():
--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -2,7 +2,7 @@
 
 from poplaryard.workload.model import AdviceCost, JobState
 from tests.workload.builders import ADVICE, job, step, worker_info
-from tests.workload.world import Cell
+from tests.workload.world import Cell, wanted_advice
 
 
 def small_jobs(cell, count, first=0, **fields):
@@ -55,7 +55,7 @@
         cell.submit(job(f"{number:016x}", advice=ADVICE))
     asked = []
     while True:
-        request = cell.partition.next_advice(cell.now, lambda cost_s: True)
+        request = wanted_advice(cell.partition, cell.now)
         if request is None:
             break
         asked.append(request.step.name)
@@ -88,7 +88,7 @@
     cell.run(0.2)
     gang = job("f" * 16, step(2, cpu=4000, gang=True), priority=1, advice=ADVICE)
     cell.submit(gang)
-    request = cell.partition.next_advice(cell.now, lambda cost_s: True)
+    request = wanted_advice(cell.partition, cell.now)
     tickets = dict.fromkeys(request.workers, "t")
     cell.partition.advice_answered(request, tickets, cell.now, cell.now)
     cell._advise = lambda: None
@@ -123,14 +123,14 @@
     cell.run(0.3)
     slow = AdviceCost(base_s=0.9, per_worker_s=0.01, valid_s=2.0)
     cell.submit(job("f" * 16, step(1, cpu=4000, gang=True), priority=1, advice=slow))
-    first = cell.partition.next_advice(cell.now, lambda cost_s: True)
+    first = wanted_advice(cell.partition, cell.now)
     assert first is not None
     cell.partition.advice_answered(first, {"w0": "t"}, cell.now + 2.0, cell.now)
     cell._advise = lambda: None
     cell.run(0.3)
-    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is None
+    assert wanted_advice(cell.partition, cell.now) is None
     cell.run(1.7)
-    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is not None
+    assert wanted_advice(cell.partition, cell.now) is not None
 
 
 def test_advice_for_a_task_is_asked_before_a_worker_has_room():
@@ -139,7 +139,7 @@
     cell.run(0.3)
     advice = AdviceCost(base_s=0.3, per_worker_s=0.01, valid_s=2.0)
     cell.submit(job("f" * 16, step(1, cpu=3000), advice=advice))
-    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is None
+    assert wanted_advice(cell.partition, cell.now) is None
     cell._advise = lambda: None
     cell.run(1.5)
-    assert cell.partition.next_advice(cell.now, lambda cost_s: True) is not None
+    assert wanted_advice(cell.partition, cell.now) is not None
--- a/tests/workload/world.py
+++ b/tests/workload/world.py
@@ -85,6 +85,12 @@
         )
 
 
+def wanted_advice(partition, now):
+    """Return the most urgent call for advice, or None."""
+    partition.advance(now)
+    return next(partition.advice_wanted(now, lambda cost_s: True), None)
+
+
 class Cell:
     """Partition with simulated workers, driven in virtual time."""
 
@@ -145,7 +151,7 @@
 
     def _advise(self):
         while True:
-            request = self.partition.next_advice(self.now, lambda cost_s: True)
+            request = wanted_advice(self.partition, self.now)
             if request is None:
                 return
             good = [w for w in request.workers if self.good is None or w in self.good]
