Learn worker speeds; repeat writes of jobs in doubt; write past a cut

Ruled out: estimates as a measure of speed; their error hides the workers' differences.

Change: speeds are learned within steps; tight jobs take fast workers. Writes in doubt are repeated while the caller waits: a job is only written where there is none. Writes no longer find out whether the store is back; a peer that cannot be reached is passed over.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -21,6 +21,10 @@
 # Seconds after which a refused client should return: by then the platform's balancer
 # has noticed a process that is not ready, or a short outage is over.
 RETRY_S = 1.0
+# Kept of a client's time for the way of the answer, in seconds.
+ANSWER_S = 0.2
+# Time that a client waits if it does not say, in seconds.
+DEADLINE_S = 3.0
 METRICS_PATH = "/metrics"
 # Largest call of a peer: a transaction of 16 jobs of the largest size.
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
@@ -94,7 +98,9 @@
             return Front(404)
         if method == "POST":
             limit = self._node.queues.max_body_bytes
-            return await self._submit(queue, name, await _body(receive, limit))
+            patience_s = min(_deadline_s(scope), queue.timeout_s) - ANSWER_S
+            body = await _body(receive, limit)
+            return await self._submit(queue, name, body, patience_s)
         if method == "GET":
             return await self._state(queue, name)
         if method == "DELETE":
@@ -132,14 +138,16 @@
             return Front(405)
         return Front(200, {"pending": await self._node.pending(queue)})
 
-    async def _submit(self, queue: Queue, job_id: str, body: bytes) -> Front:
+    async def _submit(
+        self, queue: Queue, job_id: str, body: bytes, patience_s: float
+    ) -> Front:
         try:
             spec = decode_submission(body, job_id, queue, time.time())
         except DecodeFailed as exc:
             extra = {"request": job_id, "reason": str(exc)}
             logger.info("job malformed", extra=extra)
             return Front(400)
-        accepted = await self._node.submit(spec)
+        accepted = await self._node.submit(spec, patience_s)
         if accepted is Accepted.STORED:
             return Front(200, {})
         if accepted is Accepted.REFUSED:
@@ -188,8 +196,18 @@
     await send({"type": "http.response.body", "body": content})
 
 
-def _host(scope: Scope) -> str:
+def _header(scope: Scope, wanted: bytes) -> str:
     for name, value in scope["headers"]:
-        if name == b"host":
-            return value.decode("latin-1").partition(":")[0]
+        if name == wanted:
+            return value.decode("latin-1")
     return ""
+
+
+def _host(scope: Scope) -> str:
+    return _header(scope, b"host").partition(":")[0]
+
+
+def _deadline_s(scope: Scope) -> float:
+    """Return how long the client waits for the response, in seconds."""
+    value = _header(scope, b"x-deadline-ms")
+    return int(value) / 1000 if value.isdigit() else DEADLINE_S
--- a/src/poplaryard/resources.py
+++ b/src/poplaryard/resources.py
@@ -5,6 +5,9 @@
 
 __all__ = ["ZERO", "Resources"]
 
+# Times that an amount of nothing fits anywhere.
+MANY = 1_000_000
+
 
 @dataclass(frozen=True, slots=True)
 class Resources:
@@ -50,6 +53,15 @@
             and self.gpus <= free.gpus
         )
 
+    def times_in(self, free: "Resources") -> int:
+        """Return how often this amount fits in `free`; a large number for nothing."""
+        pairs = (
+            (self.cpu_m, free.cpu_m),
+            (self.mem_mb, free.mem_mb),
+            (self.gpus, free.gpus),
+        )
+        return max(0, min((left // part for part, left in pairs if part), default=MANY))
+
     def maximum(self, other: "Resources") -> "Resources":
         """Return the larger amount of each resource."""
         return Resources(
--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import random
 import typing as t
 from collections import deque
 from dataclasses import dataclass
@@ -21,6 +22,9 @@
 MAX_COMMITS = 4
 # Jobs that may wait for a transaction; more are refused at once.
 MAX_WAITING = 512
+# Longest pause before a write without an answer is repeated, in seconds; drawn evenly
+# from nothing up to this, so that the processes do not return together.
+REPEAT_PAUSE_S = 0.2
 
 
 OnStored: t.TypeAlias = t.Callable[[list[JobSpec], int], None]
@@ -38,6 +42,8 @@
 class _Waiting:
     spec: JobSpec
     fut: "asyncio.Future[Accepted]"
+    until: float
+    unsure: bool = False
 
     @property
     def key(self) -> str:
@@ -47,6 +53,9 @@
 class Acceptance:
     """Writes jobs to the store; a job is accepted once it lies there.
 
+    A write without an answer may have been carried out. It is repeated while the caller
+    waits: a job is only written where there is none, so either copy of the write fails.
+
     Parameters
     ----------
     storage : Storage
@@ -60,11 +69,18 @@
         self._waiting: deque[_Waiting] = deque()
         self._commits: set[asyncio.Task[None]] = set()
 
-    async def submit(self, spec: JobSpec) -> Accepted:
-        """Store a job; one with an id that is stored already is that job."""
+    async def submit(self, spec: JobSpec, patience_s: float = 0.0) -> Accepted:
+        """Store a job; one with an id that is stored already is that job.
+
+        Parameters
+        ----------
+        patience_s : float
+            Seconds for which a write without an answer may be repeated.
+        """
         if len(self._waiting) >= MAX_WAITING:
             return Accepted.REFUSED
-        waiting = _Waiting(spec, asyncio.get_running_loop().create_future())
+        loop = asyncio.get_running_loop()
+        waiting = _Waiting(spec, loop.create_future(), loop.time() + patience_s)
         self._waiting.append(waiting)
         self._begin()
         return await waiting.fut
@@ -87,18 +103,45 @@
         self._begin()
 
     async def _commit(self, batch: list[_Waiting]) -> None:
-        unsure = False
         try:
             while batch:
                 batch = await self._attempt(batch)
         except StoreDown as exc:
-            self._settle(batch, Accepted.UNKNOWN if unsure else Accepted.REFUSED, exc)
+            certain = [waiting for waiting in batch if not waiting.unsure]
+            self._settle(certain, Accepted.REFUSED, exc)
+            self._repeat([waiting for waiting in batch if waiting.unsure], exc)
         except (StoreReplyLost, LeaseLost) as exc:
-            self._settle(batch, Accepted.UNKNOWN, exc)
-        finally:
+            for waiting in batch:
+                waiting.unsure = True
+            self._repeat(batch, exc)
+        except BaseException:
             for waiting in batch:
                 if not waiting.fut.done():
                     waiting.fut.set_result(Accepted.UNKNOWN)
+            raise
+
+    def _repeat(self, batch: list[_Waiting], exc: Exception) -> None:
+        """Put jobs that may lie in the store back in line, while their callers wait."""
+        pause_s = random.uniform(0.0, REPEAT_PAUSE_S)
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + pause_s
+        over = [waiting for waiting in batch if waiting.until <= ends_at]
+        self._settle(over, Accepted.UNKNOWN, exc)
+        left = [waiting for waiting in batch if waiting.until > ends_at]
+        if left:
+            logger.info(
+                "write of jobs repeated",
+                extra={
+                    "requests": [waiting.spec.job_id for waiting in left],
+                    "pause_s": round(pause_s, 3),
+                    "reason": str(exc),
+                },
+            )
+            loop.call_later(pause_s, self._return, left)
+
+    def _return(self, batch: list[_Waiting]) -> None:
+        self._waiting.extendleft(reversed(batch))
+        self._begin()
 
     async def _attempt(self, batch: list[_Waiting]) -> list[_Waiting]:
         """Write a batch; return what is left because others of it were known."""
@@ -115,8 +158,11 @@
             self._on_stored([waiting.spec for waiting in unique.values()], found)
             self._settle(batch, Accepted.STORED, None)
             return []
-        present = {item.key for item in found if isinstance(item, Item)}
+        present = {item.key: item for item in found if isinstance(item, Item)}
         known = [waiting for waiting in batch if waiting.key in present]
+        for waiting in known:
+            if waiting.unsure:
+                self._on_stored([waiting.spec], present[waiting.key].revision)
         self._settle(known, Accepted.STORED, None)
         return [waiting for waiting in batch if waiting.key not in present]
 
--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -18,13 +18,16 @@
 # Advice is asked for so long before it is expected to be needed, beside the time of the
 # call, in seconds: expected ends are rough.
 ADVICE_AHEAD_S = 0.3
+# Share of the life of permits for which those of a step may be waiting for the end of
+# the step before it. Short steps have theirs before they are ready.
+PERMIT_SHARE_AHEAD = 0.5
 # Gangs that may learn which workers they may use before any of these has room. Room
 # is only held for a gang that knows; each more takes a slow call from other steps.
 GANGS_AHEAD = 6
-# Workers named for each task that waits, and the least number: under half of them may
-# be allowed to run the step.
-NAMES_PER_TASK = 4
-LEAST_NAMES = 4
+# Places that the workers named should have for each task that waits, and the least
+# number of workers: as few as a third of them may be allowed to run the step.
+PLACES_PER_TASK = 4
+LEAST_NAMES = 8
 # Room that is given back within this many seconds is counted as a whole before single
 # workers are looked at.
 FAR_AHEAD_S = 1.5
@@ -35,6 +38,19 @@
 ADVICE_RETRY_S = 0.02
 
 
+def _names_needed(
+    step: StepRun, workers: list[Worker], rooms: dict[Worker, Resources]
+) -> int | None:
+    """Return how many of the workers have room enough now, or None if all have not."""
+    wanted = PLACES_PER_TASK * step.remaining
+    limit = step.spec.max_per_worker or step.remaining
+    for number, worker in enumerate(workers, 1):
+        wanted -= min(step.need.times_in(rooms[worker]), limit)
+        if wanted <= 0:
+            return number
+    return None
+
+
 class Advising(JobTable):
     """Chooses the calls for advice and takes their answers in."""
 
@@ -107,13 +123,16 @@
             step
             for step in self._open_steps.values()
             if step.spec.after
+            and step.job.spec.advice is not None
             and not step.permits
             and not self._ready(step)
             and self._ready_soon(step, now)
         ]
 
     def _ready_soon(self, step: StepRun, now: float) -> bool:
-        until = now + ADVICE_AHEAD_S + self._call_s(step)
+        advice = t.cast(AdviceCost, step.job.spec.advice)
+        ahead_s = max(ADVICE_AHEAD_S, PERMIT_SHARE_AHEAD * advice.valid_s)
+        until = now + ahead_s + self._call_s(step)
         steps = step.job.occurrences[step.occurrence]
         for number in step.spec.after:
             for task in steps[number].tasks:
@@ -198,10 +217,12 @@
         """Return the call that names enough workers for the step's tasks."""
         advice = t.cast(AdviceCost, step.job.spec.advice)
         unknown.sort(key=lambda worker: -rooms[worker].cpu_m)
-        wanted = NAMES_PER_TASK * step.remaining
-        # Up to here the names take less time than the decision.
-        cheap = advice.base_s / max(advice.per_worker_s, 1e-6)
-        count = min(int(max(wanted, cheap, LEAST_NAMES)), ADVICE_MAX_WORKERS)
+        count = _names_needed(step, good + unknown, rooms)
+        if count is None or step.spec.gang:
+            # Up to here the names take less time than the decision.
+            cheap = advice.base_s / max(advice.per_worker_s, 1e-6)
+            count = int(max(PLACES_PER_TASK * step.remaining, cheap))
+        count = min(max(count, LEAST_NAMES), ADVICE_MAX_WORKERS)
         named = [worker.worker_id for worker in good + unknown][:count]
         cost_s = advice.base_s + advice.per_worker_s * len(named)
         return AdviceRequest(step, tuple(named), cost_s)
--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -41,6 +41,8 @@
         if ended.checkpoint and not task.done:
             self._keep_checkpoint(task, ended.checkpoint)
         if ended.how is Ended.DONE and not task.step.spec.lasting:
+            if run is not None and run.whole and not task.step.spec.gang:
+                task.step.work.take(worker, now - run.sent_at)
             self._task_done(worker, task, now)
         elif ended.how is Ended.FAILED:
             self._task_failed(worker, task, ended.run, now)
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -250,10 +250,10 @@
 
     # What callers ask for
 
-    async def submit(self, spec: JobSpec) -> Accepted:
-        """Store a job."""
+    async def submit(self, spec: JobSpec, patience_s: float = 0.0) -> Accepted:
+        """Store a job; see `Acceptance.submit`."""
         began = self._clock.now()
-        accepted = await self._acceptance.submit(spec)
+        accepted = await self._acceptance.submit(spec, patience_s)
         self.meters.count("poplaryard_jobs_total", accepted.value)
         self.meters.observe("poplaryard_accept_seconds", self._clock.now() - began)
         return accepted
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -134,6 +134,7 @@
         step = task.step
         run = Run(task, number, worker, step.need, now)
         run.expires_at = now + LATE_ORDER_S
+        run.whole = not task.checkpoint
         task.run = number
         task.runs.append(run)
         step.job.started = True
--- a/src/poplaryard/workload/placing.py
+++ b/src/poplaryard/workload/placing.py
@@ -7,6 +7,11 @@
 
 __all__ = ["admits", "place", "place_gang"]
 
+# Workers whose run times differ by less than this logarithm count as equally fast.
+SPEED_CLASS = 0.1
+# Jobs that may take this many times their run time leave the fast workers to others.
+LOOSE_STRETCH = 3.0
+
 
 def admits(step: StepRun, worker: Worker) -> bool:
     """Whether a worker could run a task of the step if it were empty."""
@@ -16,10 +21,11 @@
 
 
 def _score(step: StepRun, worker: Worker, free: Resources) -> tuple[t.Any, ...]:
-    """Order workers: data close by, then the one that is left the fullest.
+    """Order workers: data close by, then by speed, then the one left the fullest.
 
-    Filling workers up keeps whole ones free for large tasks and gangs. Steps that only
-    use left-over processor time go where most of it is left.
+    Jobs with a tight objective take the fast workers, others the slow ones. Filling
+    workers up keeps whole ones free for large tasks and gangs. Steps that only use
+    left-over processor time go where most of it is left.
     """
     remote = bool(step.spec.rack) and worker.info.rack != step.spec.rack
     capacity = worker.info.capacity
@@ -27,7 +33,11 @@
         return (remote, -free.cpu_m)
     if step.spec.max_per_worker or step.spec.lasting:
         return (remote, step.on_worker(worker), -free.cpu_m / max(1, capacity.cpu_m))
-    return (remote, (free - step.need).dominant_share(capacity), worker.worker_id)
+    speed = round(worker.slowness / SPEED_CLASS)
+    if step.job.spec.stretch >= LOOSE_STRETCH:
+        speed = -speed
+    left = (free - step.need).dominant_share(capacity)
+    return (remote, speed, left, worker.worker_id)
 
 
 Room: t.TypeAlias = t.Callable[[StepRun, Worker], Resources]
--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -11,6 +11,7 @@
 
 from ..client import HttpClient
 from ..clock import Clock
+from ..codes import Code
 from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
 from ..logs import logger
 from .storage import Change, Item, Storage, Transaction
@@ -136,6 +137,7 @@
         self.direct_ok = True
         self._probe_at = 0.0
         self._relay_at = 0.0
+        self._good_peer = ""
 
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
@@ -171,7 +173,9 @@
 
     async def commit(self, transaction: Transaction) -> int | list[Item | None]:
         """Return the new revision, or the present items of the expected keys."""
-        if self._use_direct():
+        # Other calls find out when the store is back: a write that is lost on the way
+        # would leave its caller in doubt.
+        if self.direct_ok:
             try:
                 return self._reached(await self.direct.commit(transaction))
             except StoreDown as exc:
@@ -237,17 +241,25 @@
         """Make a call through up to `PEERS_TRIED` peers."""
         if self._clock.now() < self._relay_at:
             raise StoreDown
-        addresses = self._peers()
-        addresses = random.sample(addresses, min(PEERS_TRIED, len(addresses)))
-        for address in addresses:
+        for address in self._candidates():
             outcome = await self._relay_to(address, call, timeout_s)
+            self._good_peer = ""
             if outcome is not None and outcome.error != "down":
+                self._good_peer = address
                 if outcome.error:
                     raise _ERRORS[outcome.error]()
                 return outcome
         self._relay_at = self._clock.now() + FAILED_PAUSE_S
         raise StoreDown
 
+    def _candidates(self) -> list[str]:
+        """Return peers to try, the one that answered last first."""
+        addresses = self._peers()
+        chosen = random.sample(addresses, min(PEERS_TRIED, len(addresses)))
+        if self._good_peer in addresses:
+            chosen = [self._good_peer, *chosen]
+        return list(dict.fromkeys(chosen))[:PEERS_TRIED]
+
     async def _relay_to(
         self, address: str, call: _Call, timeout_s: float
     ) -> _Outcome | None:
@@ -257,7 +269,8 @@
         try:
             reply = await self._client.raw("POST", url, body, timeout_s)
         except PoplaryardError as exc:
-            if call.call == "commit":
+            if call.call == "commit" and exc.code is not Code.PEER_UNREACHABLE:
+                self._good_peer = ""
                 raise StoreReplyLost(exc.detail) from exc
             return None
         if reply.status != 200:
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -179,6 +179,7 @@
             return None
         run = Run(task, running.run, worker, task.step.need, now)
         run.moved_at = now
+        run.whole = False
         task.run = max(task.run, running.run)
         task.runs.append(run)
         task.step.job.started = True
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -1,6 +1,7 @@
 """What the owner of a group of workers knows of jobs, runs and workers."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from ..resources import ZERO, Resources
@@ -21,6 +22,14 @@
 LEAST_PROGRESS = 5
 
 
+# Weight of one run in the slowness of its worker, and the most that it may differ: run
+# times within a step vary by about a sixth, and some are seven times as long.
+SLOWNESS_SHARE = 0.15
+SLOWNESS_STEP_MAX = 1.0
+# Run times below this are mostly the time of the calls, in seconds.
+LEAST_RUN_S = 0.05
+
+
 class RunPhase(enum.Enum):
     """Where a run stands, as far as its owner knows."""
 
@@ -54,6 +63,8 @@
         Its steady clock, and the owner's time at which it was read, in seconds.
     granted_s : float
         Latest lease deadline that it may have been given, on its own clock.
+    slowness : float
+        Logarithm of its run times relative to other workers'.
     paused_until : float
         Time before which nothing is started on it.
     failed_jobs : list of str
@@ -75,6 +86,7 @@
     runs: dict[tuple[str, int], "Run"] = field(default_factory=dict)
     used: Resources = ZERO
     foreign: set[tuple[str, int]] = field(default_factory=set)
+    slowness: float = 0.0
     paused_until: float = 0.0
     failed_jobs: list[str] = field(default_factory=list)
     ejections: int = 0
@@ -143,6 +155,8 @@
         Time at which its percentage last changed.
     seen_at : float
         Time of the last report that listed it.
+    whole : bool
+        Whether this owner started it from the beginning of its task.
     first_percent : float
         Percentage that its worker reported first: a run that was adopted, or resumed
         from a checkpoint, does not begin at 0.
@@ -163,6 +177,7 @@
     load: float = 0.0
     first_percent: float = 0.0
     seen_at: float = float("-inf")
+    whole: bool = True
 
     @property
     def key(self) -> tuple[str, int]:
@@ -208,6 +223,28 @@
     not_before: float = 0.0
 
 
+@dataclass(slots=True)
+class WorkMean:
+    """Mean logarithm of the run times of a step's tasks, on a worker of usual speed."""
+
+    count: int = 0
+    mean: float = 0.0
+
+    def take(self, worker: Worker, took_s: float) -> None:
+        """Take in a run time, and learn how slow the worker is from earlier ones.
+
+        Tasks of one step are alike, so a step tells the speed of its workers apart from
+        the error of its estimate.
+        """
+        log_s = math.log(max(took_s, LEAST_RUN_S))
+        if self.count:
+            error = log_s - self.mean - worker.slowness
+            error = max(-SLOWNESS_STEP_MAX, min(SLOWNESS_STEP_MAX, error))
+            worker.slowness += SLOWNESS_SHARE * error
+        self.count += 1
+        self.mean += (log_s - worker.slowness - self.mean) / self.count
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """One occurrence of a step.
@@ -224,6 +261,8 @@
         Place among waiting steps at the last look; the lowest comes first.
     neglected : bool
         Whether its job has long had nothing running while much of the group was idle.
+    work : WorkMean
+        Run time of its tasks, as far as they have ended.
     held_at, held_until : float
         Time since which, and at which last, room was held for it.
     """
@@ -241,6 +280,7 @@
     rest_s: float = 0.0
     rank: tuple[int, int, float] = (0, 0, 0.0)
     neglected: bool = False
+    work: "WorkMean" = field(default_factory=lambda: WorkMean())
     held_at: float = float("-inf")
     held_until: float = float("-inf")
 
--- a/tests/workload/test_acceptance.py
+++ b/tests/workload/test_acceptance.py
@@ -6,10 +6,11 @@
 from tests.workload.world import MemoryStorage
 
 
-def submit_all(storage, specs):
+def submit_all(storage, specs, patience_s=0.0):
     async def run():
         acceptance = Acceptance(storage, lambda specs, revision: None)
-        return await asyncio.gather(*(acceptance.submit(spec) for spec in specs))
+        jobs = (acceptance.submit(spec, patience_s) for spec in specs)
+        return await asyncio.gather(*jobs)
 
     return asyncio.run(run())
 
@@ -63,3 +64,29 @@
         assert [[spec.job_id for spec in specs] for specs in told] == [["c" * 16]]
 
     asyncio.run(run())
+
+
+def test_write_without_an_answer_is_repeated_while_the_caller_waits():
+    """Pattern: the store resets connections, and clients use up their tries."""
+    for fault in ("lost", "dropped"):
+        storage = MemoryStorage()
+        storage.faults["commit"] = [fault, "down", fault]
+        assert submit_all(storage, [job()], 3.0) == [Accepted.STORED]
+        assert len(storage.items) == 1
+
+
+def test_job_in_doubt_is_not_refused_and_does_not_hold_others_up():
+    """Guards against "never runs" for a job that may lie in the store."""
+
+    async def run():
+        storage = MemoryStorage()
+        storage.faults["commit"] = ["dropped"] + ["down"] * 20
+        acceptance = Acceptance(storage, lambda specs, revision: None)
+        first = asyncio.create_task(acceptance.submit(job("a" * 16), 0.6))
+        await asyncio.sleep(0.01)
+        began = asyncio.get_running_loop().time()
+        assert await acceptance.submit(job("b" * 16), 0.6) is Accepted.REFUSED
+        assert asyncio.get_running_loop().time() - began < 0.3
+        assert await first is Accepted.UNKNOWN
+
+    asyncio.run(run())
--- a/tests/workload/test_relay.py
+++ b/tests/workload/test_relay.py
@@ -101,6 +101,47 @@
     asyncio.run(run())
 
 
+def test_writes_do_not_find_out_whether_the_store_is_back():
+    """Pattern: a process is cut off from the store, and each try takes a second."""
+
+    async def run():
+        relayed = Relayed()
+        relayed.turn_away()
+        await relayed.storage.get("k")
+        for number in range(5):
+            relayed.clock.advance(1.0)
+            await relayed.storage.commit(put(f"k{number}", b"v"))
+        assert relayed.cut_off.calls.count("commit") == 0
+
+    asyncio.run(run())
+
+
+def test_write_goes_on_to_the_next_peer_if_one_cannot_be_reached():
+    """Guards against a job in doubt for a call that was certainly never sent."""
+
+    async def run():
+        relayed = Relayed()
+        relayed.turn_away()
+        reached = relayed.client.raw
+        gone = set()
+
+        async def raw(method, url, body, timeout_s, headers=None):
+            if not gone or url in gone:
+                gone.add(url)
+                raise PoplaryardError(Code.PEER_UNREACHABLE)
+            return await reached(method, url, body, timeout_s, headers)
+
+        relayed.client.raw = raw
+        relayed.storage._peers = lambda: ["10.0.0.1:1", "10.0.0.2:1"]
+        assert isinstance(await relayed.storage.commit(put("k", b"v")), int)
+        # The peer that answered is asked first from now on.
+        for number in range(8):
+            await relayed.storage.commit(put(f"k{number}", b"v"))
+        assert len(gone) == 1
+
+    asyncio.run(run())
+
+
 def test_direct_calls_come_back():
     async def run():
         relayed = Relayed()
--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -143,3 +143,30 @@
     cell._advise = lambda: None
     cell.run(1.5)
     assert wanted_advice(cell.partition, cell.now) is not None
+
+
+def test_advice_names_only_as_many_workers_as_the_tasks_need():
+    """Pattern: short urgent jobs on a large, nearly empty group.
+
+    Each name adds to the time of the call, which such jobs notice.
+    """
+    cell = Cell(workers=0)
+    for number in range(60):
+        cell.add_worker(worker_info(number, address=f"10.0.1.{number}:80"))
+    cell.run(0.1)
+    quick = AdviceCost(base_s=0.02, per_worker_s=0.0003, valid_s=2.0)
+    cell.submit(job("f" * 16, step(4, cpu=1000), advice=quick))
+    request = wanted_advice(cell.partition, cell.now)
+    # Four tasks, four places each, four places on a worker; at least eight workers.
+    assert len(request.workers) == 8
+
+
+def test_advice_for_the_next_short_step_is_there_before_it_is_ready():
+    """Pattern: jobs of short steps, where each call for advice delays the end."""
+    cell = Cell(workers=1)
+    cell.run(0.1)
+    advice = AdviceCost(base_s=0.02, per_worker_s=0.01, valid_s=2.0)
+    steps = step(1, estimate_s=0.8), step(1, estimate_s=0.8, after=(0,))
+    cell.submit(job("f" * 16, *steps, advice=advice))
+    cell.run(0.5)
+    assert cell.partition.jobs["f" * 16].occurrences[0][1].permits
