Back off from a store that loses replies; copy tasks of silent workers

Cause: during an outage with reset connections a job was written again up to 30 times within three seconds, one log line each. A process that found itself cut off held callers until their time was up. Tasks that may run twice waited for the lease of a silent worker, since copies need a report of it.

Change: pauses double up to 0.8 s, with full jitter; jobs in doubt are answered at once, and new ones refused, once the data centre is cut off; a task that may run twice is copied 1.8 s after the last report of its worker.

--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -22,9 +22,11 @@
 MAX_COMMITS = 4
 # Jobs that may wait for a transaction; more are refused at once.
 MAX_WAITING = 512
-# Longest pause before a write without an answer is repeated, in seconds; drawn evenly
-# from nothing up to this, so that the processes do not return together.
-REPEAT_PAUSE_S = 0.2
+# Longest pause before a write without an answer is repeated, in seconds, at first and
+# at most; it doubles each time. Pauses are drawn evenly from nothing up to this, so
+# that the processes do not return together.
+REPEAT_PAUSE_S = 0.1
+REPEAT_PAUSE_MAX_S = 0.8
 
 
 OnStored: t.TypeAlias = t.Callable[[list[JobSpec], int], None]
@@ -43,7 +45,12 @@
     spec: JobSpec
     fut: "asyncio.Future[Accepted]"
     until: float
-    unsure: bool = False
+    lost_replies: int = 0
+
+    @property
+    def unsure(self) -> bool:
+        """Whether the job may lie in the store."""
+        return self.lost_replies > 0
 
     @property
     def key(self) -> str:
@@ -61,11 +68,18 @@
     storage : Storage
     on_stored : callable
         Called with the jobs of a transaction and its revision.
+
+    Attributes
+    ----------
+    cut_off : bool
+        Whether the store is out of reach for long: nothing is begun or repeated, and
+        callers can go elsewhere at once.
     """
 
     def __init__(self, storage: Storage, on_stored: OnStored):
         self._storage = storage
         self._on_stored = on_stored
+        self.cut_off = False
         self._waiting: deque[_Waiting] = deque()
         self._commits: set[asyncio.Task[None]] = set()
 
@@ -77,7 +91,7 @@
         patience_s : float
             Seconds for which a write without an answer may be repeated.
         """
-        if len(self._waiting) >= MAX_WAITING:
+        if self.cut_off or len(self._waiting) >= MAX_WAITING:
             return Accepted.REFUSED
         loop = asyncio.get_running_loop()
         waiting = _Waiting(spec, loop.create_future(), loop.time() + patience_s)
@@ -112,7 +126,7 @@
             self._repeat([waiting for waiting in batch if waiting.unsure], exc)
         except (StoreReplyLost, LeaseLost) as exc:
             for waiting in batch:
-                waiting.unsure = True
+                waiting.lost_replies += 1
             self._repeat(batch, exc)
         except BaseException:
             for waiting in batch:
@@ -122,21 +136,17 @@
 
     def _repeat(self, batch: list[_Waiting], exc: Exception) -> None:
         """Put jobs that may lie in the store back in line, while their callers wait."""
-        pause_s = random.uniform(0.0, REPEAT_PAUSE_S)
+        if not batch:
+            return
+        tries = max(waiting.lost_replies for waiting in batch)
+        longest_s = min(REPEAT_PAUSE_S * 2 ** (tries - 1), REPEAT_PAUSE_MAX_S)
+        pause_s = random.uniform(0.0, longest_s)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + pause_s
-        over = [waiting for waiting in batch if waiting.until <= ends_at]
+        left = [] if self.cut_off else [one for one in batch if one.until > ends_at]
+        over = [waiting for waiting in batch if waiting not in left]
         self._settle(over, Accepted.UNKNOWN, exc)
-        left = [waiting for waiting in batch if waiting.until > ends_at]
         if left:
-            logger.info(
-                "write of jobs repeated",
-                extra={
-                    "requests": [waiting.spec.job_id for waiting in left],
-                    "pause_s": round(pause_s, 3),
-                    "reason": str(exc),
-                },
-            )
             loop.call_later(pause_s, self._return, left)
 
     def _return(self, batch: list[_Waiting]) -> None:
@@ -173,7 +183,12 @@
             if waiting.fut.done():
                 continue
             waiting.fut.set_result(accepted)
-            extra = {"request": waiting.spec.job_id, "queue": waiting.spec.queue}
+            extra: dict[str, t.Any] = {
+                "request": waiting.spec.job_id,
+                "queue": waiting.spec.queue,
+            }
+            if waiting.lost_replies:
+                extra["lost_replies"] = waiting.lost_replies
             if exc is not None:
                 extra["reason"] = str(exc)
             logger.info(f"job {accepted.value}", extra=extra)
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -36,6 +36,9 @@
 # more than this many estimates beside.
 COPY_AFTER = 0.6
 COPY_GAIN = 1.3
+# Tasks that may run twice are copied if their worker has not reported for this long, in
+# seconds; others wait until their leases have lapsed. Workers report every second.
+SILENT_S = 1.8
 # Steps that hold room at the same time; each hold leaves some of it idle.
 MAX_PLANS = 4
 # Steps for which room is looked for at one time: each look goes over all workers.
@@ -257,7 +260,11 @@
         # Percentages are as old as the last report: a worker reports when a run ends,
         # and late if this process is busy.
         elapsed_s = run.seen_at - run.sent_at
-        if run.phase is not RunPhase.RUNNING or elapsed_s < COPY_AFTER * estimate_s:
+        if run.phase is not RunPhase.RUNNING:
+            return False
+        if not run.worker.reachable:
+            return now - run.worker.clock_at > SILENT_S
+        if elapsed_s < COPY_AFTER * estimate_s:
             return False
         if run.percent < 1:
             return elapsed_s > 2 * COPY_AFTER * estimate_s
--- a/tests/workload/test_acceptance.py
+++ b/tests/workload/test_acceptance.py
@@ -90,3 +90,21 @@
         assert await first is Accepted.UNKNOWN
 
     asyncio.run(run())
+
+
+def test_process_that_is_cut_off_answers_at_once():
+    """Guards against callers held by a process that can't serve them."""
+
+    async def run():
+        storage = MemoryStorage()
+        storage.faults["commit"] = ["dropped"] * 50
+        acceptance = Acceptance(storage, lambda specs, revision: None)
+        in_doubt = asyncio.create_task(acceptance.submit(job("a" * 16), 3.0))
+        await asyncio.sleep(0.05)
+        acceptance.cut_off = True
+        began = asyncio.get_running_loop().time()
+        assert await acceptance.submit(job("b" * 16), 3.0) is Accepted.REFUSED
+        assert await in_doubt is Accepted.UNKNOWN
+        assert asyncio.get_running_loop().time() - began < 1.0
+
+    asyncio.run(run())
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -303,6 +303,19 @@
     assert len(cell.starts(f"{'b' * 16}.0.0.0")) == 1
 
 
+def test_task_on_a_silent_worker_is_copied_where_the_job_allows_it():
+    """Pattern: a data centre is cut off with tasks that callers wait for."""
+    cell = Cell(workers=2)
+    twice = step(1, cpu=4000, estimate_s=0.6, speculative=True)
+    cell.submit(job("a" * 16, twice))
+    cell.submit(job("b" * 16, step(1, cpu=4000, estimate_s=0.6)))
+    cell.run(0.2)
+    [(silent, _, _)] = cell.starts(f"{'a' * 16}.0.0.0")
+    cell.sims[silent].cut = True
+    cell.run(3.0)
+    assert cell.partition.jobs["a" * 16].state is JobState.DONE
+
+
 def test_owner_without_a_certain_lease_gives_no_silent_worker_up():
     """Guards against a restart of a task whose lease a later owner renews."""
     cell = Cell(workers=2)
