Keep owners at work through an outage that meets a stop; name what silent workers hold

It gave the group up at once, and nobody could claim it for 7.5 s. The next owner then held all older jobs back for 13.5 s, because three workers that had left during the outage could not be asked: it knew their ids only.

Ruled out: a slow claim. The group was claimed 0.2 s after the old lease had ended.

Change: a stopping process hands its groups over once the store answers, and until then goes on; requests in progress have 3 s instead of 2 s. Owners write the addresses of workers, whether they are leaving, and for silent ones the tasks that they may run. The next owner asks workers that are not listed, and holds back only the tasks named.

Each has a test that failed before.

--- a/src/poplaryard/platform/entry.py
+++ b/src/poplaryard/platform/entry.py
@@ -41,6 +41,11 @@
 # Time from SIGTERM until connections are closed, in seconds: the platform's balancer
 # needs two probes, one a second, to notice.
 LAME_DUCK_S = 2.5
+# Time for requests in progress after that, in seconds: as long as a write of a job may
+# be repeated.
+DRAIN_S = 3.0
+# Kept of the time to stop for the last calls, in seconds: SIGKILL follows.
+LAST_S = 0.8
 
 
 class Listen(msgspec.Struct, forbid_unknown_fields=False):
@@ -149,9 +154,10 @@
     logger.info("process started", extra={"process_id": os.getpid()})
     await stop.wait()
     logger.info("process stops")
-    await node.hand_over()
+    handing = asyncio.create_task(node.hand_over(cfg.grace_s - LAST_S))
     await asyncio.sleep(min(LAME_DUCK_S, cfg.grace_s / 2))
     await asyncio.gather(*(server.stop() for server in servers))
+    await handing
     await node.stop()
     logger.info("process stopped")
     stream.close()
@@ -159,7 +165,7 @@
 
 def _server(app: t.Any, address: str) -> HttpServer:
     host, _, port = address.rpartition(":")
-    return HttpServer(app, host, int(port), graceful_s=2.0)
+    return HttpServer(app, host, int(port), graceful_s=DRAIN_S)
 
 
 def _reload(path: str) -> None:
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -5,7 +5,7 @@
 from ..logs import logger
 from ..resources import Resources
 from .meters import Meters
-from .model import JobSpec, JobState, Progress
+from .model import JobSpec, JobState, Progress, Suspect
 from .orders import Notes, StartOrder, StopOrder
 from .records import encode
 from .room import Holds, Plan
@@ -47,7 +47,7 @@
         Wall-clock time minus the owner's clock, in seconds.
     quarantine_until : float
         Time until which workers that did not report may hold runs of an earlier owner.
-    suspects : iterable of str
+    suspects : mapping of str to Suspect
         Workers that may hold such runs.
     """
 
@@ -57,7 +57,7 @@
         claim_revision: int,
         wall_offset: float,
         quarantine_until: float = 0.0,
-        suspects: t.Iterable[str] = (),
+        suspects: t.Mapping[str, Suspect] | None = None,
         early_s: float = 0.0,
         meters: Meters | None = None,
     ):
@@ -73,7 +73,10 @@
         self._kept: set[str] = set()
         self._wall_offset = wall_offset
         self._quarantine_until = quarantine_until
-        self._suspects = set(suspects)
+        self._suspects = dict(suspects or {})
+        self._held_back = {
+            task for found in self._suspects.values() for task in found.tasks or ()
+        }
         self._early_s = early_s
         self._meters = meters or Meters()
         self._dirty: set[str] = set()
@@ -169,6 +172,8 @@
             for position in range(spec.count):
                 name = f"{step.name}.{position}"
                 task = Task(name, step, position, run=base, done=position in done)
+                if name in self._held_back:
+                    task.not_before = self._quarantine_until
                 step.tasks.append(task)
                 if not task.done:
                     self._tasks[name] = task
@@ -229,7 +234,7 @@
             run.phase = RunPhase.STOPPING
         self.orders.append(StopOrder(run.worker, run.task.name, run.number, run))
 
-    def _open_suspects(self, now: float) -> set[str]:
+    def _open_suspects(self, now: float) -> dict[str, Suspect]:
         """Return the workers that may hold runs of an earlier owner."""
         if now >= self._quarantine_until:
             self._suspects.clear()
@@ -243,7 +248,17 @@
         """
         if not self.sole_owner and not job.started:
             return True
-        return not job.fresh and bool(self._open_suspects(now))
+        return not job.fresh and any(
+            suspect.tasks is None for suspect in self._open_suspects(now).values()
+        )
+
+    def _clear_suspect(self, worker_id: str) -> None:
+        """Let tasks start that the worker might have been running."""
+        suspect = self._suspects.pop(worker_id, None)
+        for name in (suspect.tasks or ()) if suspect is not None else ():
+            self._held_back.discard(name)
+            if name in self._tasks:
+                self._tasks[name].not_before = 0.0
 
     def _waiting_steps(self, now: float) -> list[StepRun]:
         """Return the steps whose turn has come, the most urgent first."""
--- a/src/poplaryard/workload/membership.py
+++ b/src/poplaryard/workload/membership.py
@@ -103,6 +103,18 @@
         logger.warning("lease lost", extra={"lease": self.lease})
         self.drop()
 
+    async def check(self) -> bool:
+        """Whether the store answers; renews the lease."""
+        if not self.lease:
+            return True
+        sent_at = self._clock.now()
+        try:
+            await self._renew(sent_at)
+        except (StoreDown, StoreReplyLost) as exc:
+            self._note_store(False, exc.detail)
+            return False
+        return True
+
     def drop(self) -> None:
         """Act without the lease from now on."""
         self.lease = 0
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -19,6 +19,7 @@
     "RunningRun",
     "StartOutcome",
     "StepSpec",
+    "Suspect",
     "WorkerInfo",
 ]
 
@@ -255,6 +256,24 @@
         return self.labels[-1] if self.labels else ""
 
 
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """Worker that may hold runs, as an owner writes it for the next one.
+
+    Attributes
+    ----------
+    address : str
+        Where it can be asked while it is not listed; empty if not known.
+    tasks : tuple of str, optional
+        All tasks that it may run, for a worker that fell silent and is given no new
+        ones; None if they are not known.
+    """
+
+    address: str = ""
+    draining: bool = False
+    tasks: tuple[str, ...] | None = None
+
+
 class Ended(enum.StrEnum):
     """How a run ended."""
 
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -45,6 +45,9 @@
 # them are read together.
 HEARTBEAT_BATCH_S = 0.25
 CLAIM_CHECK_S = 0.5
+# Time between two looks whether the store is back, before groups are handed over, in
+# seconds.
+HAND_OVER_RETRY_S = 0.2
 # Time between two looks whether the data centre is cut off, in seconds, and peers of
 # others that are asked then.
 ISOLATION_CHECK_S = 0.4
@@ -231,9 +234,22 @@
             return False
         return True
 
-    async def hand_over(self) -> None:
-        """Give up all groups, so that another process takes them at once."""
+    async def hand_over(self, patience_s: float = 0.0) -> None:
+        """Give up all groups, so that another process takes them at once.
+
+        While the store is away nobody could take them, so this process goes on.
+
+        Parameters
+        ----------
+        patience_s : float
+            Longest time to wait for the store, in seconds.
+        """
         self.stopping = True
+        until = self._clock.now() + patience_s
+        while self.owners and not await self._lease.check():
+            if self._clock.now() >= until:
+                break
+            await asyncio.sleep(HAND_OVER_RETRY_S)
         await asyncio.gather(*(owner.close() for owner in self.owners.values()))
         for task in self._owning:
             task.cancel()
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -14,7 +14,14 @@
 from .advice import SLOW_S, AdviceLines, Line
 from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
 from .meters import Meters
-from .model import HoldReport, JobSpec, JobState, StartOutcome, WorkerInfo
+from .model import (
+    HoldReport,
+    JobSpec,
+    JobState,
+    StartOutcome,
+    Suspect,
+    WorkerInfo,
+)
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
 from .storage import Change, Storage, Transaction
@@ -109,6 +116,11 @@
         return LEASE_TTL_S + GRACE_S + longest_lease_s + LAPSE_SLACK_S
 
 
+def _open(workers: dict[str, Suspect]) -> set[str]:
+    """Return the workers that may be given any task."""
+    return {name for name, found in workers.items() if found.tasks is None}
+
+
 def _release(line: Line, slow: bool, _: "asyncio.Task[t.Any]") -> None:
     line.release(slow)
 
@@ -155,7 +167,7 @@
         self._listing = asyncio.Lock()
         self._sequence = 0
         self._noted = asyncio.Event()
-        self._known_workers: set[str] = set()
+        self._known_workers: dict[str, Suspect] = {}
         self._orders_in_flight = 0
         self._summary_at = clock.now() + SUMMARY_EVERY_S
         self._prune_at = clock.now() + PRUNE_EVERY_S
@@ -169,6 +181,7 @@
         sequence = await self._storage.get(records.sequence_key(self.group))
         self._sequence = sequence.revision if sequence is not None else 0
         suspects = await self._suspects()
+        silent = {name for name, found in suspects.items() if found.tasks is not None}
         progress, _ = await self._storage.scan(records.progress_prefix(self.group))
         now = self._clock.now()
         self.partition = Partition(
@@ -176,7 +189,7 @@
             self.revision,
             self._clock.wall() - now,
             began + self._limits.quarantine_s(),
-            suspects | set(workers),
+            suspects,
             self._limits.early_s,
             self._meters,
         )
@@ -190,11 +203,14 @@
         )
         await watch.reload()
         self._progress.clear()
-        await self._keep_workers(set(workers))
-        self.partition.keep_workers(self._known_workers)
+        await self._keep_workers(set(workers) - silent)
+        self.partition.keep_workers(_open(self._known_workers))
         self.loaded = True
         self._meters.count("poplaryard_owner_changes_total", "taken over")
         self._meters.observe("poplaryard_take_over_seconds", self._clock.now() - began)
+        for name, suspect in suspects.items():
+            if name not in workers and suspect.address:
+                self._hold(self.partition.suspect_unlisted(name, suspect))
         for info in workers.values():
             self.worker_listed(info)
         logger.info(
@@ -251,11 +267,14 @@
         """
         if self.partition is None or not self.loaded:
             return
-        worker = self.partition.worker_listed(info, self._clock.now())
-        if info.worker_id not in self._holds:
+        self._hold(self.partition.worker_listed(info, self._clock.now()))
+
+    def _hold(self, worker: Worker) -> None:
+        name = worker.worker_id
+        if name not in self._holds:
             task = asyncio.create_task(self._hold_loop(worker))
-            self._holds[info.worker_id] = task
-            task.add_done_callback(lambda _: self._holds.pop(info.worker_id, None))
+            self._holds[name] = task
+            task.add_done_callback(lambda _: self._holds.pop(name, None))
             task.add_done_callback(self._log_end)
 
     def worker_unlisted(self, worker_id: str) -> None:
@@ -267,8 +286,6 @@
     async def _hold_loop(self, worker: Worker) -> None:
         """Renew a worker's leases for as long as it may hold runs."""
         partition = t.cast(Partition, self.partition)
-        if worker.worker_id not in self._known_workers:
-            await self._keep_workers({worker.worker_id})
         while partition.is_watched(worker, self._clock.now()):
             if not self._lease.has_authority():
                 await asyncio.sleep(HOLD_RETRY_S)
@@ -297,6 +314,8 @@
                 await asyncio.sleep(HOLD_RETRY_S)
                 continue
             partition.hold_answered(worker, report, sent_at, self._clock.now())
+            if worker.listed and not self._open_to_work(worker.worker_id):
+                await self._keep_workers({worker.worker_id})
             self._changed()
             if worker.acked_seq < worker.seen_seq:
                 await self._ends_kept()
@@ -309,19 +328,24 @@
         except TimeoutError:
             return
 
-    async def _suspects(self) -> set[str]:
+    async def _suspects(self) -> dict[str, Suspect]:
         item = await self._storage.get(records.workers_key(self.group))
         if item is None:
-            return set()
+            return {}
         try:
-            return set(records.decode_workers(item.value))
+            return records.decode_workers(item.value)
         except msgspec.DecodeError as exc:
             logger.error("unreadable list of workers", extra={"reason": str(exc)})
-            return set()
+            return {}
+
+    def _open_to_work(self, worker_id: str) -> bool:
+        """Whether a later owner knows that the worker may hold any task."""
+        known = self._known_workers.get(worker_id)
+        return known is not None and known.tasks is None
 
     async def _keep_workers(self, added: set[str]) -> None:
         """Write which workers may hold work before any is started on new ones."""
-        while added - self._known_workers:
+        while not all(map(self._open_to_work, added)):
             if not await self._write_workers(added):
                 await asyncio.sleep(HOLD_RETRY_S)
 
@@ -337,15 +361,19 @@
     async def _write_workers(self, added: set[str]) -> bool:
         partition = t.cast(Partition, self.partition)
         async with self._listing:
-            wanted = partition.may_hold_work(self._clock.now()) | added
-            partition.keep_workers(wanted & self._known_workers)
+            wanted = partition.may_hold_work(self._clock.now())
+            for name in added:
+                found = wanted.get(name, Suspect())
+                wanted[name] = Suspect(found.address, found.draining)
+            both = {name for name in wanted if self._open_to_work(name)}
+            partition.keep_workers(_open(wanted) & both)
             transaction = self._owned()
-            value = records.encode(sorted(wanted))
+            value = records.encode(wanted)
             transaction.puts.append((records.workers_key(self.group), value, 0))
             if not await self._commit(transaction):
                 return False
             self._known_workers = wanted
-            partition.keep_workers(wanted)
+            partition.keep_workers(_open(wanted))
             return True
 
     # Decisions
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .model import JobSpec, Progress
+from .model import JobSpec, Progress, Suspect
 
 __all__ = [
     "CANCEL_SUFFIX",
@@ -64,7 +64,7 @@
 _stored = msgspec.json.Decoder(Stored)
 _claims = msgspec.json.Decoder(Claim)
 _members = msgspec.json.Decoder(Member)
-_workers = msgspec.json.Decoder(list[str])
+_workers = msgspec.json.Decoder(dict[str, Suspect])
 encode: t.Callable[[t.Any], bytes] = _encoder.encode
 
 
@@ -138,6 +138,6 @@
     return _members.decode(value)
 
 
-def decode_workers(value: bytes) -> list[str]:
-    """Decode the ids of workers that may hold work; raises `msgspec.DecodeError`."""
+def decode_workers(value: bytes) -> dict[str, Suspect]:
+    """Decode the workers that may hold work; raises `msgspec.DecodeError`."""
     return _workers.decode(value)
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -1,14 +1,28 @@
 """What workers say of themselves and of their runs."""
 
 from ..logs import logger
+from ..resources import ZERO
 from .ends import Ends
-from .model import HoldReport, RunningRun, WorkerInfo
+from .model import HoldReport, RunningRun, Suspect, WorkerInfo
 from .orders import StopOrder
 from .runtime import Run, RunPhase, Worker
 
 __all__ = ["Reports"]
 
 
+# A worker that has not answered for this long is given no new work, so the tasks that
+# it may run are all known, in seconds.
+SILENT_S = 1.0
+
+
+def _tasks_if_silent(worker: Worker, now: float) -> tuple[str, ...] | None:
+    """Return the tasks that a silent worker may run; None if more may be added."""
+    known = worker.synced and not worker.foreign
+    if worker.reachable or not known or now <= worker.clock_at + SILENT_S:
+        return None
+    return tuple(sorted({run.task.name for run in worker.runs.values()}))
+
+
 class Reports(Ends):
     """Takes entries and reports of workers in; adopts and gives up runs."""
 
@@ -61,7 +75,7 @@
     def _lost(self, worker: Worker, reason: str, now: float) -> None:
         logger.info("worker gone", extra={"worker": worker.worker_id, "reason": reason})
         worker.gone = True
-        self._suspects.discard(worker.worker_id)
+        self._clear_suspect(worker.worker_id)
         self._drop_runs(worker, reason, now)
 
     def _drop_runs(self, worker: Worker, reason: str, now: float) -> None:
@@ -70,13 +84,33 @@
             self._run_gone(run, now, reason)
         worker.foreign.clear()
 
-    def may_hold_work(self, now: float) -> set[str]:
+    def may_hold_work(self, now: float) -> dict[str, Suspect]:
         """Return the workers that a later owner has to hear of."""
-        return {
-            worker.worker_id
+        found = {
+            worker.worker_id: Suspect(
+                worker.info.address,
+                worker.info.draining,
+                _tasks_if_silent(worker, now),
+            )
             for worker in self.workers.values()
             if worker.runs or (worker.listed and not worker.gone)
-        } | self._open_suspects(now)
+        }
+        return found | self._open_suspects(now)
+
+    def suspect_unlisted(self, worker_id: str, suspect: Suspect) -> Worker:
+        """Ask a worker that is not listed any more for what it may still hold."""
+        info = WorkerInfo(
+            worker_id,
+            self.group,
+            suspect.address,
+            "",
+            ZERO,
+            (),
+            draining=suspect.draining,
+        )
+        worker = Worker(info, listed=False)
+        self.workers[worker_id] = worker
+        return worker
 
     def is_watched(self, worker: Worker, now: float) -> bool:
         """Whether a worker's reports matter: it is listed, or may hold runs."""
@@ -135,7 +169,7 @@
         worker.clock_s, worker.clock_at = report.clock_s, now
         worker.synced = worker.reachable = True
         worker.gone = False
-        self._suspects.discard(worker.worker_id)
+        self._clear_suspect(worker.worker_id)
         for ended in report.ended:
             if ended.seq > worker.seen_seq:
                 worker.seen_seq = ended.seq
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -218,3 +218,21 @@
         assert not any(entry.node.owners for entry in weak[1:])
 
     with_system(work, entries=3, strength=(1.0, 0.1, 0.1))
+
+
+def test_owner_that_is_stopped_during_an_outage_goes_on_until_it_can_hand_over():
+    """Guards against work that stands still because nobody can claim a group."""
+
+    async def work(platform, first, second):
+        owner, other = (first, second) if first.node.owners else (second, first)
+        platform.refuse = True
+        handing = asyncio.create_task(owner.node.hand_over(5.0))
+        await asyncio.sleep(0.8)
+        assert owner.node.owners["desk"].partition.accepts_starts
+        platform.refuse = False
+        await handing
+        path = "/checks/" + "a" * 16
+        assert (await other.call("POST", path, JOB))[0] == 200
+        await until(other, path, "done")
+
+    with_system(work)
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -224,10 +224,10 @@
             item = owning.storage.items[records.workers_key("desk")]
             return records.decode_workers(item.value)
 
-        await until(lambda: listed() == ["w0"])
+        await until(lambda: list(listed()) == ["w0"])
         owner.worker_listed(worker_info(1))
         assert "w1" not in {w.worker_id for w in owner.partition._usable(CLOCK.now())}
-        await until(lambda: listed() == ["w0", "w1"])
+        await until(lambda: sorted(listed()) == ["w0", "w1"])
         owning.close()
 
     asyncio.run(run())
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -1,8 +1,10 @@
-from poplaryard.workload.model import Ended, JobState, Progress
+from poplaryard.workload.model import Ended, JobState, Progress, Suspect
 from tests.workload.builders import ADVICE, job, step, worker_info
 from tests.workload.world import Cell
 
 JOB = "a" * 16
+# Workers of which an earlier owner left no list of tasks.
+UNKNOWN = {"w0": Suspect(), "w1": Suspect()}
 
 
 def state(cell, job_id=JOB):
@@ -199,7 +201,7 @@
     old.run(0.8)
     for sim in old.sims.values():
         sim.advance(old.now + 0.4)
-    new = Cell(fence=9, now=old.now + 0.4, sims=old.sims, suspects=["w0", "w1"])
+    new = Cell(fence=9, now=old.now + 0.4, sims=old.sims, suspects=UNKNOWN)
     new.submit(spec, fresh=False)
     new.run(3)
     assert state(new) is JobState.DONE
@@ -218,7 +220,7 @@
         fence=9,
         now=old.now,
         sims=old.sims,
-        suspects=["w0", "w1"],
+        suspects=UNKNOWN,
         quarantine_until=old.now + 12.0,
     )
     new.submit(spec, fresh=False)
@@ -329,3 +331,45 @@
     cell.partition.sole_owner = True
     cell.run(1)
     assert len(cell.starts()) == 2
+
+
+def test_silent_worker_holds_back_only_the_tasks_that_it_may_run():
+    """Pattern: a worker dies, and then the owner: all other work must go on."""
+    old = Cell(workers=2)
+    spec = job(JOB, step(1, estimate_s=30.0))
+    other = job("b" * 16, step(1, estimate_s=1.0))
+    old.submit(spec)
+    old.run(0.5)
+    holder = old.starts()[0][0]
+    old.sims[holder].cut = True
+    old.run(1.5)
+    suspects = old.partition.may_hold_work(old.now)
+    assert suspects[holder].tasks == (f"{JOB}.0.0.0",)
+    new = Cell(
+        fence=9,
+        now=old.now,
+        sims=old.sims,
+        suspects=suspects,
+        quarantine_until=old.now + 12.0,
+    )
+    new.submit(spec, fresh=False)
+    new.submit(other, fresh=False)
+    new.run(11)
+    assert new.partition.jobs[other.job_id].state is JobState.DONE
+    assert len(new.starts(f"{JOB}.0.0.0")) == 1
+    new.run(2)
+    assert len(new.starts(f"{JOB}.0.0.0")) == 2
+
+
+def test_worker_that_left_while_the_owner_changed_holds_nothing_back():
+    """Pattern: workers are taken away while the store is down and the owner stops."""
+    cell = Cell(workers=1, suspects={"left": Suspect("10.0.9.9:80", draining=True)})
+    cell.partition._quarantine_until = cell.now + 12.0
+    left = cell.partition.suspect_unlisted("left", cell.partition._suspects["left"])
+    spec = job(JOB)
+    cell.submit(spec, fresh=False)
+    cell.run(0.5)
+    assert cell.starts() == []
+    cell.partition.hold_failed(left, cell.now, refused=True)
+    cell.run(2.0)
+    assert state(cell) is JobState.DONE
