Refuse jobs at once while the store answers nobody

Every write of a job waited 0.7 s for it and was repeated, so 20 callers waited until their deadline for a store that was known to be away.

Change: the store counts as away once a call failed directly and through peers, until any call succeeds; lost replies of single writes do not count. Jobs are then refused without a try, which keeps 'never runs' true, and callers return after a second.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -268,6 +268,12 @@
 
     async def submit(self, spec: JobSpec, patience_s: float = 0.0) -> Accepted:
         """Store a job; see `Acceptance.submit`."""
+        if self._relayed.away:
+            # Nothing was tried, so the caller may be told that the job never runs.
+            extra = {"request": spec.job_id, "reason": "the store does not answer"}
+            logger.info("job refused", extra=extra)
+            self.meters.count("poplaryard_jobs_total", Accepted.REFUSED.value)
+            return Accepted.REFUSED
         began = self._clock.now()
         accepted = await self._acceptance.submit(spec, patience_s)
         self.meters.count("poplaryard_jobs_total", accepted.value)
--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -121,6 +121,9 @@
     ----------
     direct_ok : bool
         Whether the store answered the last direct call.
+    away : bool
+        Whether the last calls got no answer, neither directly nor through peers. Calls
+        that go on in the background find out when the store is back.
     """
 
     def __init__(
@@ -138,6 +141,7 @@
         self._probe_at = 0.0
         self._relay_at = 0.0
         self._good_peer = ""
+        self.away = False
 
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
@@ -228,6 +232,7 @@
         if not self.direct_ok:
             logger.warning("store reached directly again")
         self.direct_ok = True
+        self.away = False
         return result
 
     def _failed(self, exc: PoplaryardError) -> None:
@@ -246,9 +251,15 @@
             self._good_peer = ""
             if outcome is not None and outcome.error != "down":
                 self._good_peer = address
+                # Single writes are lost while the store serves everything else.
+                if outcome.error != "reply lost":
+                    self.away = False
+                elif call.call != "commit":
+                    self.away = True
                 if outcome.error:
                     raise _ERRORS[outcome.error]()
                 return outcome
+        self.away = True
         self._relay_at = self._clock.now() + FAILED_PAUSE_S
         raise StoreDown
 
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -280,7 +280,7 @@
     rest_s: float = 0.0
     rank: tuple[int, int, float] = (0, 0, 0.0)
     neglected: bool = False
-    work: "WorkMean" = field(default_factory=lambda: WorkMean())
+    work: WorkMean = field(default_factory=WorkMean)
     held_at: float = float("-inf")
     held_until: float = float("-inf")
 
--- a/tests/workload/test_relay.py
+++ b/tests/workload/test_relay.py
@@ -142,6 +142,34 @@
     asyncio.run(run())
 
 
+def test_store_that_answers_nobody_is_away_until_a_call_succeeds():
+    """Pattern: the store is silent for all, and callers must not be held for it."""
+
+    async def run():
+        relayed = Relayed()
+        relayed.turn_away("dropped")
+        await relayed.storage.get("k")
+        assert not relayed.storage.away
+        relayed.store.faults["get"] = ["dropped"] * 3
+        for _ in range(2):
+            with pytest.raises(StoreReplyLost):
+                await relayed.storage.get("k")
+            assert relayed.storage.away
+        relayed.store.faults.clear()
+        await relayed.storage.get("k")
+        assert not relayed.storage.away
+        relayed.store.faults["get"] = ["down"]
+        with pytest.raises(StoreDown):
+            await relayed.storage.get("k")
+        assert relayed.storage.away
+        relayed.cut_off.faults.clear()
+        relayed.clock.advance(1.0)
+        await relayed.storage.get("k")
+        assert not relayed.storage.away
+
+    asyncio.run(run())
+
+
 def test_direct_calls_come_back():
     async def run():
         relayed = Relayed()
