--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -35,8 +35,8 @@
 # Longest head start that a weak process gives to strong ones, in seconds. A claim takes
 # some 10 ms, and its watch shows it within another 10.
 WEAK_DELAY_S = 0.3
-# Link from which on it does not limit an owner, in Mbit/s: a group of 130 workers with
-# 340 starts a second fills 5 and uses about 10.
+# Link from which on it does not limit an owner, in Mbit/s: the owner of 126 workers
+# fills a link of 5, and strong entry VMs of the users have 100.
 STRONG_LINK_MBPS = 100.0
 # How many times as strong an idle process must be to be given a group: a change of
 # owner costs some 0.2 s without starts.
--- a/tests/soak/system.py
+++ b/tests/soak/system.py
@@ -1,16 +1,19 @@
 """Platform, workers and real entry processes of one soak."""
 
 import asyncio
+import contextlib
 import json
+import os
 import pathlib
 import random
 import signal
+import socket
 import subprocess
 import sys
 
+from poplaryard.server import HttpServer
 from poplaryard.workload.storage import Transaction
 from tests.platform.standin import PlatformStandIn, config, read, respond
-from tests.processes import free_ports
 from tests.soak.oracle import Oracle
 from tests.soak.proxy import Proxy
 from tests.soak.workers import SILENT_S, make_workers
@@ -18,17 +21,36 @@
 GRACE_S = 6.0
 # Time after an unplanned fault for which the pages judge no answer, in seconds.
 STABLE_S = 3.0
+# Ports of a soak; the kernel gives those from 32768 on to clients.
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 _SOURCE = pathlib.Path(__file__).parents[2] / "src"
 
 
+def own_ports(count):
+    """Return free ports below those that the kernel gives to clients.
+
+    Each soak begins at another one: soaks run side by side, and a port that was free a
+    moment ago may be taken by a connection or by another soak.
+    """
+    number = FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT)
+    ports = []
+    while len(ports) < count:
+        number = number + 1 if number < LAST_PORT else FIRST_PORT
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", number))
+            ports.append(number)
+    return ports
+
+
 class SoakStore(PlatformStandIn):
     """Store and advice whose ``mode`` is "ok", "busy", "silent", "slow" or "lost".
 
     Leases end on time, also while the store does not answer.
     """
 
-    def __init__(self, clock, rng):
+    def __init__(self, clock, rng, port):
         super().__init__(workers=0)
+        self.store = HttpServer(self._store_app, "127.0.0.1", port)
         self.mode = "ok"
         self._clock = clock
         self._rng = rng
@@ -147,8 +169,13 @@
         self.clock = lambda: loop.time() - began
         self.rng = random.Random(f"{seed}-faults")
         self.oracle = Oracle(self.clock)
-        self.store = SoakStore(self.clock, random.Random(f"{seed}-store"))
-        self.workers = make_workers(workers, self.oracle, seed, self.clock)
+        ports = own_ports(1 + workers + 4 * entries)
+        rng = random.Random(f"{seed}-store")
+        self.store = SoakStore(self.clock, rng, ports.pop())
+        self.workers = make_workers(
+            [ports.pop() for _ in range(workers)], self.oracle, seed, self.clock
+        )
+        self._entry_ports = ports
         self.worker_proxies = {}
         self.entries = []
         self.version = 1
@@ -167,11 +194,10 @@
             await proxy.start()
             self.worker_proxies[worker.name] = proxy
             await self.register(worker)
-        ports = free_ports(4 * self._count)
         for number in range(self._count):
             proxy = Proxy(self.store.store_address)
             await proxy.start()
-            mine = ports[4 * number : 4 * number + 4]
+            mine = self._entry_ports[4 * number : 4 * number + 4]
             entry = Entry(f"e{number}", self._directory, proxy, mine)
             entry.start()
             self.entries.append(entry)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,7 +51,7 @@
             {"count": 1, "cpu": 3000, "estimate_ms": 500, "after": [0]},
         ]
         oracle.jobs["a"] = SoakJob("a", "text", steps)
-        return oracle, make_workers(2, oracle, 1, clock), clock
+        return oracle, make_workers([0, 0], oracle, 1, clock), clock
 
     return asyncio.run(build())
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -19,7 +19,7 @@
     ``late`` is the share of orders that are carried out seconds later, unanswered.
     """
 
-    def __init__(self, name, rack, oracle, rng, clock):
+    def __init__(self, name, rack, oracle, rng, clock, port):
         self.name, self.rack = name, rack
         self.cpu = 4000
         self.up = True
@@ -28,7 +28,7 @@
         self._rng = rng
         self._clock = clock
         self._rate = rng.uniform(SLOWEST_CLOCK, 1.0)
-        self.server = HttpServer(self._app, "127.0.0.1", 0)
+        self.server = HttpServer(self._app, "127.0.0.1", port)
         self.restart()
 
     def restart(self):
@@ -161,9 +161,11 @@
         return 200, {"born": self.born_ms, "running": running, "finished": finished}
 
 
-def make_workers(count, oracle, seed, clock):
-    """Return workers, two a rack, each with its own source of chance."""
-    return [
-        SoakWorker(f"w{n}", f"r{n // 2}", oracle, random.Random(f"{seed}-w{n}"), clock)
-        for n in range(count)
-    ]
+def make_workers(ports, oracle, seed, clock):
+    """Return a worker for each port, two a rack, each with its own source of chance."""
+    workers = []
+    for number, port in enumerate(ports):
+        rng = random.Random(f"{seed}-w{number}")
+        name, rack = f"w{number}", f"r{number // 2}"
+        workers.append(SoakWorker(name, rack, oracle, rng, clock, port))
+    return workers
