Keep cancellations that arrive with a result; replace idle connections only

Cause 2: aiosonic's SmartPool takes the connection that was released last, of any host, once all are bound. Connections are opened on demand and the one idle for longest is replaced.

The test of the pool opens 4 connections; without the change more.

--- a/src/poplaryard/client.py
+++ b/src/poplaryard/client.py
@@ -1,6 +1,7 @@
 """HTTP client for JSON calls between processes."""
 
 import asyncio
+import collections
 import json
 import socket
 import typing as t
@@ -9,8 +10,9 @@
 import aiosonic.exceptions
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
-from aiosonic.pools import PoolConfig
+from aiosonic.pools import PoolConfig, SmartPool
 from aiosonic.timeout import Timeouts
+from aiosonic.utils import connection_key
 
 from .codes import Code
 from .exceptions import PoplaryardError
@@ -56,7 +58,8 @@
             await connecting
             return
         try:
-            await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await connecting
         except TimeoutError as exc:
             raise aiosonic.exceptions.ConnectTimeout from exc
 
@@ -89,6 +92,55 @@
         await super().__aexit__(exc_type, exc, tb)
 
 
+class _Pool(SmartPool):
+    """Pool that opens connections on demand and evicts the least recently used one.
+
+    ``SmartPool`` allocates its connections at the start. Once all of them are bound to
+    a host it takes the one that was used last for the next host, so that busy hosts
+    have to connect for nearly every call.
+    """
+
+    def _init_pool(self, connection_cls: t.Any) -> None:
+        self.pool: dict[str | None, collections.deque[_Connection]] = {}
+        self.sem = asyncio.Semaphore(self.pool_size)
+        self._connection_cls = connection_cls
+        self._free_count = 0
+
+    async def acquire(self, urlparsed: t.Any = None) -> _Connection:
+        """Return an idle connection to the host, a closed one or a new one."""
+        await self.sem.acquire()
+        for key in (connection_key(urlparsed), None):
+            if key in self.pool:
+                conn = self._take(key, newest=True)
+                if self._is_connection_idle(conn):
+                    conn.close()
+                return conn
+        if len(self._connections) < self.pool_size:
+            return self._new_connection(self._connection_cls)
+        conn = self._take(min(self.pool, key=self._released_at), newest=False)
+        conn.close()
+        return conn
+
+    def _released_at(self, key: str | None) -> float:
+        """Return when the connection of a host that is idle for longest was used."""
+        return self.pool[key][0].last_released_time
+
+    def _take(self, key: str | None, newest: bool) -> _Connection:
+        bucket = self.pool[key]
+        conn = bucket.pop() if newest else bucket.popleft()
+        if not bucket:
+            del self.pool[key]
+        self._free_count -= 1
+        return conn
+
+
+# Each timeout of aiosonic would cost a task per call, and `asyncio.wait_for`, which it
+# uses, can lose a cancellation.
+_NO_TIMEOUTS = Timeouts(
+    sock_connect=None, sock_read=None, pool_acquire=None, request_timeout=None
+)
+
+
 class HttpClient:
     """HTTP client that distinguishes calls that were not sent from lost replies.
 
@@ -105,7 +157,7 @@
             size=connections, max_conn_requests=None, max_conn_idle_ms=IDLE_TIMEOUT_MS
         )
         connector = TCPConnector(
-            pool_configs={":default": pool}, connection_cls=_Connection
+            pool_configs={":default": pool}, connection_cls=_Connection, pool_cls=_Pool
         )
         self._client = aiosonic.HTTPClient(connector)
         self._headers = {"content-type": "application/json"}
@@ -150,20 +202,13 @@
         headers: t.Mapping[str, str] | None = None,
     ) -> RawReply:
         """Send a request and return the undecoded response; raises like `post`."""
-        timeouts = Timeouts(
-            # Each of these timeouts would cost a task per call. `request_timeout`
-            # covers them all, and `_Connection` limits the time to connect.
-            sock_connect=None,
-            sock_read=None,
-            pool_acquire=None,
-            request_timeout=timeout_s,
-        )
         all_headers = {**self._headers, **headers} if headers else self._headers
         try:
-            response = await self._client.request(
-                url, method, headers=all_headers, data=data, timeouts=timeouts
-            )
-            return RawReply(response.status_code, await response.content())
+            async with asyncio.timeout(timeout_s):
+                response = await self._client.request(
+                    url, method, headers=all_headers, data=data, timeouts=_NO_TIMEOUTS
+                )
+                return RawReply(response.status_code, await response.content())
         except _NOT_SENT as exc:
             detail = f"{url} cannot be reached: {exc or type(exc).__name__}"
             raise PoplaryardError(Code.PEER_UNREACHABLE, detail) from exc
--- a/src/poplaryard/ownership_io.py
+++ b/src/poplaryard/ownership_io.py
@@ -36,6 +36,7 @@
 from .peers import CallResult, Envelope, PeerTable
 from .record import Member, Record, ShardOwner
 from .store import Store
+from .waiting import wait_until_set
 
 __all__ = ["OwnershipTask"]
 
@@ -97,11 +98,7 @@
     async def leave(self, timeout_s: float) -> bool:
         """Hand over all shards and end the lease; return False on a timeout."""
         self.handle(Leave())
-        try:
-            await asyncio.wait_for(self._leave_done.wait(), timeout_s)
-        except TimeoutError:
-            return False
-        return True
+        return await wait_until_set(self._leave_done, timeout_s)
 
     async def stop(self) -> None:
         """Stop the task and cancel its calls."""
--- a/src/poplaryard/standin_platform.py
+++ b/src/poplaryard/standin_platform.py
@@ -9,6 +9,7 @@
 
 from .exceptions import StoreConflict
 from .store import Entry
+from .waiting import wait_until_set
 
 __all__ = ["MemoryStore", "PlatformFaults", "VmRecord"]
 
@@ -184,10 +185,7 @@
         return sorted(found.values(), key=lambda entry: entry.version)
 
     async def _wait_for_change(self, wait_s: float) -> None:
-        try:
-            await asyncio.wait_for(self._changed.wait(), wait_s)
-        except TimeoutError:
-            return
+        await wait_until_set(self._changed, wait_s)
 
     def _publish(self, entry: Entry) -> None:
         self._change_log.append(entry)
--- a/src/poplaryard/standin_worker.py
+++ b/src/poplaryard/standin_worker.py
@@ -27,6 +27,7 @@
     WorkKind,
 )
 from .resources import ZERO, Resources
+from .waiting import wait_until_set
 from .workers import Renewal
 
 __all__ = ["Faults", "RunRecord", "WorkerVm"]
@@ -407,10 +408,7 @@
 
     async def _wait_for_report(self, wait_s: float) -> None:
         self._poll_wakeup.clear()
-        try:
-            await asyncio.wait_for(self._poll_wakeup.wait(), wait_s)
-        except TimeoutError:
-            return
+        await wait_until_set(self._poll_wakeup, wait_s)
 
     def _forget_old_attempts(self) -> None:
         """Forget attempts that ended more than `RECORD_RETENTION_S` ago."""
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -13,6 +13,7 @@
 from ..codes import Code
 from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
 from ..logs import logger
+from ..waiting import wait_until_set
 from . import records
 from .acceptance import Acceptance, SubmitOutcome
 from .advice import Advisor, ChannelPool, LocalAdvisor
@@ -278,14 +279,16 @@
         self.stopping = True
         if self.owners:
             try:
-                await asyncio.wait_for(self._wait_for_store(), store_timeout_s)
+                async with asyncio.timeout(store_timeout_s):
+                    await self._wait_for_store()
             except TimeoutError:
                 logger.warning("stopping while the store is away")
         await asyncio.gather(*(owner.close() for owner in self.owners.values()))
         for task in self._ownership_tasks:
             task.cancel()
         try:
-            await asyncio.wait_for(self._lease.end(), END_LEASE_TIMEOUT_S)
+            async with asyncio.timeout(END_LEASE_TIMEOUT_S):
+                await self._lease.end()
         except TimeoutError:
             logger.warning("lease not ended", extra={"reason": "no answer in time"})
         self._lease.drop()
@@ -591,9 +594,7 @@
                     await self._claim(claimable)
                 continue
             self._claims_changed.clear()
-            try:
-                await asyncio.wait_for(self._claims_changed.wait(), CLAIM_CHECK_S)
-            except TimeoutError:
+            if not await wait_until_set(self._claims_changed, CLAIM_CHECK_S):
                 await self._hand_over_to_stronger()
 
     def _claimable_group(self) -> str | None:
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -13,6 +13,7 @@
 from ..clock import Clock
 from ..exceptions import LeaseLost, StoreDown, StoreReplyLost, WorkerUnreachable
 from ..logs import logger
+from ..waiting import wait_until_set
 from . import records
 from .advice import SLOW_CALL_S, Channel, ChannelPool
 from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
@@ -392,10 +393,7 @@
         A worker with unacknowledged ends answers a renewal at once, so renewing again
         before that would loop without waiting.
         """
-        try:
-            await asyncio.wait_for(self._progress_written.wait(), MAX_RENEWAL_PAUSE_S)
-        except TimeoutError:
-            return
+        await wait_until_set(self._progress_written, MAX_RENEWAL_PAUSE_S)
 
     async def _load_suspects(self) -> dict[str, Suspect]:
         item = await self._storage.get(records.workers_key(self.group))
@@ -470,10 +468,7 @@
             took_s = self._clock.now() - now
             await asyncio.sleep(max(MIN_PASS_PAUSE_S, PASS_PAUSE_FACTOR * took_s))
             self._wake.clear()
-            try:
-                await asyncio.wait_for(self._wake.wait(), MAX_PASS_INTERVAL_S)
-            except TimeoutError:
-                continue
+            await wait_until_set(self._wake, MAX_PASS_INTERVAL_S)
 
     def _send_orders(self) -> None:
         partition = t.cast(Partition, self.partition)
@@ -654,10 +649,7 @@
     async def _wait_for_urgent_progress(self) -> None:
         """Wait for urgent progress, for at most `PROGRESS_WRITE_DELAY_S` seconds."""
         self._write_wake.clear()
-        try:
-            await asyncio.wait_for(self._write_wake.wait(), PROGRESS_WRITE_DELAY_S)
-        except TimeoutError:
-            return
+        await wait_until_set(self._write_wake, PROGRESS_WRITE_DELAY_S)
 
     def _wake_loops(self) -> None:
         """Start a scheduling pass, and write progress now if it is urgent."""
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import json
 import socket
 
@@ -57,3 +58,33 @@
         except PoplaryardError as exc:
             return exc
         self.fail("the call succeeded")
+
+
+class PoolTest(testtools.TestCase):
+    def test_more_hosts_than_connections_replace_only_the_idle_ones(self):
+        """Guards against busy hosts that connect for each call once the pool is full.
+
+        Pattern: a burst binds all connections to many hosts; afterwards few are used.
+        """
+        asyncio.run(self._full_pool())
+
+    async def _full_pool(self):
+        opened = 0
+
+        async def count(reader, writer):
+            nonlocal opened
+            opened += 1
+            with contextlib.closing(writer):
+                while await reader.read(4096):
+                    writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+
+        servers = [await asyncio.start_server(count, "127.0.0.1", 0) for _ in range(4)]
+        urls = [f"http://127.0.0.1:{s.sockets[0].getsockname()[1]}/" for s in servers]
+        client = HttpClient(connections=3)
+        for url in [*urls, *urls[2:] * 10]:
+            self.assertEqual(200, (await client.post(url, {}, 5.0)).status)
+        self.assertEqual(4, opened)
+        await client.close()
+        await asyncio.sleep(0.05)
+        for server in servers:
+            server.close()
