Reject malformed messages and settings without ending the process

Looked for one malformed message that takes a whole process down (report of operators of similar systems), and found: rows of a worker's report with other types, a worker's entry without a usable address, replies of the store and of the advice service of another shape, a job with more tasks than memory holds, and invalid settings at SIGHUP, which ended the process. Each is now rejected at the border and logged; the earlier settings stay.

--- a/src/poplaryard/platform/codec.py
+++ b/src/poplaryard/platform/codec.py
@@ -1,5 +1,6 @@
 """Decoders of the messages of the platform's clients, operators and workers."""
 
+import re
 import typing as t
 
 import msgspec
@@ -31,7 +32,8 @@
 CONFIG_KEY = "op/config"
 WORKER_PREFIX = "servers/"
 
-# Limits of a submitted job: number of steps, and number of tasks of one step.
+# Limits of a submitted job: number of steps, and number of tasks of all steps. A task
+# takes about 0.5 KB of the owner's memory.
 MAX_STEPS = 1000
 MAX_TASKS = 100_000
 
@@ -137,6 +139,7 @@
     born: float = 0
 
 
+_ADDRESS = re.compile(r"[0-9A-Za-z.\-]+:[0-9]{1,5}\Z")
 _submission_decoder = msgspec.json.Decoder(_Submission)
 _config_decoder = msgspec.json.Decoder(_Config)
 _worker_entry_decoder = msgspec.json.Decoder(_WorkerEntry)
@@ -164,6 +167,8 @@
         If the body is malformed or a step depends on itself or a later one.
     """
     submission = _decode(_submission_decoder, body)
+    if sum(step.count for step in submission.steps) > MAX_TASKS:
+        raise DecodeFailed(f"more than {MAX_TASKS} tasks")
     steps = tuple(
         _step_spec(number, step) for number, step in enumerate(submission.steps)
     )
@@ -202,6 +207,8 @@
 def decode_worker(key: str, value: bytes) -> WorkerInfo:
     """Decode the entry that a worker wrote about itself; raises `DecodeFailed`."""
     entry = _decode(_worker_entry_decoder, value)
+    if not _ADDRESS.match(entry.address):
+        raise DecodeFailed(f"no address: {entry.address!r}")
     return WorkerInfo(
         worker_id=key.removeprefix(WORKER_PREFIX),
         group=entry.service,
@@ -221,21 +228,31 @@
     """Decode a worker's answer to a lease renewal; raises `DecodeFailed`."""
     hold = _decode(_hold_answer_decoder, body)
     try:
-        running = tuple(
-            RunningRun(
-                row[0], row[1], row[2], float(row[3]), row[4] if len(row) > 4 else 0.0
-            )
-            for row in hold.running
-        )
-        ended = tuple(
-            EndedRun(row[0], row[1], row[2], RunOutcome(row[3]), row[4])
-            for row in hold.finished
-        )
+        running = tuple(_running_run(row) for row in hold.running)
+        ended = tuple(_ended_run(row) for row in hold.finished)
     except (IndexError, TypeError, ValueError) as exc:
         raise DecodeFailed(f"malformed list of runs: {exc}") from exc
     return HoldReport(hold.clock_ms / 1000, int(hold.born), running, ended)
 
 
+def _running_run(row: list[t.Any]) -> RunningRun:
+    load = row[4] if len(row) > 4 else 0.0
+    _check_run_key(row[0], row[1], row[2])
+    return RunningRun(row[0], row[1], row[2], float(row[3]), float(load))
+
+
+def _ended_run(row: list[t.Any]) -> EndedRun:
+    _check_run_key(row[1], row[0], row[4])
+    _check_run_key(row[1], row[2], row[4])
+    return EndedRun(row[0], row[1], row[2], RunOutcome(row[3]), row[4])
+
+
+def _check_run_key(task: t.Any, number: t.Any, checkpoint: t.Any) -> None:
+    """Raise `TypeError` unless the fields of a run have their types."""
+    if type(task) is not str or type(number) is not int or type(checkpoint) is not str:
+        raise TypeError(f"{task!r}, {number!r}, {checkpoint!r}")
+
+
 def _decode(decoder: t.Any, value: bytes) -> t.Any:
     try:
         return decoder.decode(value)
--- a/src/poplaryard/platform/entry.py
+++ b/src/poplaryard/platform/entry.py
@@ -1,6 +1,7 @@
 """Command `poplaryard entry`: runs one process on the platform."""
 
 import asyncio
+import logging
 import os
 import pathlib
 import signal
@@ -13,7 +14,8 @@
 from .. import logs
 from ..client import HttpClient
 from ..clock import SystemClock
-from ..exceptions import CallError
+from ..codes import Code
+from ..exceptions import CallError, ConfigError
 from ..logs import logger
 from ..server import HttpServer
 from ..workload.node import Node, NodeConfig, StoreSchema, strength
@@ -93,15 +95,18 @@
 
 
 def load_settings(path: str) -> EntrySettings:
-    """Return the settings; prints a message and exits with 2 if they are invalid."""
+    """Return the settings; raises `ConfigError` that names what is invalid."""
     from .. import jsonc
 
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-        return msgspec.convert(jsonc.loads(text), EntrySettings)
-    except (OSError, CallError, msgspec.ValidationError) as exc:
-        click.echo(f"{path}: {exc}", err=True)
-        sys.exit(EXIT_INVALID)
+        cfg = msgspec.convert(jsonc.loads(text), EntrySettings)
+    except (OSError, ValueError, CallError, msgspec.ValidationError) as exc:
+        raise ConfigError(Code.SETTINGS_INVALID, f"{path}: {exc}") from exc
+    if cfg.log_level.upper() not in logging.getLevelNamesMapping():
+        detail = f"{path}: unknown log level - at `$.log_level`"
+        raise ConfigError(Code.SETTINGS_INVALID, detail)
+    return cfg
 
 
 @click.command()
@@ -111,7 +116,11 @@
     path = path or os.environ.get(SETTINGS_VARIABLE)
     if not path:
         raise click.UsageError(f"Give --config or set {SETTINGS_VARIABLE}.")
-    cfg = load_settings(path)
+    try:
+        cfg = load_settings(path)
+    except ConfigError as exc:
+        click.echo(exc.detail, err=True)
+        sys.exit(EXIT_INVALID)
     import uvloop
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -188,7 +197,14 @@
 
 
 def _reload(path: str) -> None:
-    """Reload the settings; only the log level takes effect without a restart."""
-    cfg = load_settings(path)
-    logs.logger.setLevel(cfg.log_level.upper())
-    logger.info("settings read again", extra={"log_level": cfg.log_level})
+    """Reload the settings; only the log level takes effect without a restart.
+
+    Invalid settings are logged, and the earlier ones stay in force.
+    """
+    try:
+        level = load_settings(path).log_level
+    except ConfigError as exc:
+        logger.error("settings not reloaded", extra={"reason": exc.detail})
+        return
+    logs.logger.setLevel(level.upper())
+    logger.info("settings read again", extra={"log_level": level})
--- a/src/poplaryard/platform/services.py
+++ b/src/poplaryard/platform/services.py
@@ -3,9 +3,12 @@
 import json
 import typing as t
 
+import msgspec
+
 from ..client import HttpClient, RawReply
 from ..codes import Code
 from ..exceptions import PoplaryardError, WorkerUnreachable
+from ..logs import logger
 from ..workload.model import HoldReport, StartOutcome, WorkerInfo
 from .codec import DecodeFailed, decode_hold_report
 
@@ -27,6 +30,13 @@
 }
 
 
+class _Advice(msgspec.Struct):
+    """Answer of the advice service: pairs of a worker's id and its ticket."""
+
+    good: list[tuple[str, str]]
+    valid_ms: float = 0.0
+
+
 class WorkerClient:
     """Calls workers over HTTP; see `poplaryard.workload.owner.WorkerCalls`.
 
@@ -170,9 +180,13 @@
         reply = await self._client.request("POST", self._url, body, timeout_s)
         if reply.status != 200:
             return None
-        return {row[0]: row[1] for row in reply.body["good"]}, reply.body.get(
-            "valid_ms", 0
-        ) / 1000
+        try:
+            advice = msgspec.convert(reply.body, _Advice)
+        except msgspec.ValidationError as exc:
+            extra = {"step": step, "reason": str(exc)}
+            logger.warning("malformed advice", extra=extra)
+            return None
+        return dict(advice.good), advice.valid_ms / 1000
 
 
 def _reason(content: bytes) -> str:
--- a/src/poplaryard/platform/store.py
+++ b/src/poplaryard/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's key-value store."""
 
 import base64
+import functools
 import json
 import typing as t
 from urllib.parse import quote
@@ -8,10 +9,14 @@
 from ..client import HttpClient, Reply
 from ..codes import Code
 from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
+from ..logs import logger
 from ..workload.storage import Change, Item, Transaction
 
 __all__ = ["PlatformStore"]
 
+P = t.ParamSpec("P")
+T = t.TypeVar("T")
+
 # A slow store takes 0.24 s to answer. A dead connection must be detected, and the call
 # repeated, well within the 2 s that the platform allows as `config_apply_ms`.
 CALL_TIMEOUT_S = 0.7
@@ -21,6 +26,22 @@
 _NOT_EXECUTED = (429, 503)
 
 
+def _parses_reply(
+    call: t.Callable[P, t.Coroutine[t.Any, t.Any, T]],
+) -> t.Callable[P, t.Coroutine[t.Any, t.Any, T]]:
+    """Raise `StoreReplyLost` from a call whose reply is malformed."""
+
+    @functools.wraps(call)
+    async def wrapper(*args: P.args, **fields: P.kwargs) -> T:
+        try:
+            return await call(*args, **fields)
+        except (AttributeError, KeyError, TypeError, ValueError) as exc:
+            logger.error("malformed reply of the store", exc_info=exc)
+            raise StoreReplyLost(f"The store's reply is malformed: {exc!r}.") from exc
+
+    return wrapper
+
+
 class PlatformStore:
     """Calls the platform's store over HTTP.
 
@@ -37,11 +58,19 @@
         self._url = f"http://{address}/poplaryard"
         self.calls: dict[str, int] = {}
 
+    async def ping(self) -> None:
+        """Return once the store has answered a read of a key that does not exist."""
+        reply = await self._get("kv-key", "key=ping&serializable=1")
+        if reply.status != 404:
+            _check(reply)
+
+    @_parses_reply
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
         reply = await self._get("kv-key", f"key={quote(key)}")
         return None if reply.status == 404 else _parse_item(_check(reply))
 
+    @_parses_reply
     async def scan(self, prefix: str) -> tuple[list[Item], int]:
         """Return all items under a prefix and the revision to watch from."""
         items: list[Item] = []
@@ -58,6 +87,7 @@
                 return items, revision
             after = f"&after={quote(items[-1].key)}"
 
+    @_parses_reply
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> tuple[list[Change], int] | None:
@@ -73,6 +103,7 @@
         body = _check(reply)
         return [_parse_change(event) for event in body["events"]], body["at"]
 
+    @_parses_reply
     async def commit(self, transaction: Transaction) -> int | list[Item | None]:
         """Commit a transaction.
 
@@ -97,6 +128,7 @@
             raise LeaseLost
         return int(_check(reply)["rev"])
 
+    @_parses_reply
     async def grant(self, ttl_s: float) -> int:
         """Return the id of a new lease."""
         reply = await self._post("kv-lease", {"ttl_ms": int(ttl_s * 1000)})
@@ -153,12 +185,12 @@
 
 def _parse_item(found: t.Any) -> Item:
     value = base64.b64decode(found["value"])
-    return Item(found["key"], value, found["rev"], found.get("lease", 0))
+    return Item(str(found["key"]), value, int(found["rev"]), int(found.get("lease", 0)))
 
 
 def _parse_change(event: t.Any) -> Change:
     item = None if event.get("deleted") else _parse_item(event)
-    return Change(event["key"], event["rev"], item)
+    return Change(str(event["key"]), int(event["rev"]), item)
 
 
 def _present_items(transaction: Transaction, found: list[t.Any]) -> list[Item | None]:
