Probe a store that does not answer, to notice its return at once

Cause: while the store is down, calls wait for up to a second each, and jobs were refused for as long after its return. Callers come back for 3 s at most. A probe with a timeout of 0.3 s runs while the store is not reached directly; none runs while it answers. test_return_of_the_store_is_noticed_before_calls_that_wait_for_it fails without it.

--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -4,6 +4,7 @@
 peers.
 """
 
+import asyncio
 import random
 import typing as t
 
@@ -25,6 +26,11 @@
 WATCH_SLACK_S = 0.8
 # Time between direct calls to a store that could not be reached directly, in seconds.
 PROBE_PERIOD_S = 0.3
+# Timeout of a probe, and pause before the next one, in seconds, while the store is not
+# reached directly. A store that is up answers within 0.3 s even when it is slow, and
+# callers whose jobs were refused return for 3 s at most.
+PROBE_TIMEOUT_S = 0.3
+PROBE_PAUSE_S = 0.05
 # Maximum number of peers tried for a call, and the pause after all of them failed, in
 # seconds: the store is then probably down for all, and relayed calls only add load.
 MAX_PEERS_TRIED = 2
@@ -152,8 +158,29 @@
         self._next_probe_at = 0.0
         self._relay_paused_until = 0.0
         self._last_peer = ""
+        self._direct_lost = asyncio.Event()
         self.store_unreachable = False
 
+    async def watch_recovery(self) -> None:
+        """Probe the store whenever it is not reached directly, until cancelled.
+
+        Other calls wait for up to a second each while the store is down, and would
+        notice its return that much later.
+        """
+        while True:
+            await self._direct_lost.wait()
+            await asyncio.sleep(PROBE_PAUSE_S)
+            try:
+                async with asyncio.timeout(PROBE_TIMEOUT_S):
+                    await self.direct.ping()
+            except (StoreDown, StoreReplyLost, TimeoutError):
+                continue
+            self._direct_succeeded(None)
+
+    async def ping(self) -> None:
+        """Raise `StoreDown` or `StoreReplyLost` unless the store answers directly."""
+        await self.direct.ping()
+
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
         if self._use_direct():
@@ -245,6 +272,7 @@
         if not self.direct_ok:
             logger.warning("store reached directly again")
         self.direct_ok = True
+        self._direct_lost.clear()
         self.store_unreachable = False
         return result
 
@@ -254,6 +282,7 @@
             logger.warning("store not reached; calling it through peers", extra=extra)
             self._next_probe_at = self._clock.now() + PROBE_PERIOD_S
         self.direct_ok = False
+        self._direct_lost.set()
 
     async def _relay(self, call: _Call, timeout_s: float = RELAY_TIMEOUT_S) -> _Outcome:
         """Make a call through one of up to `MAX_PEERS_TRIED` peers."""
--- a/src/poplaryard/workload/storage.py
+++ b/src/poplaryard/workload/storage.py
@@ -65,6 +65,9 @@
     `StoreReplyLost` if it may have taken effect or may still do so.
     """
 
+    async def ping(self) -> None:
+        """Return once the store has answered a call that changes nothing."""
+
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
 
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -238,6 +238,9 @@
         self._log.append(Change(key, self.revision, item))
         self._changed.set()
 
+    async def ping(self):
+        self._fault("ping")
+
     async def get(self, key):
         self._fault("get")
         return self.items.get(key)
--- a/tests/workload/test_relay.py
+++ b/tests/workload/test_relay.py
@@ -188,3 +188,42 @@
         assert relayed.direct.calls.count("get") == 3
 
     asyncio.run(run())
+
+
+def test_return_of_the_store_is_noticed_before_calls_that_wait_for_it():
+    """Guards against refusing jobs for a second after an outage of the store.
+
+    Pattern: an outage of seconds, in which calls are not answered at all.
+    """
+
+    async def run():
+        relayed = RelayFixture()
+        back = asyncio.Event()
+        pings = []
+
+        async def ping():
+            pings.append(1)
+            await back.wait()
+
+        relayed.direct.ping = ping
+        relayed.direct.faults["watch"] = ["dropped"]
+        relayed.store.faults["watch"] = ["down"]
+        task = asyncio.create_task(relayed.storage.watch_recovery())
+        with pytest.raises(StoreDown):
+            await relayed.storage.watch("k", 0, 0.0)
+        assert relayed.storage.store_unreachable
+        await asyncio.sleep(0.8)
+        assert 2 <= len(pings) <= 3
+        assert relayed.storage.store_unreachable
+        back.set()
+        for _ in range(40):
+            await asyncio.sleep(0.01)
+            if not relayed.storage.store_unreachable:
+                break
+        assert relayed.storage.direct_ok
+        seen = len(pings)
+        await asyncio.sleep(0.2)
+        assert len(pings) == seen, "a store that answers needs no probes"
+        task.cancel()
+
+    asyncio.run(run())
