Divide large groups of workers into partitions with an owner each

Weighed (docs/platform.md): one owner whose calls others carry out, which keeps one view of the capacity but ends at a few hundred workers; partitions by data centre, of which a zone cut would take one whole; partitions of racks spread over the data centres, taken. A job goes to the less loaded of two partitions, by what their owners answer at that time, and is stored where the key of its home does not exist.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -219,4 +219,4 @@
 def _deadline_s(scope: Scope) -> float:
     """Return how long the client waits for the response, in seconds."""
     value = _header(scope, b"x-deadline-ms")
-    return int(value) / 1000 if value.isdigit() else DEFAULT_DEADLINE_S
+    return int(value) / 1000 if value.isdecimal() else DEFAULT_DEADLINE_S
--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -16,8 +16,8 @@
 __all__ = ["Acceptance", "SubmitOutcome"]
 
 # Maximum number of jobs in a transaction, which may have 32 entries: an expectation and
-# a write for each job.
-BATCH_JOBS = 16
+# two writes for each job.
+BATCH_JOBS = 10
 # Maximum number of concurrent transactions: one that waits for the store must not delay
 # the jobs after it.
 MAX_COMMITS = 4
@@ -55,15 +55,27 @@
 
     @property
     def key(self) -> str:
-        return records.job_key(self.spec.group, self.spec.job_id)
+        return records.home_key(self.spec.job_id)
+
+    def writes(self) -> list[tuple[str, bytes, int]]:
+        """Return the entries that store the job, and its home, in a transaction."""
+        spec = self.spec
+        return [
+            (self.key, spec.group.encode(), 0),
+            (records.job_key(spec.group, spec.job_id), records.encode(spec), 0),
+        ]
+
+    def stored_as(self, item: Item) -> bool:
+        """Return whether the stored job has the home that was chosen here."""
+        return item.value == self.spec.group.encode()
 
 
 class Acceptance:
     """Writes submitted jobs to the store; a job is accepted once it is stored.
 
     A write whose reply was lost may have taken effect. It is repeated while the caller
-    waits. That is safe: a write requires that the job's key does not exist, so only one
-    of the two can succeed.
+    waits. That is safe: a write requires that the key of the job's home does not exist,
+    so only one of the two can succeed.
 
     Parameters
     ----------
@@ -176,8 +188,7 @@
         transaction = Transaction(
             expected=dict.fromkeys(unique, 0),
             puts=[
-                (key, records.encode(submission.spec), 0)
-                for key, submission in unique.items()
+                entry for submission in unique.values() for entry in submission.writes()
             ],
         )
         found = await self._storage.commit(transaction)
@@ -188,8 +199,9 @@
         present = {item.key: item for item in found if isinstance(item, Item)}
         known = [submission for submission in batch if submission.key in present]
         for submission in known:
-            if submission.in_doubt:
-                self._on_stored([submission.spec], present[submission.key].revision)
+            item = present[submission.key]
+            if submission.in_doubt and submission.stored_as(item):
+                self._on_stored([submission.spec], item.revision)
         self._resolve(known, SubmitOutcome.STORED, None)
         return [submission for submission in batch if submission.key not in present]
 
--- /dev/null
+++ b/src/poplaryard/workload/directory.py
@@ -0,0 +1,211 @@
+"""Directory of the partitions: their owners, their workers and the homes of jobs."""
+
+import asyncio
+import typing as t
+from dataclasses import replace
+
+import msgspec
+
+from ..client import HttpClient
+from ..exceptions import PoplaryardError
+from ..logs import logger
+from . import records
+from .homes import PartitionLoad, candidate_homes, choose_home
+from .layout import Layout
+from .model import JobSpec, WorkerInfo
+from .storage import Change, Storage
+
+__all__ = ["PEER_TIMEOUT_S", "Directory"]
+
+# Timeout of calls to peers, in seconds. If the owner of a job does not answer within
+# it, the state of the job is read from the store.
+PEER_TIMEOUT_S = 0.4
+# Timeout of a question for the load of a partition, in seconds. The submission of a job
+# waits for it, and short jobs are due within 0.25 s; an owner answers within 5 ms.
+LOAD_TIMEOUT_S = 0.06
+# Number of jobs whose homes a process remembers. A few thousand jobs are in progress in
+# a cell at a time.
+MAX_KNOWN_HOMES = 2000
+
+LocalLoad: t.TypeAlias = t.Callable[[str], PartitionLoad | None]
+
+
+class Directory:
+    """Knows the partitions of each group, and asks their owners.
+
+    Parameters
+    ----------
+    process : str
+        This process, whose own partitions are not asked over the network.
+    storage : Storage
+    peers : HttpClient
+
+    Attributes
+    ----------
+    claims : dict of str to tuple of (records.Claim, int)
+        Claim and its revision by partition.
+    layouts : dict of str to tuple of (Layout, int)
+        Layout and its revision by group.
+    """
+
+    def __init__(self, process: str, storage: Storage, peers: HttpClient):
+        self._process = process
+        self._storage = storage
+        self._peers = peers
+        self.claims: dict[str, tuple[records.Claim, int]] = {}
+        self.layouts: dict[str, tuple[Layout, int]] = {}
+        self._homes: dict[str, str] = {}
+
+    def layout(self, group: str) -> Layout:
+        """Return the layout of a group, by default one partition without racks."""
+        found = self.layouts.get(group)
+        return found[0] if found is not None else Layout()
+
+    def partitions(self, group: str) -> list[str]:
+        """Return the names of the partitions of a group."""
+        return self.layout(group).names(group)
+
+    def partition_of(self, info: WorkerInfo) -> str | None:
+        """Return the partition of a worker, or None if its rack has none yet."""
+        return self.layout(info.group).partition_of(info.group, info.rack)
+
+    def layout_changed(self, change: Change) -> str | None:
+        """Handle a change of a layout; return its group, or None for another key."""
+        if not change.key.endswith(records.LAYOUT_SUFFIX):
+            return None
+        name = change.key.removeprefix(records.claim_prefix())
+        group = name.removesuffix(records.LAYOUT_SUFFIX)
+        if change.item is None:
+            logger.error("layout removed", extra={"group": group})
+            return group
+        try:
+            layout = records.decode_layout(change.item.value)
+        except msgspec.DecodeError as exc:
+            extra = {"group": group, "reason": str(exc)}
+            logger.error("unreadable layout", extra=extra)
+            return group
+        if change.revision > self.layouts.get(group, (None, 0))[1]:
+            self.layouts[group] = layout, change.revision
+            logger.info(
+                "layout changed",
+                extra={
+                    "group": group,
+                    "partitions": layout.partitions,
+                    "racks": len(layout.racks),
+                },
+            )
+        return group
+
+    # Homes of jobs
+
+    async def with_home(self, spec: JobSpec, local_load: LocalLoad) -> JobSpec:
+        """Return a job whose group is the partition that it is to be stored in.
+
+        Parameters
+        ----------
+        local_load : callable
+            Returns the load of a partition that this process owns, else None.
+        """
+        partitions = self.partitions(spec.group)
+        if len(partitions) == 1:
+            return spec
+        layout = self.layout(spec.group)
+        names = candidate_homes(
+            spec, partitions, lambda rack: layout.partition_of(spec.group, rack)
+        )
+        loads = await self._loads(names, local_load)
+        home = choose_home(spec, loads)
+        if home is None:
+            others = [name for name in partitions if name not in names]
+            loads |= await self._loads(others, local_load)
+            home = choose_home(spec, loads) or next(iter(loads), names[0])
+        logger.info(
+            "home chosen",
+            extra={
+                "request": spec.job_id,
+                "home": home,
+                "loads": {
+                    name: round(load.share_with(spec), 2)
+                    for name, load in loads.items()
+                },
+            },
+        )
+        return replace(spec, group=home)
+
+    async def _loads(
+        self, names: list[str], local_load: LocalLoad
+    ) -> dict[str, PartitionLoad]:
+        """Return the loads of those partitions whose owners answer in time."""
+        found = await asyncio.gather(*(self._load(name, local_load) for name in names))
+        return {
+            name: load
+            for name, load in zip(names, found, strict=True)
+            if load is not None
+        }
+
+    async def _load(self, name: str, local_load: LocalLoad) -> PartitionLoad | None:
+        load = local_load(name)
+        if load is not None:
+            return load
+        answer = await self.ask_owner(name, {"load": True}, LOAD_TIMEOUT_S)
+        try:
+            return msgspec.convert(answer and answer.get("load"), PartitionLoad | None)
+        except msgspec.ValidationError as exc:
+            logger.warning("unreadable load", extra={"reason": str(exc)})
+            return None
+
+    def remember_home(self, job_id: str, partition: str) -> None:
+        """Keep the home of a stored job, which never changes."""
+        self._homes[job_id] = partition
+        if len(self._homes) > MAX_KNOWN_HOMES:
+            del self._homes[next(iter(self._homes))]
+
+    async def home_of(self, job_id: str) -> str | None:
+        """Return the partition of a job, or None if there is no such job.
+
+        Raises `StoreDown` or `StoreReplyLost` if it must be read from the store and
+        this does not answer.
+        """
+        known = self._homes.get(job_id)
+        if known is not None:
+            return known
+        item = await self._storage.get(records.home_key(job_id))
+        if item is None:
+            return None
+        home = item.value.decode("utf-8", "replace")
+        self.remember_home(job_id, home)
+        return home
+
+    # Owners
+
+    def owner_address(self, partition: str) -> str | None:
+        """Return the address of the owner of a partition, or None without a claim."""
+        claim = self.claims.get(partition)
+        return None if claim is None else claim[0].address
+
+    async def ask_owner(
+        self,
+        partition: str,
+        query: dict[str, t.Any],
+        timeout_s: float = PEER_TIMEOUT_S,
+    ) -> dict[str, t.Any] | None:
+        """Return the answer of the owner of a partition, or None without a valid one.
+
+        See `Node.answer_peer` for the queries.
+        """
+        claim = self.claims.get(partition)
+        if claim is None or claim[0].process == self._process:
+            return None
+        url = f"http://{claim[0].address}/peer/v1/ask"
+        try:
+            reply = await self._peers.post(
+                url, {"group": partition, **query}, timeout_s
+            )
+        except PoplaryardError as exc:
+            extra = {"peer": claim[0].process, "reason": exc.detail}
+            logger.info("owner did not answer", extra=extra)
+            return None
+        answer = reply.body
+        if reply.status != 200 or not isinstance(answer, dict):
+            return None
+        return answer if answer.get("owner") else None
--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -30,7 +30,7 @@
             return
         if run is not None:
             worker.release(run)
-            task.runs.remove(run)
+            task.remove_run(run, now)
         task.last_run_number = max(task.last_run_number, ended.run)
         job = task.step.job
         job.started = True
@@ -155,7 +155,7 @@
         """Drop a run that has certainly ended without being reported as ended."""
         if not run.worker.release(run):
             return
-        run.task.runs.remove(run)
+        run.task.remove_run(run, now)
         run.task.step.job.active_at = now
         logger.info(
             "run lost",
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -21,6 +21,8 @@
 # gets nothing for three seconds while half of the group is idle counts as lost.
 # Urgent steps that wait for room or advice would block a starved job. It therefore
 # comes first, and may use room that was reserved for too long.
+# A lasting task is starved after the same time without a run, however much of this
+# partition is in use: other partitions of the group may have room for it.
 STARVED_AFTER_S = 1.5
 STARVED_BUSY_SHARE = 0.55
 # Replaces the priority of a starved job; comes before the most urgent priority, 0.
@@ -36,6 +38,12 @@
     return amount.cpu_m + GPU_CPU_M * amount.gpus
 
 
+def _has_starved_lasting_task(step: StepRun, now: float) -> bool:
+    return step.spec.lasting and any(
+        now > task.idle_since + STARVED_AFTER_S for task in step.waiting(now)
+    )
+
+
 class JobTable:
     """Jobs and workers of one group, and the order in which steps are started.
 
@@ -178,10 +186,10 @@
                 if due - self._wall_offset > now:
                     return
                 job.due_at = due - self._wall_offset + spec.objective_s()
-            self._open_occurrence(job, job.next_occurrence)
+            self._open_occurrence(job, job.next_occurrence, now)
             job.next_occurrence += 1
 
-    def _open_occurrence(self, job: JobRun, number: int) -> None:
+    def _open_occurrence(self, job: JobRun, number: int, now: float) -> None:
         steps = []
         base_run = 0 if job.fresh else job.progress.run + RUN_NUMBERS_SKIPPED
         for index, spec in enumerate(job.spec.steps):
@@ -195,6 +203,7 @@
                     position,
                     last_run_number=base_run,
                     done=position in done,
+                    idle_since=now,
                 )
                 if name in self._quarantined_tasks:
                     task.not_before = self._quarantine_until
@@ -301,7 +310,7 @@
         busy = self._busy_share() if steps else 1.0
         for step in steps:
             step.rank = step.job.rank(step.critical_path_s, now)
-            step.starved = (
+            step.starved = _has_starved_lasting_task(step, now) or (
                 busy < STARVED_BUSY_SHARE
                 and now > step.job.active_at + STARVED_AFTER_S
                 and step.job.idle()
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -4,6 +4,7 @@
 import random
 import time
 import typing as t
+import zlib
 from dataclasses import dataclass
 
 import msgspec
@@ -17,19 +18,19 @@
 from . import records
 from .acceptance import Acceptance, SubmitOutcome
 from .advice import Advisor, ChannelPool, LocalAdvisor
+from .directory import PEER_TIMEOUT_S, Directory
+from .homes import PartitionLoad
+from .layout import Layout, assign_racks, group_of
 from .membership import ProcessLease
 from .meters import Meters
 from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
 from .owner import GroupOwner, OwnerLimits, WorkerCalls
 from .relay import RelayedStorage
-from .storage import Change, Storage, Transaction
+from .storage import Change, Item, Storage, Transaction
 from .watching import PrefixWatcher
 
 __all__ = ["Node", "NodeConfig", "StoreSchema", "Unavailable", "strength"]
 
-# Timeout of calls to peers, in seconds. If the owner of a job does not answer within
-# it, the state of the job is read from the store.
-PEER_TIMEOUT_S = 0.4
 # Delay before a claim for each group that the process owns already, and pause after a
 # failed claim, in seconds. Other processes claim meanwhile, which spreads the groups.
 CLAIM_DELAY_PER_GROUP_S = 0.15
@@ -46,6 +47,11 @@
 # Pause between two reads of the watch on workers, in seconds. Workers write heartbeats
 # under the watched keys, and those of one pause are read together.
 HEARTBEAT_BATCH_S = 0.25
+# The layout is written once no further worker of the group has appeared for this time,
+# and after the longest wait at the latest, in seconds. Workers of a new cell register
+# within a second or two, and a rack keeps the partition that it is given.
+LAYOUT_SETTLE_S = 1.0
+LAYOUT_WAIT_MAX_S = 5.0
 # Longest time between two checks for groups without an owner, in seconds.
 CLAIM_CHECK_S = 0.5
 # Time between two checks whether the store is reachable before a hand-over, in seconds.
@@ -193,18 +199,21 @@
         self._peers = peers
         self._schema = schema
         self._clock = clock
+        self._directory = Directory(cfg.process, storage, peers)
         self._acceptance = Acceptance(storage, self._notify_owners)
         member = records.Member(
             cfg.process, cfg.peer_address, cfg.data_centre, cfg.strength
         )
-        self._claims: dict[str, tuple[records.Claim, int]] = {}
         self._claims_changed = asyncio.Event()
         self._lease = ProcessLease(storage, clock, member, self._claims_changed.set)
         self._workers: dict[str, WorkerInfo] = {}
+        self._layouts_in_work: set[str] = set()
         self._unreadable: dict[str, bytes] = {}
         config_prefix = schema.config_key.rpartition("/")[0] + "/"
         self._config_watch = PrefixWatcher(storage, config_prefix, self._config_changed)
-        self._claim_watch = PrefixWatcher(storage, "owner/", self._claim_changed)
+        self._claim_watch = PrefixWatcher(
+            storage, records.claim_prefix(), self._claim_changed
+        )
         self._members: dict[str, records.Member] = {}
         self._channels = ChannelPool(self._advisor)
         self._member_watch = PrefixWatcher(
@@ -230,6 +239,7 @@
         for watch in (self._config_watch, self._claim_watch, self._member_watch):
             self._spawn(watch.run())
         self._spawn(self._watch_isolation())
+        self._spawn(self._relayed.watch_recovery())
         self._ownership_tasks = [
             self._spawn(self._lease.run()),
             self._spawn(self._claim_loop()),
@@ -318,6 +328,7 @@
             self.meters.count("poplaryard_jobs_total", SubmitOutcome.REFUSED.value)
             return SubmitOutcome.REFUSED
         began = self._clock.now()
+        spec = await self._directory.with_home(spec, self._local_load)
         accepted = await self._acceptance.submit(spec, retry_window_s)
         self.meters.count("poplaryard_jobs_total", accepted.value)
         self.meters.observe("poplaryard_accept_seconds", self._clock.now() - began)
@@ -329,17 +340,34 @@
         Raises
         ------
         Unavailable
-            If neither the owner of the job's group nor the store answers.
+            If neither the owner of the job's partition nor the store answers.
         """
-        for group in self._candidate_groups(queue):
-            state = await self._state_at_owner(group, job_id)
-            if state is not None:
-                return state
-        for group in self._candidate_groups(queue):
-            state = await self._stored_state(group, job_id)
+        partitions = self._directory.partitions(queue.group)
+        if len(partitions) == 1:
+            state = await self._state_at_owner(partitions[0], job_id)
             if state is not None:
                 return state
-        return None
+        try:
+            home = await self._directory.home_of(job_id)
+        except (StoreDown, StoreReplyLost) as exc:
+            return await self._state_at_any_owner(partitions, job_id, exc)
+        if home is None:
+            return None
+        state = await self._state_at_owner(home, job_id)
+        return state if state is not None else await self._stored_state(home, job_id)
+
+    async def _state_at_any_owner(
+        self, partitions: list[str], job_id: str, exc: PoplaryardError
+    ) -> JobState:
+        """Ask the owners of all partitions, while the store does not tell the home."""
+        if len(partitions) > 1:
+            found = await asyncio.gather(
+                *(self._state_at_owner(name, job_id) for name in partitions)
+            )
+            for state in found:
+                if state is not None:
+                    return state
+        raise Unavailable(exc.code, exc.detail) from exc
 
     async def cancel(self, queue: Queue, job_id: str) -> bool:
         """Cancel a job; return False if there is no such job.
@@ -349,22 +377,18 @@
         Unavailable
             If the store does not answer.
         """
-        for group in self._candidate_groups(queue):
-            key = records.job_key(group, job_id)
-            try:
-                item = await self._storage.get(key)
-                if item is None:
-                    continue
-                entry = (records.cancel_key(group, job_id), b"1", 0)
-                result = await self._storage.commit(Transaction(puts=[entry]))
-            except (StoreDown, StoreReplyLost, LeaseLost) as exc:
-                raise Unavailable(exc.code, exc.detail) from exc
-            logger.info("job cancelled", extra={"request": job_id})
-            revision = result if isinstance(result, int) else 0
-            stored = records.StoredJobs(group, revision, cancelled=[job_id])
-            self._notify_owner(stored)
-            return True
-        return False
+        try:
+            home = await self._directory.home_of(job_id)
+            if home is None:
+                return False
+            entry = (records.cancel_key(home, job_id), b"1", 0)
+            result = await self._storage.commit(Transaction(puts=[entry]))
+        except (StoreDown, StoreReplyLost, LeaseLost) as exc:
+            raise Unavailable(exc.code, exc.detail) from exc
+        logger.info("job cancelled", extra={"request": job_id})
+        revision = result if isinstance(result, int) else 0
+        self._notify_owner(records.StoredJobs(home, revision, cancelled=[job_id]))
+        return True
 
     async def pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not started.
@@ -372,30 +396,37 @@
         Raises
         ------
         Unavailable
-            If the owner of the queue's group does not answer.
+            If the owner of a partition of the queue's group does not answer.
         """
-        owner = self.owners.get(queue.group)
+        partitions = self._directory.partitions(queue.group)
+        counts = await asyncio.gather(
+            *(self._pending_in(name, queue.name) for name in partitions)
+        )
+        return sum(counts)
+
+    async def _pending_in(self, partition: str, queue: str) -> int:
+        owner = self._answering_owner(partition)
         if owner is not None:
-            count = owner.pending(queue.name)
-            if count is not None:
-                return count
-        result = await self._query_owner(queue.group, {"queue": queue.name})
+            return owner.pending(queue) or 0
+        result = await self._directory.ask_owner(partition, {"queue": queue})
         if result is None or not isinstance(result.get("pending"), int):
             raise _unavailable("the owner of the group does not answer")
         return result["pending"]
 
     def _notify_owners(self, specs: list[JobSpec], revision: int) -> None:
         """Notify the groups' owners of stored jobs, without waiting for an answer."""
+        for spec in specs:
+            self._directory.remember_home(spec.job_id, spec.group)
         for group in {spec.group for spec in specs}:
             group_specs = [spec for spec in specs if spec.group == group]
             self._notify_owner(records.StoredJobs(group, revision, group_specs))
 
     def _notify_owner(self, stored: records.StoredJobs) -> None:
         owner = self.owners.get(stored.group)
+        address = self._directory.owner_address(stored.group)
         if owner is not None:
             owner.jobs_stored(stored)
-        elif stored.group in self._claims:
-            address = self._claims[stored.group][0].address
+        elif address is not None:
             self._spawn(self._send_notification(address, records.encode(stored)))
 
     async def _send_notification(self, address: str, body: bytes) -> None:
@@ -418,48 +449,37 @@
 
         Returns ``{"owner": False}`` if this process cannot answer for the group.
         """
-        owner = self.owners.get(str(body.get("group")))
-        if owner is None or not owner.loaded or not self._lease.has_authority():
+        owner = self._answering_owner(str(body.get("group")))
+        if owner is None:
             return {"owner": False}
+        if "load" in body:
+            return {"owner": True, "load": msgspec.to_builtins(owner.load())}
         if "queue" in body:
             return {"owner": True, "pending": owner.pending(str(body["queue"]))}
         return {"owner": True, "state": owner.state(str(body.get("job")))}
 
-    def _candidate_groups(self, queue: Queue) -> list[str]:
-        """Return all groups, the queue's present one first.
+    def _answering_owner(self, partition: str) -> GroupOwner | None:
+        """Return the owner of a partition in this process if it may answer for it.
 
-        A change of configuration may have moved the queue, and its older jobs are
-        still stored under its earlier group.
+        A process that was frozen or cut off may have lost the partition to another.
         """
-        others = [group for group in self.queues.groups if group != queue.group]
-        return [queue.group, *others]
+        owner = self.owners.get(partition)
+        if owner is None or not owner.loaded or not self._lease.has_authority():
+            return None
+        return owner
 
-    async def _state_at_owner(self, group: str, job_id: str) -> JobState | None:
-        owner = self.owners.get(group)
-        if owner is not None and owner.loaded:
+    def _local_load(self, partition: str) -> PartitionLoad | None:
+        owner = self._answering_owner(partition)
+        return None if owner is None else owner.load()
+
+    async def _state_at_owner(self, partition: str, job_id: str) -> JobState | None:
+        owner = self._answering_owner(partition)
+        if owner is not None:
             return owner.state(job_id)
-        result = await self._query_owner(group, {"job": job_id})
+        result = await self._directory.ask_owner(partition, {"job": job_id})
         state = result.get("state") if result else None
         return JobState(state) if state else None
 
-    async def _query_owner(self, group: str, query: t.Any) -> dict[str, t.Any] | None:
-        claim = self._claims.get(group)
-        if claim is None or claim[0].process == self.cfg.process:
-            return None
-        url = f"http://{claim[0].address}/peer/v1/ask"
-        try:
-            reply = await self._peers.post(
-                url, {"group": group, **query}, PEER_TIMEOUT_S
-            )
-        except PoplaryardError as exc:
-            extra = {"peer": claim[0].process, "reason": exc.detail}
-            logger.info("owner did not answer", extra=extra)
-            return None
-        answer = reply.body
-        if reply.status != 200 or not isinstance(answer, dict):
-            return None
-        return answer if answer.get("owner") else None
-
     async def _stored_state(self, group: str, job_id: str) -> JobState | None:
         try:
             progress = await self._storage.get(records.progress_key(group, job_id))
@@ -491,10 +511,15 @@
         )
 
     def _claim_changed(self, change: Change) -> None:
-        group = change.key.removeprefix("owner/")
         self._claims_changed.set()
+        changed_group = self._directory.layout_changed(change)
+        if changed_group is not None:
+            self._sort_workers(changed_group)
+            return
+        claims = self._directory.claims
+        group = change.key.removeprefix(records.claim_prefix())
         if change.item is None:
-            self._claims.pop(group, None)
+            claims.pop(group, None)
             self._update_channels()
             if group in self.owners:
                 logger.warning("claim removed", extra={"group": group})
@@ -505,7 +530,7 @@
         except msgspec.DecodeError as exc:
             logger.error("unreadable claim", extra={"reason": str(exc)})
             return
-        self._claims[group] = claim, change.revision
+        claims[group] = claim, change.revision
         self._update_channels()
         owner = self.owners.get(group)
         if owner is not None and change.revision > owner.revision:
@@ -527,7 +552,7 @@
 
     def _update_channels(self) -> None:
         """Update the processes through which the advice service may be called."""
-        owners = {claim.process for claim, _ in self._claims.values()}
+        owners = {claim.process for claim, _ in self._directory.claims.values()}
         self._channels.set_peers(
             {
                 name: (_PeerAdvisor(self._peers, member.address), name in owners)
@@ -566,14 +591,93 @@
         if old is not None and old.group != info.group:
             self._remove_worker(worker_id)
         self._workers[worker_id] = info
-        owner = self.owners.get(info.group)
+        self._list_worker(info)
+
+    def _list_worker(self, info: WorkerInfo) -> None:
+        """Pass a worker's entry on to the owner of its partition, if it is here."""
+        partition = self._directory.partition_of(info)
+        owner = self.owners.get(partition or "")
         if owner is not None:
             owner.worker_listed(info)
+        elif partition is None:
+            self._start_layout_change(info.group)
+
+    def _sort_workers(self, group: str) -> None:
+        """Pass the workers of a group on after a change of its layout."""
+        for info in list(self._workers.values()):
+            if info.group == group:
+                self._list_worker(info)
 
     def _remove_worker(self, worker_id: str) -> None:
         info = self._workers.pop(worker_id, None)
-        if info is not None and info.group in self.owners:
-            self.owners[info.group].worker_unlisted(worker_id)
+        if info is None:
+            return
+        owner = self.owners.get(self._directory.partition_of(info) or "")
+        if owner is not None:
+            owner.worker_unlisted(worker_id)
+
+    def _start_layout_change(self, group: str) -> None:
+        """Give the racks without a partition one, if that is up to this process.
+
+        Only the owner of the group's first partition changes the layout.
+        """
+        owner = self.owners.get(group)
+        if owner is not None and owner.loaded and group not in self._layouts_in_work:
+            self._layouts_in_work.add(group)
+            self._spawn(self._extend_layout(group, owner.revision))
+
+    async def _extend_layout(self, group: str, claim_revision: int) -> None:
+        try:
+            await self._wait_for_workers(group)
+            await self._write_layout(group, claim_revision)
+        except (StoreDown, StoreReplyLost, LeaseLost) as exc:
+            extra = {"group": group, "reason": exc.detail}
+            logger.warning("layout not written", extra=extra)
+        except msgspec.DecodeError as exc:
+            extra = {"group": group, "reason": str(exc)}
+            logger.error("unreadable layout", extra=extra)
+        finally:
+            self._layouts_in_work.discard(group)
+
+    async def _wait_for_workers(self, group: str) -> None:
+        """Wait until the number of known workers of a group has settled."""
+        give_up_at = self._clock.now() + LAYOUT_WAIT_MAX_S
+        before = -1
+        while self._clock.now() < give_up_at:
+            count = sum(info.group == group for info in self._workers.values())
+            if count == before:
+                return
+            before = count
+            await asyncio.sleep(LAYOUT_SETTLE_S)
+
+    async def _write_layout(self, group: str, claim_revision: int) -> None:
+        """Assign the racks of all known workers of a group to partitions.
+
+        The write requires that the claim of the group's first partition is unchanged.
+        """
+        key = records.layout_key(group)
+        item = await self._storage.get(key)
+        layout = records.decode_layout(item.value) if item is not None else Layout()
+        workers = [info for info in self._workers.values() if info.group == group]
+        if item is None and await self._storage.get(records.workers_key(group)):
+            # An owner without a layout may have started tasks on any of the workers.
+            racks = {info.rack: 0 for info in workers}
+            layout = Layout(1, racks)
+        extended = assign_racks(layout, workers)
+        revision = item.revision if item is not None else 0
+        if item is None or extended != layout:
+            transaction = Transaction(
+                expected={records.claim_key(group): claim_revision, key: revision},
+                puts=[(key, records.encode(extended), 0)],
+            )
+            result = await self._storage.commit(transaction)
+            if not isinstance(result, int):
+                logger.warning("layout changed meanwhile", extra={"group": group})
+                return
+            revision = result
+        self._claim_changed(
+            Change(key, revision, Item(key, records.encode(extended), revision))
+        )
 
     # Claims
 
@@ -605,11 +709,18 @@
         """
         if not self._lease.has_lease():
             return None
-        for group in self.queues.groups:
-            claim = self._claims.get(group)
+        names = [
+            name
+            for group in self.queues.groups
+            for name in self._directory.partitions(group)
+        ]
+        # Processes begin at different partitions, so that few claim the same one.
+        names.sort(key=lambda name: zlib.crc32(f"{self.cfg.process} {name}".encode()))
+        for name in names:
+            claim = self._directory.claims.get(name)
             own_claim = claim is not None and claim[0].process == self.cfg.process
-            if group not in self.owners and (claim is None or own_claim):
-                return group
+            if name not in self.owners and (claim is None or own_claim):
+                return name
         return None
 
     def _claim_delay(self) -> float:
@@ -624,13 +735,14 @@
         A weak process may have claimed the group while the strong ones were down. Its
         link or processor would slow the whole group down.
         """
-        owners = {claim.process for claim, _ in self._claims.values()}
+        owners = {claim.process for claim, _ in self._directory.claims.values()}
         idle = [
             member.strength
             for name, member in self._members.items()
             if name not in owners
         ]
-        if not idle or max(idle) < HAND_OVER_STRENGTH_RATIO * self.cfg.strength:
+        ratio = HAND_OVER_STRENGTH_RATIO if len(self.owners) == 1 else 1.0
+        if not idle or max(idle) < ratio * self.cfg.strength:
             return
         for group, owner in list(self.owners.items()):
             if not owner.loaded or not self._lease.has_lease():
@@ -650,7 +762,7 @@
 
     async def _claim(self, group: str) -> None:
         key = records.claim_key(group)
-        known = self._claims.get(group)
+        known = self._directory.claims.get(group)
         claim = records.Claim(self.cfg.process, self.cfg.peer_address)
         transaction = Transaction(
             expected={key: known[1] if known else 0},
@@ -675,7 +787,7 @@
         began = time.monotonic()
         if self._worker_watch_task is None:
             self._worker_watch_task = self._spawn(self._worker_watch.run())
-        self._claims[group] = claim, revision
+        self._directory.claims[group] = claim, revision
         owner = GroupOwner(
             group,
             revision,
@@ -689,25 +801,27 @@
         )
         self.owners[group] = owner
         await self._worker_watch.loaded.wait()
-        workers = {
-            worker_id: info
-            for worker_id, info in self._workers.items()
-            if info.group == group
-        }
         try:
-            await owner.start(workers)
-        except (StoreDown, StoreReplyLost) as exc:
+            await owner.start(self._workers_of(group))
+        except (StoreDown, StoreReplyLost, LeaseLost) as exc:
             extra = {"group": group, "reason": exc.detail}
             logger.warning("jobs could not be loaded", extra=extra)
             self._drop_group(group)
             await asyncio.sleep(CLAIM_DELAY_PER_GROUP_S)
             return
-        for worker_id, info in list(self._workers.items()):
-            if info.group == group and worker_id not in workers:
-                owner.worker_listed(info)
+        self._sort_workers(group_of(group))
         took_s = round(time.monotonic() - began, 3)
         logger.info("group owned", extra={"group": group, "took_s": took_s})
 
+    def _workers_of(self, partition: str) -> dict[str, WorkerInfo]:
+        """Return the known workers of a partition."""
+        group = group_of(partition)
+        return {
+            worker_id: info
+            for worker_id, info in self._workers.items()
+            if info.group == group and self._directory.partition_of(info) == partition
+        }
+
     def _drop_group(self, group: str) -> None:
         owner = self.owners.pop(group, None)
         if owner is not None:
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -16,6 +16,7 @@
 from ..waiting import wait_until_set
 from . import records
 from .advice import SLOW_CALL_S, Channel, ChannelPool
+from .homes import PartitionLoad
 from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
 from .meters import Meters
 from .model import (
@@ -70,8 +71,9 @@
 SUMMARY_EVERY_S = 2.0
 # Time between two updates of the stored list of workers, in seconds.
 WORKERS_UPDATE_PERIOD_S = 1.0
-# Jobs removed in one transaction; each has three keys.
-REMOVAL_BATCH_JOBS = 10
+# Keys of a job, and jobs removed in one transaction.
+KEYS_PER_JOB = 4
+REMOVAL_BATCH_JOBS = (MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES) // KEYS_PER_JOB
 
 
 class WorkerCalls(t.Protocol):
@@ -317,6 +319,12 @@
             return None
         return self.partition.jobs[job_id].state
 
+    def load(self) -> PartitionLoad | None:
+        """Return the load of the partition, or None if it is not loaded."""
+        if self.partition is None or not self.loaded:
+            return None
+        return self.partition.load(self._clock.now())
+
     def pending(self, queue: str) -> int | None:
         """Return how many jobs of a queue have not started, or None if not loaded."""
         if self.partition is None or not self.loaded:
@@ -484,6 +492,10 @@
         run = order.run
         worker = run.worker
         now = self._clock.now()
+        if not self._lease.has_authority():
+            # The process was paused between the decision and this call.
+            partition.start_answered(run, StartOutcome.NOT_SENT, now)
+            return
         deadline = worker.clock_now(now) + START_WINDOW_S
         worker.latest_deadline_s = max(worker.latest_deadline_s, deadline)
         self._starts_in_flight += 1
@@ -506,6 +518,8 @@
 
     async def _send_stop(self, order: StopOrder) -> None:
         partition = t.cast(Partition, self.partition)
+        if not self._lease.has_authority():
+            return
         acked = await self._calls.stop(
             order.worker.info, order.task, order.number, self.revision
         )
@@ -687,6 +701,7 @@
             transaction = self._new_transaction()
             for job_id in expired[begin : begin + REMOVAL_BATCH_JOBS]:
                 transaction.removes += [
+                    records.home_key(job_id),
                     records.job_key(self.group, job_id),
                     records.cancel_key(self.group, job_id),
                     records.progress_key(self.group, job_id),
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -14,6 +14,7 @@
 from ..resources import ZERO, Resources
 from . import placing
 from .advising import AdvicePlanner
+from .homes import PartitionLoad
 from .model import StartOutcome
 from .orders import AdviceRequest, ProgressBatch, StartOrder, StopOrder
 from .reports import WorkerReportHandler
@@ -205,7 +206,7 @@
     def _start_refused(self, run: Run, outcome: StartOutcome, now: float) -> None:
         worker, task = run.worker, run.task
         worker.release(run)
-        task.runs.remove(run)
+        task.remove_run(run, now)
         if outcome is StartOutcome.FENCED:
             self.fenced = True
         elif outcome is StartOutcome.BAD_TICKET:
@@ -365,6 +366,24 @@
             return False
         return now - run.progressed_at > STALL_S + STALL_SHARE * spec.estimate_s
 
+    def load(self, now: float) -> PartitionLoad:
+        """Return the load, by which jobs are spread over the partitions of a group."""
+        workers = [worker for worker in self.workers.values() if worker.usable(now)]
+        demand = sum((worker.used for worker in workers), ZERO)
+        for step in self._waiting:
+            waiting = len(step.waiting(now))
+            if waiting:
+                demand = demand + step.need.times(waiting)
+        capacity = largest = ZERO
+        labels: set[str] = set()
+        for worker in workers:
+            capacity = capacity + worker.info.capacity
+            largest = largest.maximum(worker.info.capacity)
+            labels.update(worker.info.labels)
+        return PartitionLoad(
+            capacity, demand, largest, tuple(sorted(labels)), len(workers)
+        )
+
     def summary(self, now: float) -> dict[str, t.Any]:
         """Return the load figures of the group, for logs and metrics."""
         workers = [worker for worker in self.workers.values() if not worker.gone]
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from .layout import Layout
 from .model import JobSpec, Progress, Suspect
 
 __all__ = [
@@ -13,15 +14,20 @@
     "StoredJobs",
     "cancel_key",
     "claim_key",
+    "claim_prefix",
     "decode_claim",
     "decode_job",
+    "decode_layout",
     "decode_member",
     "decode_progress",
     "decode_stored_jobs",
     "decode_workers",
     "encode",
+    "home_key",
     "job_key",
     "job_prefix",
+    "LAYOUT_SUFFIX",
+    "layout_key",
     "member_key",
     "progress_key",
     "progress_prefix",
@@ -30,6 +36,7 @@
 ]
 
 CANCEL_SUFFIX = ".cancel"
+LAYOUT_SUFFIX = ".layout"
 
 _encoder = msgspec.json.Encoder()
 _jobs = msgspec.json.Decoder(JobSpec)
@@ -69,6 +76,7 @@
 _claims = msgspec.json.Decoder(Claim)
 _members = msgspec.json.Decoder(Member)
 _workers = msgspec.json.Decoder(dict[str, Suspect])
+_layouts = msgspec.json.Decoder(Layout)
 encode: t.Callable[[t.Any], bytes] = _encoder.encode
 
 
@@ -97,11 +105,30 @@
     return f"progress/{group}/{job_id}"
 
 
+def home_key(job_id: str) -> str:
+    """Return the key that holds the name of the partition to which a job belongs.
+
+    A job is stored only where this key does not exist, so that an id that is sent to
+    several processes names one job, whichever partition each of them chooses.
+    """
+    return f"home/{job_id}"
+
+
+def claim_prefix() -> str:
+    """Return the key prefix of the claims and layouts."""
+    return "owner/"
+
+
 def claim_key(group: str) -> str:
-    """Return the key of a group's `Claim`, which is bound to the owner's lease."""
+    """Return the key of a partition's `Claim`, which is bound to the owner's lease."""
     return f"owner/{group}"
 
 
+def layout_key(group: str) -> str:
+    """Return the key of a group's `Layout`; the claims are watched together with it."""
+    return f"owner/{group}{LAYOUT_SUFFIX}"
+
+
 def member_key(process: str) -> str:
     """Return the key of a process's `Member` entry."""
     return f"member/{process}"
@@ -140,6 +167,11 @@
     return _claims.decode(value)
 
 
+def decode_layout(value: bytes) -> Layout:
+    """Decode the layout of a group; raises `msgspec.DecodeError`."""
+    return _layouts.decode(value)
+
+
 def decode_member(value: bytes) -> Member:
     """Decode a process's entry; raises `msgspec.DecodeError`."""
     return _members.decode(value)
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -238,6 +238,8 @@
         Workers on which it failed or stalled.
     not_before : float
         Time before which it must not start.
+    idle_since : float
+        Time since which it has had no run, if it has none.
     """
 
     name: str
@@ -249,6 +251,12 @@
     runs: list[Run] = field(default_factory=list)
     avoid: set[str] = field(default_factory=set)
     not_before: float = 0.0
+    idle_since: float = 0.0
+
+    def remove_run(self, run: Run, now: float) -> None:
+        """Remove a run that has ended or was lost."""
+        self.runs.remove(run)
+        self.idle_since = now
 
 
 @dataclass(slots=True)
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -16,9 +16,10 @@
 from poplaryard.platform.services import AdviceClient, WorkerClient
 from poplaryard.platform.store import PlatformStore
 from poplaryard.server import HttpServer
+from poplaryard.workload import layout
 from poplaryard.workload.node import Node, NodeConfig, StoreSchema
 from poplaryard.workload.owner import OwnerLimits
-from tests.platform.standin import PlatformStandIn, config
+from tests.platform.standin import PlatformStandIn, config, entry
 
 SCHEMA = StoreSchema(
     CONFIG_KEY, WORKER_PREFIX, decode_config, decode_worker, DecodeFailed
@@ -67,11 +68,11 @@
         return reply.status, json.loads(reply.content) if reply.content else None
 
 
-def run_with_processes(scenario, count=2, strength=1.0):
+def run_with_processes(scenario, count=2, strength=1.0, workers=2):
     strengths = strength if isinstance(strength, tuple) else [strength] * count
 
     async def run():
-        platform = PlatformStandIn()
+        platform = PlatformStandIn(workers)
         await platform.start()
         processes = [
             ProcessFixture(platform, f"p{number}", strengths[number])
@@ -114,6 +115,92 @@
     run_with_processes(scenario)
 
 
+def test_jobs_of_a_divided_group_are_found_through_any_process(monkeypatch):
+    """Guards against jobs that run twice or are lost in a group with several owners.
+
+    Pattern: a group that is too large for one owner; callers use all processes.
+    """
+    monkeypatch.setattr(layout, "MIN_PARTITION_WORKERS", 2)
+
+    async def scenario(platform, *processes):
+        first = processes[0]
+        await until_owned(processes, 3)
+        for number in range(12):
+            path = f"/checks/{number:016x}"
+            body = {"spec": "text", "steps": [{"count": 2, "cpu": 1000}]}
+            for process in (processes[number % 3], processes[(number + 1) % 3]):
+                assert (await process.call("POST", path, body))[0] == 200
+        for number in range(12):
+            path = f"/checks/{number:016x}"
+            await until(processes[(number + 2) % 3], path, "done")
+        assert (await first.call("GET", "/checks/"))[1] == {"pending": 0}
+        assert (await first.call("GET", "/checks/" + "b" * 16))[0] == 410
+        long = {"steps": [{"count": 1, "estimate_ms": 60_000}]}
+        path = "/checks/" + "c" * 16
+        assert (await first.call("POST", path, long))[0] == 200
+        await until(processes[1], path, "running")
+        assert (await processes[2].call("DELETE", path))[0] == 200
+        await until(first, path, "cancelled")
+        started = [run for sim, _ in platform.sims.values() for run in sim.started]
+        assert len(started) == len(set(started)) == 25
+        assert len({len(sim.started) > 0 for sim, _ in platform.sims.values()}) == 1
+
+    run_with_processes(scenario, count=3, workers=6)
+
+
+def test_partitions_of_a_stopped_owner_are_taken_over(monkeypatch):
+    """Guards against a partition without an owner, or workers without a partition.
+
+    Pattern: one of several owners of a group leaves while jobs run, and a rack joins.
+    """
+    monkeypatch.setattr(layout, "MIN_PARTITION_WORKERS", 2)
+
+    async def scenario(platform, first, second, third):
+        await until_owned((first, second, third), 3)
+        body = {"steps": [{"count": 8, "cpu": 1000, "estimate_ms": 300}]}
+        for number in range(6):
+            path = f"/checks/{number:016x}"
+            assert (await second.call("POST", path, body))[0] == 200
+        await first.stop()
+        await until_owned((second, third), 3)
+        for number in range(6):
+            await until(second, f"/checks/{number:016x}", "done")
+        sim, server = next(iter(platform.sims.values()))
+        added = entry(sim, server.ports[0]) | {"labels": ["a", "r9"]}
+        await platform.put("servers/new", added)
+        for _ in range(100):
+            found = platform.storage.items["owner/desk.layout"].value
+            if "r9" in json.loads(found)["racks"]:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError("the new rack has no partition")
+
+    run_with_processes(scenario, count=3, workers=6)
+
+
+def test_process_without_authority_answers_for_no_group():
+    """Guards against stale figures of a process that was cut off or frozen."""
+
+    async def scenario(platform, process):
+        await until(process, "/checks/", 200)
+        process.node._lease._valid_until = float("-inf")
+        assert (await process.call("GET", "/checks/"))[0] == 503
+
+    run_with_processes(scenario, count=1)
+
+
+async def until_owned(processes, count, seconds=8.0, spread=True):
+    """Wait until the processes own `count` partitions, spread evenly if wanted."""
+    for _ in range(int(seconds / 0.02)):
+        owned = [
+            len([o for o in p.node.owners.values() if o.loaded]) for p in processes
+        ]
+        if sum(owned) == count and (not spread or max(owned) - min(owned) <= 1):
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"partitions by process: {owned}")
+
+
 def test_bad_input_is_refused_and_nothing_is_stored():
     """Guards against malformed, oversized or deeply nested bodies."""
 
--- a/tests/workload/test_acceptance.py
+++ b/tests/workload/test_acceptance.py
@@ -21,7 +21,8 @@
     specs = [job(f"{number:016x}") for number in range(40)]
     assert set(submit_all(storage, specs)) == {SubmitOutcome.STORED}
     assert storage.calls.count("commit") <= 5
-    assert len(storage.items) == 40
+    for prefix in ("job/desk/", "home/"):
+        assert sum(key.startswith(prefix) for key in storage.items) == 40
 
 
 def test_repeated_id_is_the_same_job():
@@ -34,6 +35,27 @@
     assert records.decode_job(kept.value).payload == "first"
 
 
+def test_id_sent_to_processes_that_choose_different_homes_is_one_job():
+    """Guards against a job that runs twice, once in each of two partitions."""
+
+    async def run():
+        storage = MemoryStorage()
+        notified = []
+        acceptance = Acceptance(storage, lambda specs, revision: notified.append(specs))
+        storage.faults["commit"] = [None, "dropped"]
+        for group in ("desk", "desk~1"):
+            outcome = await acceptance.submit(job("a" * 16, group=group), 3.0)
+            assert outcome is SubmitOutcome.STORED
+        assert [key for key in storage.items if key.startswith("job/")] == [
+            records.job_key("desk", "a" * 16)
+        ]
+        # The second process has a write in doubt, and must not tell the owner of the
+        # home that it chose.
+        assert [specs[0].group for specs in notified] == ["desk"]
+
+    asyncio.run(run())
+
+
 def test_refused_job_is_not_stored():
     storage = MemoryStorage()
     storage.faults["commit"] = ["down"]
@@ -72,7 +94,8 @@
         storage = MemoryStorage()
         storage.faults["commit"] = [fault, "down", fault]
         assert submit_all(storage, [job()], 3.0) == [SubmitOutcome.STORED]
-        assert len(storage.items) == 1
+        keys = {records.job_key("desk", "a" * 16), records.home_key("a" * 16)}
+        assert set(storage.items) == keys
 
 
 def test_job_in_doubt_is_not_refused_and_does_not_delay_others():
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -4,7 +4,7 @@
 from poplaryard.workload import records
 from poplaryard.workload.advice import ChannelPool
 from poplaryard.workload.membership import ProcessLease
-from poplaryard.workload.model import JobState
+from poplaryard.workload.model import JobState, StartOutcome
 from poplaryard.workload.owner import GroupOwner, OwnerLimits
 from poplaryard.workload.storage import Transaction
 from tests.workload.builders import job, step, worker_info
@@ -180,6 +180,36 @@
     asyncio.run(run())
 
 
+def test_orders_decided_before_a_pause_are_not_sent_after_the_authority_has_expired():
+    """Guards against a process that resumes after seconds and acts on its old lease."""
+
+    async def run():
+        fixture = OwnerFixture()
+        owner = await fixture.claim()
+        await owner.start(fixture.infos())
+        await fixture.store(job(JOB, step(2, estimate_s=60.0)))
+        await until(lambda: owner.state(JOB) is JobState.RUNNING)
+        calls = []
+
+        async def record(*args, **fields):
+            calls.append(args)
+            return StartOutcome.STARTED
+
+        fixture.calls.start = fixture.calls.stop = record
+        owner.partition.add_job(job("b" * 16), CLOCK.now(), True)
+        owner.partition.cancel(JOB, CLOCK.now())
+        owner.partition.advance(CLOCK.now())
+        assert len(owner.partition.orders) == 3
+        owner._send_orders()
+        fixture.lease._valid_until = float("-inf")
+        await asyncio.sleep(0.05)
+        assert not calls
+        assert not owner.partition.jobs["b" * 16].occurrences[0][0].tasks[0].runs
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_progress_is_written_again_after_a_store_outage():
     async def run():
         fixture = OwnerFixture()
