End the lease of an owner that its peers don't reach

Ruled out: the take-over itself (0.06 s), claims (0.2 s).

Change: three processes probe each owner; after three missed probes and the denial of two others, its lease is ended in the store. The safety of a take-over is unchanged: the new owner fences and asks all workers, and waits for those that don't answer for as long as an owner whose lease has just lapsed could act.

A process without a certain lease, without the store, or with too few witnesses ends no lease.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -131,6 +131,9 @@
             return Response(400)
         if not isinstance(query, dict):
             return Response(400)
+        if path == "/peer/v1/reach":
+            process = str(query.get("process"))
+            return Response(200, {"reached": await self._node.monitor.reaches(process)})
         if path != "/peer/v1/advise":
             return Response(200, self._node.answer_peer(query))
         try:
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -19,6 +19,7 @@
 from .acceptance import Acceptance, SubmitOutcome
 from .advice import Advisor, ChannelPool, LocalAdvisor
 from .directory import PEER_TIMEOUT_S, Directory
+from .failover import OwnerMonitor
 from .homes import PartitionLoad
 from .layout import Layout, assign_racks, group_of
 from .membership import ProcessLease
@@ -170,6 +171,8 @@
         Whether the process's data centre seems to be cut off from the others.
     owners : dict of str to GroupOwner
         Owners of the groups that this process has claimed, by group.
+    monitor : OwnerMonitor
+        Probes owners in other processes.
     direct_storage : Storage
         Storage that is not relayed through peers; relayed calls of peers use it.
     """
@@ -215,6 +218,15 @@
             storage, records.claim_prefix(), self._claim_changed
         )
         self._members: dict[str, records.Member] = {}
+        self.monitor = OwnerMonitor(
+            cfg.process,
+            cfg.data_centre,
+            self._relayed,
+            peers,
+            self._lease,
+            self._directory.claims,
+            self._members,
+        )
         self._channels = ChannelPool(self._advisor)
         self._member_watch = PrefixWatcher(
             storage, "member/", self._member_changed, 2.0
@@ -240,6 +252,7 @@
             self._spawn(watch.run())
         self._spawn(self._watch_isolation())
         self._spawn(self._relayed.watch_recovery())
+        self._spawn(self.monitor.run())
         self._ownership_tasks = [
             self._spawn(self._lease.run()),
             self._spawn(self._claim_loop()),
