Split the layout writer and the lookup of jobs off the node

LayoutWriter writes layouts, JobLookup answers for states and waiting jobs; a record of progress that can't be read is answered 503 and logged, before it broke the request off.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -145,7 +145,7 @@
     async def _get_pending(self, queue: Queue, method: str) -> Response:
         if method != "GET":
             return Response(405)
-        return Response(200, {"pending": await self._node.pending(queue)})
+        return Response(200, {"pending": await self._node.lookup.pending(queue)})
 
     async def _post_job(
         self, queue: Queue, job_id: str, body: bytes, retry_window_s: float
@@ -165,7 +165,7 @@
         return Response(504)
 
     async def _get_state(self, queue: Queue, job_id: str) -> Response:
-        state: JobState | None = await self._node.state(queue, job_id)
+        state: JobState | None = await self._node.lookup.state(queue, job_id)
         if state is None:
             return Response(410)
         return Response(200, {"state": str(state)})
--- /dev/null
+++ b/src/poplaryard/workload/lookup.py
@@ -0,0 +1,123 @@
+"""States of jobs and numbers of waiting jobs, from their owners or from the store."""
+
+import asyncio
+import typing as t
+
+import msgspec
+
+from ..codes import Code
+from ..exceptions import PoplaryardError, StoreDown, StoreReplyLost
+from ..logs import logger
+from . import records
+from .directory import Directory
+from .model import JobState, Queue
+from .owner import GroupOwner
+from .storage import Storage
+
+__all__ = ["JobLookup", "Unavailable"]
+
+
+class Unavailable(PoplaryardError):
+    """Raised if a call cannot be answered now; the caller may retry."""
+
+
+class JobLookup:
+    """Answers questions about jobs, whichever process owns their partitions.
+
+    Parameters
+    ----------
+    directory : Directory
+    storage : Storage
+    local_owner : callable
+        Returns the owner of a partition in this process if it may answer, else None.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        storage: Storage,
+        local_owner: t.Callable[[str], GroupOwner | None],
+    ):
+        self._directory = directory
+        self._storage = storage
+        self._local_owner = local_owner
+
+    async def state(self, queue: Queue, job_id: str) -> JobState | None:
+        """Return the state of a job, or None if there is no such job.
+
+        Raises
+        ------
+        Unavailable
+            If neither the owner of the job's partition nor the store answers.
+        """
+        partitions = self._directory.partitions(queue.group)
+        if len(partitions) == 1:
+            state = await self._state_at_owner(partitions[0], job_id)
+            if state is not None:
+                return state
+        try:
+            home = await self._directory.home_of(job_id)
+        except (StoreDown, StoreReplyLost) as exc:
+            return await self._state_at_any_owner(partitions, job_id, exc)
+        if home is None:
+            return None
+        state = await self._state_at_owner(home, job_id)
+        return state if state is not None else await self._stored_state(home, job_id)
+
+    async def pending(self, queue: Queue) -> int:
+        """Return how many jobs of a queue have not started.
+
+        Raises
+        ------
+        Unavailable
+            If the owner of a partition of the queue's group does not answer.
+        """
+        partitions = self._directory.partitions(queue.group)
+        counts = await asyncio.gather(
+            *(self._pending_in(name, queue.name) for name in partitions)
+        )
+        return sum(counts)
+
+    async def _state_at_any_owner(
+        self, partitions: list[str], job_id: str, exc: PoplaryardError
+    ) -> JobState:
+        """Ask the owners of all partitions, while the store does not tell the home."""
+        if len(partitions) > 1:
+            found = await asyncio.gather(
+                *(self._state_at_owner(name, job_id) for name in partitions)
+            )
+            for state in found:
+                if state is not None:
+                    return state
+        raise Unavailable(exc.code, exc.detail) from exc
+
+    async def _state_at_owner(self, partition: str, job_id: str) -> JobState | None:
+        owner = self._local_owner(partition)
+        if owner is not None:
+            return owner.state(job_id)
+        result = await self._directory.ask_owner(partition, {"job": job_id})
+        state = result.get("state") if result else None
+        return JobState(state) if state else None
+
+    async def _stored_state(self, partition: str, job_id: str) -> JobState | None:
+        try:
+            progress = await self._storage.get(records.progress_key(partition, job_id))
+            if progress is not None:
+                return records.decode_progress(progress.value).state
+            job = await self._storage.get(records.job_key(partition, job_id))
+        except (StoreDown, StoreReplyLost) as exc:
+            raise Unavailable(exc.code, exc.detail) from exc
+        except msgspec.DecodeError as exc:
+            logger.error("unreadable progress", extra={"request": job_id})
+            raise Unavailable(Code.INTERNAL, str(exc)) from exc
+        return JobState.QUEUED if job is not None else None
+
+    async def _pending_in(self, partition: str, queue: str) -> int:
+        owner = self._local_owner(partition)
+        if owner is not None:
+            return owner.pending(queue) or 0
+        result = await self._directory.ask_owner(partition, {"queue": queue})
+        if result is None or not isinstance(result.get("pending"), int):
+            detail = "the owner of a partition does not answer"
+            raise Unavailable(Code.PEER_TIMEOUT, detail)
+        return result["pending"]
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -11,7 +11,6 @@
 
 from ..client import HttpClient
 from ..clock import Clock
-from ..codes import Code
 from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
 from ..logs import logger
 from ..waiting import wait_until_set
@@ -21,13 +20,15 @@
 from .directory import PEER_TIMEOUT_S, Directory
 from .failover import OwnerMonitor
 from .homes import PartitionLoad
-from .layout import Layout, assign_racks, group_of
+from .layout import group_of
+from .layout_writer import LayoutWriter
+from .lookup import JobLookup, Unavailable
 from .membership import ProcessLease
 from .meters import Meters
-from .model import JobSpec, JobState, Queue, QueueTable, WorkerInfo
+from .model import JobSpec, Queue, QueueTable, WorkerInfo
 from .owner import GroupOwner, OwnerLimits, WorkerCalls
 from .relay import RelayedStorage
-from .storage import Change, Item, Storage, Transaction
+from .storage import Change, Storage, Transaction
 from .watching import PrefixWatcher
 
 __all__ = ["Node", "NodeConfig", "StoreSchema", "Unavailable", "strength"]
@@ -48,11 +49,6 @@
 # Pause between two reads of the watch on workers, in seconds. Workers write heartbeats
 # under the watched keys, and those of one pause are read together.
 HEARTBEAT_BATCH_S = 0.25
-# The layout is written once no further worker of the group has appeared for this time,
-# and after the longest wait at the latest, in seconds. Workers of a new cell register
-# within a second or two, and a rack keeps the partition that it is given.
-LAYOUT_SETTLE_S = 1.0
-LAYOUT_WAIT_MAX_S = 5.0
 # Longest time between two checks for groups without an owner, in seconds.
 CLAIM_CHECK_S = 0.5
 # Time between two checks whether the store is reachable before a hand-over, in seconds.
@@ -79,10 +75,6 @@
     return min(1.0, cores, link_mbps / STRONG_LINK_MBPS)
 
 
-class Unavailable(PoplaryardError):
-    """Raised if a call cannot be answered now; the caller may retry."""
-
-
 @dataclass(frozen=True, slots=True)
 class StoreSchema:
     """Keys and decoders of the configuration and the worker entries in the store.
@@ -171,6 +163,8 @@
         Whether the process's data centre seems to be cut off from the others.
     owners : dict of str to GroupOwner
         Owners of the groups that this process has claimed, by group.
+    lookup : JobLookup
+        Answers questions about jobs.
     monitor : OwnerMonitor
         Probes owners in other processes.
     direct_storage : Storage
@@ -203,6 +197,7 @@
         self._schema = schema
         self._clock = clock
         self._directory = Directory(cfg.process, storage, peers)
+        self.lookup = JobLookup(self._directory, storage, self._answering_owner)
         self._acceptance = Acceptance(storage, self._notify_owners)
         member = records.Member(
             cfg.process, cfg.peer_address, cfg.data_centre, cfg.strength
@@ -210,7 +205,9 @@
         self._claims_changed = asyncio.Event()
         self._lease = ProcessLease(storage, clock, member, self._claims_changed.set)
         self._workers: dict[str, WorkerInfo] = {}
-        self._layouts_in_work: set[str] = set()
+        self._layout_writer = LayoutWriter(
+            storage, clock, self._workers, self._claim_changed
+        )
         self._unreadable: dict[str, bytes] = {}
         config_prefix = schema.config_key.rpartition("/")[0] + "/"
         self._config_watch = PrefixWatcher(storage, config_prefix, self._config_changed)
@@ -347,41 +344,6 @@
         self.meters.observe("poplaryard_accept_seconds", self._clock.now() - began)
         return accepted
 
-    async def state(self, queue: Queue, job_id: str) -> JobState | None:
-        """Return the state of a job, or None if there is no such job.
-
-        Raises
-        ------
-        Unavailable
-            If neither the owner of the job's partition nor the store answers.
-        """
-        partitions = self._directory.partitions(queue.group)
-        if len(partitions) == 1:
-            state = await self._state_at_owner(partitions[0], job_id)
-            if state is not None:
-                return state
-        try:
-            home = await self._directory.home_of(job_id)
-        except (StoreDown, StoreReplyLost) as exc:
-            return await self._state_at_any_owner(partitions, job_id, exc)
-        if home is None:
-            return None
-        state = await self._state_at_owner(home, job_id)
-        return state if state is not None else await self._stored_state(home, job_id)
-
-    async def _state_at_any_owner(
-        self, partitions: list[str], job_id: str, exc: PoplaryardError
-    ) -> JobState:
-        """Ask the owners of all partitions, while the store does not tell the home."""
-        if len(partitions) > 1:
-            found = await asyncio.gather(
-                *(self._state_at_owner(name, job_id) for name in partitions)
-            )
-            for state in found:
-                if state is not None:
-                    return state
-        raise Unavailable(exc.code, exc.detail) from exc
-
     async def cancel(self, queue: Queue, job_id: str) -> bool:
         """Cancel a job; return False if there is no such job.
 
@@ -403,29 +365,6 @@
         self._notify_owner(records.StoredJobs(home, revision, cancelled=[job_id]))
         return True
 
-    async def pending(self, queue: Queue) -> int:
-        """Return how many jobs of a queue have not started.
-
-        Raises
-        ------
-        Unavailable
-            If the owner of a partition of the queue's group does not answer.
-        """
-        partitions = self._directory.partitions(queue.group)
-        counts = await asyncio.gather(
-            *(self._pending_in(name, queue.name) for name in partitions)
-        )
-        return sum(counts)
-
-    async def _pending_in(self, partition: str, queue: str) -> int:
-        owner = self._answering_owner(partition)
-        if owner is not None:
-            return owner.pending(queue) or 0
-        result = await self._directory.ask_owner(partition, {"queue": queue})
-        if result is None or not isinstance(result.get("pending"), int):
-            raise _unavailable("the owner of the group does not answer")
-        return result["pending"]
-
     def _notify_owners(self, specs: list[JobSpec], revision: int) -> None:
         """Notify the groups' owners of stored jobs, without waiting for an answer."""
         for spec in specs:
@@ -485,24 +424,6 @@
         owner = self._answering_owner(partition)
         return None if owner is None else owner.load()
 
-    async def _state_at_owner(self, partition: str, job_id: str) -> JobState | None:
-        owner = self._answering_owner(partition)
-        if owner is not None:
-            return owner.state(job_id)
-        result = await self._directory.ask_owner(partition, {"job": job_id})
-        state = result.get("state") if result else None
-        return JobState(state) if state else None
-
-    async def _stored_state(self, group: str, job_id: str) -> JobState | None:
-        try:
-            progress = await self._storage.get(records.progress_key(group, job_id))
-            if progress is not None:
-                return records.decode_progress(progress.value).state
-            job = await self._storage.get(records.job_key(group, job_id))
-        except (StoreDown, StoreReplyLost) as exc:
-            raise Unavailable(exc.code, exc.detail) from exc
-        return JobState.QUEUED if job is not None else None
-
     # Store watches
 
     def _config_changed(self, change: Change) -> None:
@@ -635,62 +556,8 @@
         Only the owner of the group's first partition changes the layout.
         """
         owner = self.owners.get(group)
-        if owner is not None and owner.loaded and group not in self._layouts_in_work:
-            self._layouts_in_work.add(group)
-            self._spawn(self._extend_layout(group, owner.revision))
-
-    async def _extend_layout(self, group: str, claim_revision: int) -> None:
-        try:
-            await self._wait_for_workers(group)
-            await self._write_layout(group, claim_revision)
-        except (StoreDown, StoreReplyLost, LeaseLost) as exc:
-            extra = {"group": group, "reason": exc.detail}
-            logger.warning("layout not written", extra=extra)
-        except msgspec.DecodeError as exc:
-            extra = {"group": group, "reason": str(exc)}
-            logger.error("unreadable layout", extra=extra)
-        finally:
-            self._layouts_in_work.discard(group)
-
-    async def _wait_for_workers(self, group: str) -> None:
-        """Wait until the number of known workers of a group has settled."""
-        give_up_at = self._clock.now() + LAYOUT_WAIT_MAX_S
-        before = -1
-        while self._clock.now() < give_up_at:
-            count = sum(info.group == group for info in self._workers.values())
-            if count == before:
-                return
-            before = count
-            await asyncio.sleep(LAYOUT_SETTLE_S)
-
-    async def _write_layout(self, group: str, claim_revision: int) -> None:
-        """Assign the racks of all known workers of a group to partitions.
-
-        The write requires that the claim of the group's first partition is unchanged.
-        """
-        key = records.layout_key(group)
-        item = await self._storage.get(key)
-        layout = records.decode_layout(item.value) if item is not None else Layout()
-        workers = [info for info in self._workers.values() if info.group == group]
-        if item is None and await self._storage.get(records.workers_key(group)):
-            # An owner without a layout may have started tasks on any of the workers.
-            racks = {info.rack: 0 for info in workers}
-            layout = Layout(1, racks)
-        extended = assign_racks(layout, workers)
-        revision = item.revision if item is not None else 0
-        if item is None or extended != layout:
-            transaction = Transaction(
-                expected={records.claim_key(group): claim_revision, key: revision},
-                puts=[(key, records.encode(extended), 0)],
-            )
-            result = await self._storage.commit(transaction)
-            if not isinstance(result, int):
-                logger.warning("layout changed meanwhile", extra={"group": group})
-                return
-            revision = result
-        self._claim_changed(
-            Change(key, revision, Item(key, records.encode(extended), revision))
-        )
+        if owner is not None and owner.loaded and self._layout_writer.reserve(group):
+            self._spawn(self._layout_writer.extend(group, owner.revision))
 
     # Claims
 
@@ -851,7 +718,3 @@
         if not task.cancelled() and task.exception() is not None:
             logger.critical("task ended by an error", exc_info=task.exception())
             raise SystemExit(1)
-
-
-def _unavailable(detail: str) -> Unavailable:
-    return Unavailable(Code.PEER_TIMEOUT, detail)
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -19,6 +19,8 @@
 from poplaryard.workload import layout
 from poplaryard.workload.node import Node, NodeConfig, StoreSchema
 from poplaryard.workload.owner import OwnerLimits
+from poplaryard.workload.records import home_key, progress_key
+from poplaryard.workload.storage import Transaction
 from tests.platform.standin import PlatformStandIn, config, entry
 
 SCHEMA = StoreSchema(
@@ -189,6 +191,25 @@
     run_with_processes(scenario, count=1)
 
 
+def test_unreadable_progress_is_no_answer():
+    """Guards against a broken connection, or "no such job", for a damaged record."""
+
+    async def scenario(platform, process):
+        await until_owned([process], 1)
+        path = "/checks/" + "d" * 16
+        await platform.storage.commit(
+            Transaction(
+                puts=[
+                    (home_key("d" * 16), b"desk", 0),
+                    (progress_key("desk", "d" * 16), b"{", 0),
+                ]
+            )
+        )
+        assert (await process.call("GET", path))[0] == 503
+
+    run_with_processes(scenario, count=1)
+
+
 async def until_owned(processes, count, seconds=8.0, spread=True):
     """Wait until the processes own `count` partitions, spread evenly if wanted."""
     for _ in range(int(seconds / 0.02)):
