Preempt runs only where the room is kept, and not again and again

A wide job of priority 1 preempted runs of priority 2, and more urgent short jobs took the room before it could start; so it preempted again in the next pass. Ruled out: copies (13), cancellations (22), take-overs (the rate is the same between them).

Change: nothing is preempted while a more urgent step waits for room; a step that has preempted does so again after 4 s, then 8, 16; runs are not preempted in their first second.

--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -47,6 +47,9 @@
 MAX_PLANS = 4
 # Maximum number of searches for room to reserve per round: each scans all workers.
 MAX_PLAN_SEARCHES = 8
+# Time after which a step may preempt runs again, in seconds; it doubles each time. If
+# the room has gone to more urgent steps, there is no use in preempting more runs soon.
+PREEMPTION_PAUSE_S = 4.0
 # Time between two searches for stragglers, in seconds.
 STRAGGLER_SEARCH_PERIOD_S = 0.25
 # Share of a worker's capacity from which a task counts as large.
@@ -109,6 +112,8 @@
         orders_counted = len(self.orders)
         searches_left = MAX_PLAN_SEARCHES
         capacities = {worker.info.capacity for worker in self.workers.values()}
+        # Room that a preempted run releases goes to the most urgent step that fits.
+        may_preempt = True
         for step in self._waiting:
             orders_before = len(self.orders)
             fits = step.need.fits_in(largest_free)
@@ -126,7 +131,8 @@
                 and _is_large(step, capacities)
             ):
                 searches_left -= 1
-                self._plan_room(step, now)
+                self._plan_room(step, now, may_preempt)
+            may_preempt = may_preempt and (fits or step.name in self._plans)
             self._log_starts(step, orders_before, now)
         if now >= self._next_copy_check_at:
             self._next_copy_check_at = now + STRAGGLER_SEARCH_PERIOD_S
@@ -297,13 +303,23 @@
         left_s = elapsed_s * (100 - run.percent) / run.percent
         return left_s > STRAGGLER_REMAINING_FACTOR * estimate_s
 
-    def _plan_room(self, step: StepRun, now: float) -> None:
-        """Reserve room for a step that does not fit, and preempt less urgent runs."""
-        plan = plan_room(step, self.workers.values(), self._reservations, now)
+    def _plan_room(self, step: StepRun, now: float, may_preempt: bool) -> None:
+        """Reserve room for a step that does not fit, and preempt less urgent runs.
+
+        Nothing is preempted while more urgent steps wait for room: they would take it,
+        and the step would preempt further runs again and again.
+        """
+        may_preempt = may_preempt and now >= step.preempts_after
+        plan = plan_room(
+            step, self.workers.values(), self._reservations, now, may_preempt
+        )
         if plan is None:
             return
         self._plans[step.name] = plan
         self._reservations.reserve(step, plan.workers, now)
+        if plan.victims:
+            step.preempts_after = now + PREEMPTION_PAUSE_S * 2**step.preemptions
+            step.preemptions += 1
         for run in plan.victims:
             logger.info(
                 "run preempted",
--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -18,6 +18,10 @@
 # Room is reserved only if it is expected to be free within this many seconds: a longer
 # reservation costs more than it gains.
 RESERVE_AHEAD_S = 4.0
+# Time for which a run is not preempted after it began, in seconds. Stopping it and
+# resuming from its checkpoint takes about as long, so that runs that are preempted
+# sooner make no progress.
+MIN_RUN_S = 1.0
 # Room that has been reserved for more than this many seconds may be used by starved
 # jobs: either the runs there take longer than expected, or the step waits for advice.
 RESERVE_MAX_S = 2.5
@@ -79,11 +83,20 @@
 
 
 def plan_room(
-    step: StepRun, workers: t.Iterable[Worker], reservations: Reservations, now: float
+    step: StepRun,
+    workers: t.Iterable[Worker],
+    reservations: Reservations,
+    now: float,
+    may_preempt: bool = True,
 ) -> Plan | None:
     """Return the plan under which a step's waiting tasks have room soonest, or None.
 
     Of workers that have room at the same time, those without preempted runs come first.
+
+    Parameters
+    ----------
+    may_preempt : bool
+        Whether runs of less urgent jobs may be preempted.
     """
     waiting = len(step.waiting(now))
     options = []
@@ -93,7 +106,7 @@
         if placing.admits(step, worker) and step.may_run.get(
             worker.worker_id, step.job.spec.advice is None
         ):
-            options += _options(step, worker, reservations, waiting, now)
+            options += _options(step, worker, reservations, waiting, now, may_preempt)
     options.sort(key=lambda option: (option.ready_at, len(option.victims)))
     plan = Plan()
     for option in options[:waiting]:
@@ -106,12 +119,26 @@
 
 
 def _options(
-    step: StepRun, worker: Worker, reservations: Reservations, waiting: int, now: float
+    step: StepRun,
+    worker: Worker,
+    reservations: Reservations,
+    waiting: int,
+    now: float,
+    may_preempt: bool,
 ) -> list[Plan]:
     """Return a plan for each task of the step that fits on a worker, soonest first."""
     limit = step.spec.max_per_worker or waiting
     free = reservations.free(step, worker)
-    ending = sorted(worker.runs.values(), key=lambda run: _ends_at(step, run, now))
+    preemptable = {
+        run
+        for run in worker.runs.values()
+        if may_preempt and _can_preempt(step, run, now)
+    }
+
+    def ends_at(run: Run) -> float:
+        return now if run in preemptable else run.ends_at(now)
+
+    ending = sorted(worker.runs.values(), key=ends_at)
     options: list[Plan] = []
     victims: list[Run] = []
     ready_at = now
@@ -127,27 +154,21 @@
         if run.need == ZERO:
             continue
         free = free + run.need
-        if _can_preempt(step, run):
+        if run in preemptable:
             victims = [*victims, run]
         else:
-            ready_at = max(ready_at, _ends_at(step, run, now))
+            ready_at = max(ready_at, ends_at(run))
     return options
 
 
-def _can_preempt(step: StepRun, run: Run) -> bool:
+def _can_preempt(step: StepRun, run: Run, now: float) -> bool:
     """Return whether a run can be preempted for a step without loss of progress."""
     other = run.task.step
     return (
         run.phase is RunPhase.RUNNING
+        and now >= run.sent_at + MIN_RUN_S
         and other.spec.checkpointable
         and not other.spec.gang
         and not other.spec.lasting
         and other.job.spec.priority > step.job.spec.priority
     )
-
-
-def _ends_at(step: StepRun, run: Run, now: float) -> float:
-    """Return the time at which a run is expected to release its room."""
-    if _can_preempt(step, run):
-        return now
-    return run.ends_at(now)
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -312,6 +312,10 @@
         Run times of its tasks that have ended.
     reserved_since, reserved_until : float
         Time since which, and last time at which, room was reserved for it.
+    preemptions : int
+        Number of times that runs were preempted for it.
+    preempts_after : float
+        Time before which no runs are preempted for it again.
     name : str
         Job id, occurrence and step number, joined by dots.
     need : Resources
@@ -335,6 +339,8 @@
     run_times: RunTimeMean = field(default_factory=RunTimeMean)
     reserved_since: float = float("-inf")
     reserved_until: float = float("-inf")
+    preemptions: int = 0
+    preempts_after: float = float("-inf")
     name: str = field(init=False)
     need: Resources = field(init=False)
 
