Compute monitored owners and advice channels only on changes

Each process ranked all members for each owner four times a second, and built a channel for each member at every change of a member, also where it owned nothing. Both are now done on changes only, the channels only by owners.

--- a/src/poplaryard/workload/failover.py
+++ b/src/poplaryard/workload/failover.py
@@ -88,13 +88,27 @@
         self._claims = claims
         self._members = members
         self._missed: dict[str, int] = {}
+        self._monitored: list[str] = []
+        self._stale = True
+
+    def invalidate(self) -> None:
+        """Note that claims or members have changed.
+
+        The owners to probe are computed again only then, since the cost grows with the
+        number of processes.
+        """
+        self._stale = True
 
     async def run(self) -> None:
         """Probe the owners that this process monitors, until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
             began = loop.time()
-            await asyncio.gather(*map(self._check, self._monitored()))
+            if self._stale:
+                self._stale = False
+                self._update_monitored()
+            if self._monitored:
+                await asyncio.gather(*map(self._check, self._monitored))
             await asyncio.sleep(max(0.0, began + PROBE_PERIOD_S - loop.time()))
 
     async def reaches(self, process: str) -> bool | None:
@@ -102,19 +116,19 @@
         member = self._members.get(process)
         return None if member is None else await self._probe(member.address)
 
-    def _monitored(self) -> list[str]:
-        """Return the owners that this process monitors."""
+    def _update_monitored(self) -> None:
         owners = {claim.process for claim, _ in self._claims.values()}
         names = [self._process, *self._members]
-        monitored = [
+        self._monitored = [
             owner
             for owner in owners - {self._process}
             if self._process in monitors_of(owner, names)
         ]
         self._missed = {
-            name: missed for name, missed in self._missed.items() if name in monitored
+            name: missed
+            for name, missed in self._missed.items()
+            if name in self._monitored
         }
-        return monitored
 
     async def _check(self, owner: str) -> None:
         address = self._address(owner)
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -446,6 +446,7 @@
 
     def _claim_changed(self, change: Change) -> None:
         self._claims_changed.set()
+        self.monitor.invalidate()
         changed_group = self._directory.layout_changed(change)
         if changed_group is not None:
             self._sort_workers(changed_group)
@@ -473,6 +474,7 @@
     def _member_changed(self, change: Change) -> None:
         process = change.key.removeprefix("member/")
         self._members.pop(process, None)
+        self.monitor.invalidate()
         if change.item is not None and process != self.cfg.process:
             try:
                 member = records.decode_member(change.item.value)
@@ -485,7 +487,12 @@
         return [member.address for member in self._members.values()]
 
     def _update_channels(self) -> None:
-        """Update the processes through which the advice service may be called."""
+        """Update the processes through which the advice service may be called.
+
+        Only owners ask for advice, and the cost grows with the number of processes.
+        """
+        if not self.owners:
+            return
         owners = {claim.process for claim, _ in self._directory.claims.values()}
         self._channels.set_peers(
             {
@@ -680,6 +687,7 @@
             self.meters,
         )
         self.owners[group] = owner
+        self._update_channels()
         await self._worker_watch.loaded.wait()
         try:
             await owner.start(self._workers_of(group))
