Let owners prefer different processes for advice

With two owners, each picks processes by its own calls only, and a process that makes a slow call for one refuses the other. Ruled out: room, workers (all 93 had answered 0.2 s after the claim).

Change: each process is preferred by one of the owners (rendezvous hashing); the others use it when theirs are busy.

test_owners_of_partitions_use_different_channels_while_there_are_enough fails if the preference is not passed on.

--- a/src/poplaryard/workload/advice.py
+++ b/src/poplaryard/workload/advice.py
@@ -7,12 +7,20 @@
 """
 
 import typing as t
+import zlib
 from dataclasses import dataclass
 
 from ..exceptions import PoplaryardError
 from ..logs import logger
 
-__all__ = ["SLOW_CALL_S", "Advisor", "Channel", "ChannelPool", "LocalAdvisor"]
+__all__ = [
+    "SLOW_CALL_S",
+    "Advisor",
+    "Channel",
+    "ChannelPool",
+    "LocalAdvisor",
+    "preferred_peers",
+]
 
 # Calls expected to take longer than this are slow, in seconds. Quick calls are made
 # for short tasks, where a delay of 0.1 s is noticeable to the caller.
@@ -30,6 +38,23 @@
 TIMEOUT_SLACK_S = 0.6
 
 
+def preferred_peers(
+    process: str, owners: t.Iterable[str], peers: t.Iterable[str]
+) -> set[str]:
+    """Return the peers that the owners in a process use first.
+
+    Each peer is preferred by one of the processes that own partitions, which all of
+    them compute alike (rendezvous hashing).
+    """
+    rivals = {*owners, process}
+    return {
+        peer
+        for peer in set(peers) - rivals
+        if process
+        == max(rivals, key=lambda owner: zlib.crc32(f"{owner} {peer}".encode()))
+    }
+
+
 class Advisor(t.Protocol):
     """Client of the advice service."""
 
@@ -80,6 +105,8 @@
         Process that makes the calls; empty for this process.
     owns_groups : bool
         Whether that process owns groups and needs its channel for their quick calls.
+    preferred : bool
+        Whether the other owners use this channel only when theirs are busy.
     slow_calls, quick_calls : int
         Calls in progress.
     paused_until : float
@@ -94,6 +121,7 @@
     name: str
     advisor: Advisor
     owns_groups: bool = False
+    preferred: bool = False
     slow_calls: int = 0
     quick_calls: int = 0
     paused_until: float = 0.0
@@ -133,13 +161,26 @@
         self._local = Channel("", local)
         self._peers: dict[str, Channel] = {}
 
-    def set_peers(self, peers: dict[str, tuple[Advisor, bool]]) -> None:
-        """Replace the peers; each has an advisor and whether it owns groups."""
+    def set_peers(
+        self,
+        peers: dict[str, tuple[Advisor, bool]],
+        preferred: t.Collection[str] = (),
+    ) -> None:
+        """Replace the peers; each has an advisor and whether it owns groups.
+
+        Parameters
+        ----------
+        preferred : collection of str
+            Peers that this process uses first. Owners in other processes prefer other
+            ones: a call is refused by a process that makes a slow one for another
+            owner.
+        """
         for name in [name for name in self._peers if name not in peers]:
             del self._peers[name]
         for name, (advisor, owns_groups) in peers.items():
             channel = self._peers.setdefault(name, Channel(name, advisor))
             channel.advisor, channel.owns_groups = advisor, owns_groups
+            channel.preferred = name in preferred
 
     def select(self, slow: bool, now: float) -> Channel | None:
         """Return a channel for a call, or None if none is free."""
@@ -170,7 +211,11 @@
             for channel in candidates
             if not channel.slow_calls and not channel.quick_calls
         ]
-        return min(free, key=lambda channel: channel.last_used_at, default=None)
+        return min(
+            free,
+            key=lambda channel: (not channel.preferred, channel.last_used_at),
+            default=None,
+        )
 
     def _select_quick(self, now: float) -> Channel | None:
         channels = [self._local, *self._peers.values()]
@@ -185,6 +230,7 @@
         return min(
             free,
             key=lambda channel: (
+                not (channel is self._local or channel.preferred),
                 channel.quick_calls,
                 channel is not self._local,
                 channel.owns_groups,
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -16,7 +16,7 @@
 from ..waiting import wait_until_set
 from . import records
 from .acceptance import Acceptance, SubmitOutcome
-from .advice import Advisor, ChannelPool, LocalAdvisor
+from .advice import Advisor, ChannelPool, LocalAdvisor, preferred_peers
 from .directory import PEER_TIMEOUT_S, Directory
 from .failover import OwnerMonitor
 from .homes import PartitionLoad
@@ -498,7 +498,8 @@
             {
                 name: (_PeerAdvisor(self._peers, member.address), name in owners)
                 for name, member in self._members.items()
-            }
+            },
+            preferred_peers(self.cfg.process, owners, self._members),
         )
 
     async def advise(self, body: t.Any) -> dict[str, t.Any] | None:
--- a/tests/workload/test_advice.py
+++ b/tests/workload/test_advice.py
@@ -4,7 +4,7 @@
 
 from poplaryard.codes import Code
 from poplaryard.exceptions import PoplaryardError
-from poplaryard.workload.advice import ChannelPool, LocalAdvisor
+from poplaryard.workload.advice import ChannelPool, LocalAdvisor, preferred_peers
 
 
 class FakeService:
@@ -94,6 +94,39 @@
     asyncio.run(run())
 
 
+def test_owners_of_partitions_use_different_channels_while_there_are_enough():
+    """Guards against calls refused because another owner uses the same process.
+
+    Pattern: after a change of owner many jobs wait for advice at once, while the owner
+    of another partition makes slow calls.
+    """
+
+    async def run():
+        peers = {f"p{n}": (LocalAdvisor(FakeService()), False) for n in range(40)}
+        owners = ["o1", "o2", "o3"]
+        used = {}
+        calls = []
+        for owner in owners:
+            pool = ChannelPool(LocalAdvisor(FakeService()))
+            preferred = preferred_peers(owner, owners, peers)
+            pool.set_peers(peers, preferred)
+            await ask(pool, "quick", 0.02)
+            channels = [pool.select(True, clock())]
+            pool.acquire(channels[0], True, clock())
+            while len(channels) < min(8, len(preferred)):
+                channels.append(pool.select(True, clock()))
+                pool.acquire(channels[-1], True, clock())
+            used[owner] = {channel.name for channel in channels}
+            calls += [
+                pool.ask(channel, "s", ["w0"], 0.5, clock) for channel in channels
+            ]
+        assert None not in await asyncio.gather(*calls)
+        names = [name for found in used.values() for name in found]
+        assert len(names) == len(set(names)) >= 20
+
+    asyncio.run(run())
+
+
 def test_quick_call_behind_a_slow_one_is_refused_at_once():
     async def run():
         service = FakeService()
