Test the homes of jobs statefully, with several processes and faults of the store

Three processes store the same ids in different partitions while writes fail, are lost, or are carried out late. Invariants: one home for each job, true outcomes, owners told only of their own jobs.

--- /dev/null
+++ b/tests/workload/test_homes_stateful.py
@@ -0,0 +1,104 @@
+"""Stateful test of the storage of jobs in partitions, through several processes."""
+
+import asyncio
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from poplaryard.workload import records
+from poplaryard.workload.acceptance import Acceptance, SubmitOutcome
+from tests.workload.builders import job
+from tests.workload.fakes import MemoryStorage
+
+PARTITIONS = ("desk", "desk~1", "desk~2")
+IDS = tuple(f"{number:016x}" for number in range(4))
+PROCESSES = 3
+FAULTS = (None, "down", "lost", "dropped", "late")
+# A write whose reply is lost, and whose repetition does not reach the store.
+DONE_THEN_DOWN = ["lost", "down"]
+
+
+class HomesMachine(RuleBasedStateMachine):
+    """Processes store the same ids in different partitions of a store with faults.
+
+    Guards against a job with two homes, which would run twice, against a job that is
+    called stored and is not, and against one that is called refused and runs.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.storage = MemoryStorage()
+        self.outcomes = {job_id: [] for job_id in IDS}
+        self.notified = []
+        self.acceptances = [
+            Acceptance(self.storage, self._jobs_stored) for _ in range(PROCESSES)
+        ]
+
+    def _jobs_stored(self, specs, revision):
+        self.notified += [(spec.job_id, spec.group) for spec in specs]
+
+    @rule(
+        submissions=st.lists(
+            st.tuples(
+                st.integers(0, PROCESSES - 1),
+                st.sampled_from(IDS),
+                st.sampled_from(PARTITIONS),
+                st.sampled_from((0.0, 0.15)),
+            ),
+            min_size=1,
+            max_size=4,
+        ),
+        faults=st.lists(st.sampled_from(FAULTS), max_size=3) | st.just(DONE_THEN_DOWN),
+    )
+    def submit(self, submissions, faults):
+        async def run():
+            return await asyncio.gather(
+                *(
+                    self.acceptances[process].submit(job(job_id, group=group), wait_s)
+                    for process, job_id, group, wait_s in submissions
+                )
+            )
+
+        self.storage.faults["commit"] = list(faults)
+        results = self.loop.run_until_complete(run())
+        for (_, job_id, _, _), outcome in zip(submissions, results, strict=True):
+            self.outcomes[job_id].append(outcome)
+
+    @rule()
+    def carry_out_late_writes(self):
+        self.storage.faults["commit"] = []
+        self.loop.run_until_complete(self.storage.deliver())
+
+    @invariant()
+    def each_job_has_one_home(self):
+        for job_id in IDS:
+            found = [
+                partition
+                for partition in PARTITIONS
+                if records.job_key(partition, job_id) in self.storage.items
+            ]
+            home = self.storage.items.get(records.home_key(job_id))
+            assert found == ([home.value.decode()] if home is not None else [])
+
+    @invariant()
+    def outcomes_are_true(self):
+        for job_id, outcomes in self.outcomes.items():
+            stored = records.home_key(job_id) in self.storage.items
+            if SubmitOutcome.STORED in outcomes:
+                assert stored
+            if set(outcomes) <= {SubmitOutcome.REFUSED}:
+                assert not stored
+
+    @invariant()
+    def owners_are_told_of_jobs_in_their_partitions_only(self):
+        for job_id, partition in self.notified:
+            assert records.job_key(partition, job_id) in self.storage.items
+
+    def teardown(self):
+        self.loop.close()
+
+
+TestHomes = HomesMachine.TestCase
+TestHomes.settings = settings(max_examples=60, stateful_step_count=15, deadline=None)
