Ask witnesses at addresses taken beforehand; close the clients of test processes

Found by reading: a member that left between the choice of witnesses and the question raised KeyError in the monitor's task, which ends the process (one unexpected error takes a whole process down). test_witness_that_leaves_while_it_is_asked_is_no_error failed with KeyError before the change.

tests/platform/test_failover.py alone ended with exit code 1 although its 7 tests passed: connections of the test clients were finalized after their event loop had been closed, and the exception, raised while pytest compiled a module, broke the interpreter's parser ("AST constructor recursion depth mismatch"). The clients are closed now; twice exit code 0.

--- a/src/poplaryard/workload/failover.py
+++ b/src/poplaryard/workload/failover.py
@@ -172,13 +172,15 @@
         ]
         candidates = outside if len(outside) >= MIN_DENIALS else others
         witnesses = random.sample(candidates, min(WITNESSES, len(candidates)))
+        # Members may leave while they are asked.
+        addresses = {name: self._members[name].address for name in witnesses}
         answers = await asyncio.gather(
-            *(self._ask_witness(name, owner) for name in witnesses)
+            *(self._ask_witness(name, addresses[name], owner) for name in witnesses)
         )
         return answers.count(False), answers.count(True)
 
-    async def _ask_witness(self, witness: str, owner: str) -> bool | None:
-        url = f"http://{self._members[witness].address}/peer/v1/reach"
+    async def _ask_witness(self, witness: str, address: str, owner: str) -> bool | None:
+        url = f"http://{address}/peer/v1/reach"
         try:
             reply = await self._peers.post(url, {"process": owner}, WITNESS_TIMEOUT_S)
         except PoplaryardError as exc:
--- a/tests/platform/test_failover.py
+++ b/tests/platform/test_failover.py
@@ -133,6 +133,21 @@
     assert not endings(answering=("w1",))
 
 
+def test_witness_that_leaves_while_it_is_asked_is_no_error():
+    """Guards against a process that ends because a peer has left at that moment."""
+    members = {name: Member(name, f"{name}:8080") for name in ("w0", "w1", "w2")}
+
+    class LeavingPeers(Peers):
+        async def post(self, url, body, timeout_s):
+            members.clear()
+            return await super().post(url, body, timeout_s)
+
+    monitor = OwnerMonitor(
+        "me", "dc1", LeaseEndings(), LeavingPeers(("w0", "w1", "w2")), None, {}, members
+    )
+    assert asyncio.run(monitor._ask_witnesses("owner")) == (3, 0)
+
+
 def test_lease_of_an_owner_that_has_restarted_is_not_ended():
     """Guards against ending the new lease of a process that was down for a moment."""
 
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -92,6 +92,8 @@
             for process in processes:
                 await process.stop()
             await platform.stop()
+            for process in processes:
+                await process.client.close()
 
     asyncio.run(run())
 
