Use no pooled connection that the server has closed

Cause: asyncio keeps a connection writable after the server has closed its side, and aiosonic repeats only idempotent calls, three times at most. After the restart of a process each idle connection to it cost its peers one call that counted as lost: orders, relayed writes and advice among them, and with more than three idle connections also queries.

Change: a connection whose other side is closed is not reused.

Test: test_call_uses_no_connection_that_the_server_has_closed failed before (call without an answer) and passes.

--- a/src/poplaryard/client.py
+++ b/src/poplaryard/client.py
@@ -51,6 +51,16 @@
         super().__init__(pool)
         self._unsent: list[bytes] = []
 
+    def reuse(self, urlparsed: t.Any, verify: bool) -> bool:
+        """Return whether the connection can be used for a request.
+
+        asyncio keeps a connection writable after the server has closed its side. A
+        call over it would count as one without an answer, which may have taken effect.
+        """
+        if self.reader is not None and self.reader.at_eof():
+            self.close()
+        return super().reuse(urlparsed, verify)
+
     async def connect(self, urlparsed: t.Any, *args: t.Any, **kwargs: t.Any) -> None:
         """Connect within `CONNECT_TIMEOUT_S`, unless the connection is open."""
         connecting = super().connect(urlparsed, *args, **kwargs)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -52,6 +52,31 @@
         self.assertEqual(Code.PEER_UNREACHABLE, exc.code)
         await client.close()
 
+    def test_call_uses_no_connection_that_the_server_has_closed(self):
+        """Guards against calls that fail after the restart of a server.
+
+        Such a call counts as one that may have taken effect. Pattern: a burst opens
+        many connections to a server, which then restarts.
+        """
+        asyncio.run(self._closed_while_idle())
+
+    async def _closed_while_idle(self):
+        server = HttpServer(echo, "127.0.0.1", 0, graceful_s=0.1)
+        await server.start()
+        port = server.ports[0]
+        client = HttpClient()
+        url = f"http://127.0.0.1:{port}/"
+        burst = (client.post(url, {"wait_s": 0.05}, 5.0) for _ in range(8))
+        await asyncio.gather(*burst)
+        await server.stop()
+        server = HttpServer(echo, "127.0.0.1", port, graceful_s=0.1)
+        await server.start()
+        for number in range(8):
+            body = {"wait_s": 0, "number": number}
+            self.assertEqual(body, (await client.post(url, body, 5.0)).body)
+        await client.close()
+        await server.stop()
+
     async def _failure(self, call):
         try:
             await call
