Read joining processes together; spread retries after an outage

Watches and lease calls that failed together were repeated together, after fixed pauses. uvicorn woke each of four servers ten times a second for nothing.

Change: pauses between the reads of members (0.3 s) and claims (0.03 s); advice channels updated once for changes that are read together; random pauses after failed calls; servers wait for an event.

Calls of a process while 299 others join within half a second: 299 and at most 20 (test). Both tests of test_joint_start.py failed before.

--- a/src/poplaryard/server.py
+++ b/src/poplaryard/server.py
@@ -23,12 +23,29 @@
 
 
 class _Server(uvicorn.Server):
-    """Server that installs no signal handlers; the process has its own."""
+    """Server without signal handlers, which the process has, and without a timer.
+
+    uvicorn wakes ten times a second to look for a signal, a limit of requests and the
+    time for the header "date", none of which is used.
+
+    Attributes
+    ----------
+    stopping : asyncio.Event
+        Set when the server is to stop.
+    """
+
+    def __init__(self, config: uvicorn.Config):
+        super().__init__(config)
+        self.stopping = asyncio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> t.Iterator[None]:
         yield
 
+    async def main_loop(self) -> None:
+        """Wait until the server is to stop."""
+        await self.stopping.wait()
+
 
 class _CoalescingTransport:
     """Transport that joins the writes of one iteration of the event loop.
@@ -131,6 +148,7 @@
     async def stop(self) -> None:
         """Close the listening sockets and wait for the requests in progress."""
         self._server.should_exit = True
+        self._server.stopping.set()
         if self._task is not None:
             await self._task
 
--- a/src/poplaryard/workload/membership.py
+++ b/src/poplaryard/workload/membership.py
@@ -1,6 +1,7 @@
 """A process's lease in the store, and the authority that it gives."""
 
 import asyncio
+import random
 import typing as t
 
 from ..clock import Clock
@@ -14,9 +15,10 @@
 # Duration of a process's lease in seconds. A longer lease delays the takeover from a
 # dead process; a shorter one is lost in short outages of the store.
 LEASE_TTL_S = 3.0
-# Time between renewals, and pause after a failed call, in seconds.
+# Time between renewals, and longest pause after a failed call, in seconds. The pause is
+# random: all processes notice an outage of the store at the same time.
 RENEW_S = 0.8
-RETRY_S = 0.25
+RETRY_MAX_S = 0.5
 # Time before its end at which a lease is no longer relied on, in seconds: an order sent
 # at the last moment still has to arrive.
 AUTHORITY_SLACK_S = 0.2
@@ -85,7 +87,7 @@
                 await (self._renew(sent_at) if self.lease else self._grant(sent_at))
             except (StoreDown, StoreReplyLost) as exc:
                 self._log_store_state(False, exc.detail)
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(random.uniform(0.0, RETRY_MAX_S))
                 continue
             self._log_store_state(True, "")
             await asyncio.sleep(RENEW_S if self.lease else 0.0)
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -33,8 +33,9 @@
 
 __all__ = ["Node", "NodeConfig", "StoreSchema", "Unavailable", "strength"]
 
-# Delay before a claim for each group that the process owns already, and pause after a
-# failed claim, in seconds. Other processes claim meanwhile, which spreads the groups.
+# Delay before a claim for each group that the process owns already, and mean pause
+# after a failed claim, in seconds. Other processes claim meanwhile, which spreads the
+# groups.
 CLAIM_DELAY_PER_GROUP_S = 0.15
 # Delay before a claim of a process of strength 0, in seconds, so that stronger ones
 # claim first. A claim takes about 10 ms, and peers see it through their watches about
@@ -49,6 +50,11 @@
 # Pause between two reads of the watch on workers, in seconds. Workers write heartbeats
 # under the watched keys, and those of one pause are read together.
 HEARTBEAT_BATCH_S = 0.25
+# Pauses between two reads of the watches on members and on claims, in seconds. At a
+# start of all processes each would otherwise read every entry by itself, and the number
+# of calls to the store would grow with the square of the number of processes.
+MEMBER_BATCH_S = 0.3
+CLAIM_BATCH_S = 0.03
 # Longest time between two checks for groups without an owner, in seconds.
 CLAIM_CHECK_S = 0.5
 # Time between two checks whether the store is reachable before a hand-over, in seconds.
@@ -214,7 +220,10 @@
         config_prefix = schema.config_key.rpartition("/")[0] + "/"
         self._config_watch = PrefixWatcher(storage, config_prefix, self._config_changed)
         self._claim_watch = PrefixWatcher(
-            storage, records.claim_prefix(), self._claim_changed
+            storage,
+            records.claim_prefix(),
+            self._claim_changed,
+            pause_s=CLAIM_BATCH_S,
         )
         self._members: dict[str, records.Member] = {}
         self.monitor = OwnerMonitor(
@@ -227,8 +236,9 @@
             self._members,
         )
         self._channels = ChannelPool(self._advisor)
+        self._channels_stale = False
         self._member_watch = PrefixWatcher(
-            storage, "member/", self._member_changed, 2.0
+            storage, "member/", self._member_changed, 2.0, MEMBER_BATCH_S
         )
         self._worker_watch = PrefixWatcher(
             storage,
@@ -467,7 +477,7 @@
         group = change.key.removeprefix(records.claim_prefix())
         if change.item is None:
             claims.pop(group, None)
-            self._update_channels()
+            self._update_channels_soon()
             if group in self.owners:
                 logger.warning("claim removed", extra={"group": group})
                 self._drop_group(group)
@@ -478,7 +488,7 @@
             logger.error("unreadable claim", extra={"reason": str(exc)})
             return
         claims[group] = claim, change.revision
-        self._update_channels()
+        self._update_channels_soon()
         owner = self.owners.get(group)
         if owner is not None and change.revision > owner.revision:
             self._drop_group(group)
@@ -493,16 +503,23 @@
                 self._members[process] = member
             except msgspec.DecodeError as exc:
                 logger.error("unreadable member", extra={"reason": str(exc)})
-        self._update_channels()
+        self._update_channels_soon()
 
     def _peer_addresses(self) -> list[str]:
         return [member.address for member in self._members.values()]
 
+    def _update_channels_soon(self) -> None:
+        """Update the advice channels once for all changes that are read together."""
+        if self.owners and not self._channels_stale:
+            self._channels_stale = True
+            asyncio.get_running_loop().call_soon(self._update_channels)
+
     def _update_channels(self) -> None:
         """Update the processes through which the advice service may be called.
 
         Only owners ask for advice, and the cost grows with the number of processes.
         """
+        self._channels_stale = False
         if not self.owners:
             return
         owners = {claim.process for claim, _ in self._directory.claims.values()}
@@ -676,13 +693,17 @@
         except (StoreDown, StoreReplyLost) as exc:
             extra = {"group": group, "reason": exc.detail}
             logger.warning("claim failed", extra=extra)
-            await asyncio.sleep(CLAIM_DELAY_PER_GROUP_S)
+            await self._pause_after_failed_claim()
             return
         if not isinstance(result, int):
-            await asyncio.sleep(CLAIM_DELAY_PER_GROUP_S)
+            await self._pause_after_failed_claim()
             return
         await self._take_over(group, claim, result)
 
+    async def _pause_after_failed_claim(self) -> None:
+        """Wait so that processes that failed together do not claim together again."""
+        await asyncio.sleep(random.uniform(0.0, 2 * CLAIM_DELAY_PER_GROUP_S))
+
     async def _take_over(self, group: str, claim: records.Claim, revision: int) -> None:
         began = time.monotonic()
         if self._worker_watch_task is None:
@@ -708,7 +729,7 @@
             extra = {"group": group, "reason": exc.detail}
             logger.warning("jobs could not be loaded", extra=extra)
             self._drop_group(group)
-            await asyncio.sleep(CLAIM_DELAY_PER_GROUP_S)
+            await self._pause_after_failed_claim()
             return
         self._sort_workers(group_of(group))
         took_s = round(time.monotonic() - began, 3)
--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -26,11 +26,13 @@
 WATCH_SLACK_S = 0.8
 # Time between direct calls to a store that could not be reached directly, in seconds.
 PROBE_PERIOD_S = 0.3
-# Timeout of a probe, and pause before the next one, in seconds, while the store is not
-# reached directly. A store that is up answers within 0.3 s even when it is slow, and
-# callers whose jobs were refused return for 3 s at most.
+# Timeout of a probe, and shortest and longest pause before the next one, in seconds,
+# while the store is not reached directly. A store that is up answers within 0.3 s even
+# when it is slow, and callers whose jobs were refused return for 3 s at most. Probes of
+# hundreds of processes should not arrive together.
 PROBE_TIMEOUT_S = 0.3
-PROBE_PAUSE_S = 0.05
+PROBE_PAUSE_MIN_S = 0.05
+PROBE_PAUSE_MAX_S = 0.15
 # Maximum number of peers tried for a call, and the pause after all of them failed, in
 # seconds: the store is then probably down for all, and relayed calls only add load.
 MAX_PEERS_TRIED = 2
@@ -169,7 +171,8 @@
         """
         while True:
             await self._direct_lost.wait()
-            await asyncio.sleep(PROBE_PAUSE_S)
+            pause_s = random.uniform(PROBE_PAUSE_MIN_S, PROBE_PAUSE_MAX_S)
+            await asyncio.sleep(pause_s)
             try:
                 async with asyncio.timeout(PROBE_TIMEOUT_S):
                     await self.direct.ping()
--- a/src/poplaryard/workload/watching.py
+++ b/src/poplaryard/workload/watching.py
@@ -1,16 +1,21 @@
 """Watch on the store's keys under a prefix."""
 
 import asyncio
+import random
 import typing as t
 
 from ..exceptions import StoreDown, StoreReplyLost
+from ..limits import backoff_s
 from ..logs import logger
 from .storage import Change, Storage
 
 __all__ = ["PrefixWatcher"]
 
-# Pause after a failed call, in seconds.
-RETRY_S = 0.1
+# Exponential backoff after failed calls: initial and maximum limit of the pause, in
+# seconds. All processes notice an outage of the store at the same time, and their
+# calls would otherwise keep arriving together.
+RETRY_S = 0.2
+RETRY_MAX_S = 0.4
 
 
 class PrefixWatcher:
@@ -50,12 +55,14 @@
         self._on_change = on_change
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._rng = random.Random()
         self._revisions: dict[str, int] = {}
         self._revision = 0
         self.loaded = asyncio.Event()
 
     async def run(self) -> None:
         """Watch the keys until cancelled."""
+        failures = 0
         while True:
             try:
                 if not self._revision:
@@ -64,8 +71,11 @@
                     self._prefix, self._revision, self._wait_s
                 )
             except (StoreDown, StoreReplyLost):
-                await asyncio.sleep(RETRY_S)
+                failures += 1
+                pause_s = backoff_s(self._rng, failures, RETRY_S, RETRY_MAX_S)
+                await asyncio.sleep(pause_s)
                 continue
+            failures = 0
             if answer is None:
                 logger.info("watch history gone", extra={"prefix": self._prefix})
                 self._revision = 0
