Go on after an unexpected error instead of ending the process

Cause: an unexpected error in any task of a process ended it, and one in any task of an owner gave its partition up. Malformed input was rejected at the border before; this is about defects behind it.

Change: watches skip the change, loops are started again after growing random pauses, an order that fails counts as one without an answer, and a worker whose report is not handled counts as unreachable. An error in a loop of an owner still gives the partition up: the next owner rebuilds its state.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -29,6 +29,7 @@
 from .owner import GroupOwner, OwnerLimits, WorkerCalls
 from .relay import RelayedStorage
 from .storage import Change, Storage, Transaction
+from .supervision import run_restarting
 from .watching import PrefixWatcher
 
 __all__ = ["Node", "NodeConfig", "StoreSchema", "Unavailable", "strength"]
@@ -257,14 +258,18 @@
 
     async def start(self) -> None:
         """Start watching the store and claiming groups."""
-        for watch in (self._config_watch, self._claim_watch, self._member_watch):
-            self._spawn(watch.run())
-        self._spawn(self._watch_isolation())
-        self._spawn(self._relayed.watch_recovery())
-        self._spawn(self.monitor.run())
+        for loop in (
+            self._config_watch.run,
+            self._claim_watch.run,
+            self._member_watch.run,
+            self._watch_isolation,
+            self._relayed.watch_recovery,
+            self.monitor.run,
+        ):
+            self._spawn_loop(loop)
         self._ownership_tasks = [
-            self._spawn(self._lease.run()),
-            self._spawn(self._claim_loop()),
+            self._spawn_loop(self._lease.run),
+            self._spawn_loop(self._claim_loop),
         ]
 
     async def _watch_isolation(self) -> None:
@@ -707,7 +712,7 @@
     async def _take_over(self, group: str, claim: records.Claim, revision: int) -> None:
         began = time.monotonic()
         if self._worker_watch_task is None:
-            self._worker_watch_task = self._spawn(self._worker_watch.run())
+            self._worker_watch_task = self._spawn_loop(self._worker_watch.run)
         self._directory.claims[group] = claim, revision
         owner = GroupOwner(
             group,
@@ -731,6 +736,9 @@
             self._drop_group(group)
             await self._pause_after_failed_claim()
             return
+        except Exception:
+            self._drop_group(group)
+            raise
         self._sort_workers(group_of(group))
         took_s = round(time.monotonic() - began, 3)
         logger.info("group owned", extra={"group": group, "took_s": took_s})
@@ -749,6 +757,12 @@
         if owner is not None:
             owner.abandon()
 
+    def _spawn_loop(
+        self, work: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
+    ) -> asyncio.Task[t.Any]:
+        """Run a loop until the process stops; see `run_restarting`."""
+        return self._spawn(run_restarting(work.__qualname__, work))
+
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task[t.Any]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -759,4 +773,3 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             logger.critical("task ended by an error", exc_info=task.exception())
-            raise SystemExit(1)
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -57,6 +57,9 @@
 START_WINDOW_S = 1.6
 # Pause after a failed lease renewal or a failed write, in seconds.
 RETRY_PAUSE_S = 0.15
+# Pause after a report that brought out a defect, in seconds: the next one is probably
+# like it.
+BROKEN_RENEWAL_PAUSE_S = 1.0
 # Longest time that a worker may delay its answer to a renewal until a run ends, in
 # seconds.
 RENEWAL_WAIT_S = 1.0
@@ -292,7 +295,7 @@
             },
         )
         for loop in (watch.run(), self._scheduling_loop(), self._write_loop()):
-            self._spawn(loop)
+            self._spawn(loop).add_done_callback(self._on_loop_done)
 
     async def close(self) -> None:
         """Stop starting runs, wait up to 0.2 s for starts in flight, and close."""
@@ -376,6 +379,7 @@
                 report = await self._calls.hold(
                     worker.info, self.revision, acked, deadline, wait_s
                 )
+                partition.hold_answered(worker, report, sent_at, self._clock.now())
             except WorkerUnreachable as exc:
                 partition.hold_failed(
                     worker,
@@ -387,7 +391,10 @@
                 self._wake.set()
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
-            partition.hold_answered(worker, report, sent_at, self._clock.now())
+            except Exception as exc:
+                self._renewal_broke(worker, exc)
+                await asyncio.sleep(BROKEN_RENEWAL_PAUSE_S)
+                continue
             if worker.listed and not self._stored_unrestricted(worker.worker_id):
                 await self._record_workers({worker.worker_id})
             self._wake_loops()
@@ -395,6 +402,18 @@
                 await self._wait_for_write()
         logger.info("worker dropped", extra={"worker": worker.worker_id})
 
+    def _renewal_broke(self, worker: Worker, exc: Exception) -> None:
+        """Count a worker whose report brings out a defect as one without an answer.
+
+        Its runs start elsewhere once their leases have expired. A new owner would get
+        the same report.
+        """
+        extra = {"group": self.group, "worker": worker.worker_id}
+        logger.critical("report not handled", exc_info=exc, extra=extra)
+        partition = t.cast(Partition, self.partition)
+        partition.hold_failed(worker, self._clock.now())
+        self._wake.set()
+
     async def _wait_for_write(self) -> None:
         """Wait until reported ends are written, at most `MAX_RENEWAL_PAUSE_S` seconds.
 
@@ -510,6 +529,11 @@
                 order.checkpoint,
                 order.ticket,
             )
+        except Exception as exc:
+            # The worker may have carried the order out.
+            extra = {"task": run.task.name, "run": run.number}
+            logger.critical("order failed", exc_info=exc, extra=extra)
+            outcome = StartOutcome.IN_DOUBT
         finally:
             self._starts_in_flight -= 1
         partition.start_answered(run, outcome, self._clock.now())
@@ -753,8 +777,14 @@
         return task
 
     def _on_task_done(self, task: "asyncio.Task[t.Any]") -> None:
-        """Give the group up if a task failed, so that another process takes over."""
-        if task.cancelled() or task.exception() is None:
-            return
-        logger.critical("task ended by an error", exc_info=task.exception())
-        self.abandon()
+        """Log the error of a task; what it was to do is repeated later."""
+        if not task.cancelled() and task.exception() is not None:
+            extra = {"group": self.group}
+            logger.critical(
+                "task ended by an error", exc_info=task.exception(), extra=extra
+            )
+
+    def _on_loop_done(self, task: "asyncio.Task[t.Any]") -> None:
+        """Give the group up if a loop failed, so that another process takes over."""
+        if not task.cancelled() and task.exception() is not None:
+            self.abandon()
--- a/src/poplaryard/workload/watching.py
+++ b/src/poplaryard/workload/watching.py
@@ -106,4 +106,9 @@
             return
         else:
             self._revisions[change.key] = change.revision
-        self._on_change(change)
+        try:
+            self._on_change(change)
+        except Exception as exc:
+            # Every process reads this entry, and the others must still be handled.
+            extra = {"key": change.key, "revision": change.revision}
+            logger.critical("change not handled", exc_info=exc, extra=extra)
--- a/tests/load_patterns/test_joint_start.py
+++ b/tests/load_patterns/test_joint_start.py
@@ -6,16 +6,11 @@
 
 import asyncio
 
-from poplaryard.client import RawReply
-from poplaryard.clock import SystemClock
 from poplaryard.exceptions import StoreDown
 from poplaryard.workload import records
-from poplaryard.workload.model import WorkerInfo
-from poplaryard.workload.node import Node, NodeConfig, StoreSchema
-from poplaryard.workload.owner import OwnerLimits
 from poplaryard.workload.storage import Transaction
 from poplaryard.workload.watching import PrefixWatcher
-from tests.workload.fakes import MemoryStorage
+from tests.workload.fakes import MemoryStorage, make_node
 
 PROCESSES = 300
 # Calls with which a process reads the members that join within a second, and a burst
@@ -35,21 +30,6 @@
         return await super().watch(prefix, after, wait_s)
 
 
-class RespondingPeers:
-    """Client of peers that answer every probe."""
-
-    async def request_raw(self, method, url, body, timeout_s, headers=None):
-        return RawReply(200, b"")
-
-
-def make_node(storage):
-    limits = OwnerLimits(run_lease_s=6.0, retention_s=60.0, early_s=0.0)
-    schema = StoreSchema("op/config", "workers/", None, WorkerInfo, ValueError)
-    cfg = NodeConfig("p0", "dc1", "10.0.0.1:1", 1.0, limits)
-    peers = RespondingPeers()
-    return Node(cfg, storage, None, None, peers, schema, SystemClock())
-
-
 def test_joining_processes_are_read_together():
     """Guards against one call to the store for each process and each peer."""
 
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -4,13 +4,23 @@
 import copy
 import itertools
 
+from poplaryard.client import RawReply
+from poplaryard.clock import SystemClock
 from poplaryard.exceptions import (
     LeaseLost,
     StoreDown,
     StoreReplyLost,
     WorkerUnreachable,
 )
-from poplaryard.workload.model import EndedRun, RunningRun, RunOutcome, StartOutcome
+from poplaryard.workload.model import (
+    EndedRun,
+    RunningRun,
+    RunOutcome,
+    StartOutcome,
+    WorkerInfo,
+)
+from poplaryard.workload.node import Node, NodeConfig, StoreSchema
+from poplaryard.workload.owner import OwnerLimits
 from poplaryard.workload.partition import Partition, StartOrder
 from poplaryard.workload.storage import Change, Item
 from tests.workload.builders import report, worker_info
@@ -313,3 +323,19 @@
         self.revision += 1
         for key in [key for key, item in self.items.items() if item.lease == lease]:
             self._record(key, None)
+
+
+class RespondingPeers:
+    """Client of peers that answer every probe."""
+
+    async def request_raw(self, method, url, body, timeout_s, headers=None):
+        return RawReply(200, b"")
+
+
+def make_node(storage):
+    """Return a process without workers and advice, whose peers answer probes."""
+    limits = OwnerLimits(run_lease_s=6.0, retention_s=60.0)
+    schema = StoreSchema("op/config", "workers/", None, WorkerInfo, ValueError)
+    cfg = NodeConfig("p0", "dc1", "10.0.0.1:1", 1.0, limits)
+    peers = RespondingPeers()
+    return Node(cfg, storage, None, None, peers, schema, SystemClock())
