Divide wide steps of lasting tasks over several partitions

All tasks of a job stay in its home, of 85 workers or more; the advice service permits three in ten of them, and tasks of the step may have to be on different workers. Lasting tasks never make room for each other, so a step wider than that never runs whole.

Ruled out: larger partitions (one owner of 176 workers is at the end of its processor), loans of workers (two owners would count the same room).

Change: such a step is divided into parts of at most 0.15 tasks for each worker of a partition, stored in one transaction under one home/ID; cancelling and asking go to all homes. Partitions that don't answer yet get parts too, and in a new cell the job waits up to 2 s for the layout.

--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -15,8 +15,9 @@
 
 __all__ = ["Acceptance", "SubmitOutcome"]
 
-# Maximum number of jobs in a transaction, which may have 32 entries: an expectation and
-# two writes for each job.
+# Maximum number of entries in a transaction, and of jobs of the usual size, for each of
+# which it has an expectation and two writes.
+BATCH_ENTRIES = 32
 BATCH_JOBS = 10
 # Maximum number of concurrent transactions: one that waits for the store must not delay
 # the jobs after it.
@@ -43,7 +44,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Submission:
-    spec: JobSpec
+    parts: tuple[JobSpec, ...]
     fut: "asyncio.Future[SubmitOutcome]"
     retry_until: float
     lost_replies: int = 0
@@ -55,19 +56,31 @@
 
     @property
     def key(self) -> str:
-        return records.home_key(self.spec.job_id)
+        return records.home_key(self.parts[0].job_id)
+
+    @property
+    def homes(self) -> bytes:
+        """Value of the key of the job's homes."""
+        return records.encode_homes(part.group for part in self.parts)
+
+    @property
+    def entry_count(self) -> int:
+        """Number of entries in a transaction: an expectation and the writes."""
+        return 2 + len(self.parts)
 
     def writes(self) -> list[tuple[str, bytes, int]]:
-        """Return the entries that store the job, and its home, in a transaction."""
-        spec = self.spec
+        """Return the entries that store the job, and its homes, in a transaction."""
         return [
-            (self.key, spec.group.encode(), 0),
-            (records.job_key(spec.group, spec.job_id), records.encode(spec), 0),
+            (self.key, self.homes, 0),
+            *(
+                (records.job_key(part.group, part.job_id), records.encode(part), 0)
+                for part in self.parts
+            ),
         ]
 
     def stored_as(self, item: Item) -> bool:
-        """Return whether the stored job has the home that was chosen here."""
-        return item.value == self.spec.group.encode()
+        """Return whether the stored job has the homes that were chosen here."""
+        return item.value == self.homes
 
 
 class Acceptance:
@@ -98,11 +111,15 @@
         self._waiting: deque[_Submission] = deque()
         self._commits: set[asyncio.Task[None]] = set()
 
-    async def submit(self, spec: JobSpec, retry_window_s: float = 0.0) -> SubmitOutcome:
+    async def submit(
+        self, *parts: JobSpec, retry_window_s: float = 0.0
+    ) -> SubmitOutcome:
         """Store a job; an id that is stored already counts as the same job.
 
         Parameters
         ----------
+        *parts : JobSpec
+            The job, or its parts in several partitions. They are stored together.
         retry_window_s : float
             Time for which a write whose reply was lost may be repeated, in seconds.
         """
@@ -110,7 +127,7 @@
             return SubmitOutcome.REFUSED
         loop = asyncio.get_running_loop()
         submission = _Submission(
-            spec, loop.create_future(), loop.time() + retry_window_s
+            parts, loop.create_future(), loop.time() + retry_window_s
         )
         self._waiting.append(submission)
         self._start_commits()
@@ -121,12 +138,21 @@
             # While a transaction is in progress, wait for a full batch.
             if self._commits and len(self._waiting) < BATCH_JOBS:
                 return
-            count = min(BATCH_JOBS, len(self._waiting))
-            batch = [self._waiting.popleft() for _ in range(count)]
-            task = asyncio.create_task(self._commit(batch))
+            task = asyncio.create_task(self._commit(self._next_batch()))
             self._commits.add(task)
             task.add_done_callback(self._commit_finished)
 
+    def _next_batch(self) -> list[_Submission]:
+        """Take as many waiting submissions as a transaction has room for."""
+        batch = [self._waiting.popleft()]
+        entries = batch[0].entry_count
+        while self._waiting:
+            entries += self._waiting[0].entry_count
+            if entries > BATCH_ENTRIES:
+                break
+            batch.append(self._waiting.popleft())
+        return batch
+
     def _commit_finished(self, task: "asyncio.Task[None]") -> None:
         self._commits.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -193,7 +219,8 @@
         )
         found = await self._storage.commit(transaction)
         if isinstance(found, int):
-            self._on_stored([submission.spec for submission in unique.values()], found)
+            stored = [part for item in unique.values() for part in item.parts]
+            self._on_stored(stored, found)
             self._resolve(batch, SubmitOutcome.STORED, None)
             return []
         present = {item.key: item for item in found if isinstance(item, Item)}
@@ -201,7 +228,7 @@
         for submission in known:
             item = present[submission.key]
             if submission.in_doubt and submission.stored_as(item):
-                self._on_stored([submission.spec], item.revision)
+                self._on_stored(list(submission.parts), item.revision)
         self._resolve(known, SubmitOutcome.STORED, None)
         return [submission for submission in batch if submission.key not in present]
 
@@ -214,8 +241,8 @@
                 continue
             submission.fut.set_result(outcome)
             extra: dict[str, t.Any] = {
-                "request": submission.spec.job_id,
-                "queue": submission.spec.queue,
+                "request": submission.parts[0].job_id,
+                "queue": submission.parts[0].queue,
             }
             if submission.lost_replies:
                 extra["lost_replies"] = submission.lost_replies
--- a/src/poplaryard/workload/directory.py
+++ b/src/poplaryard/workload/directory.py
@@ -1,6 +1,7 @@
 """Directory of the partitions: their owners, their workers and the homes of jobs."""
 
 import asyncio
+import random
 import typing as t
 from dataclasses import replace
 
@@ -10,8 +11,15 @@
 from ..exceptions import PoplaryardError
 from ..logs import logger
 from . import records
-from .homes import PartitionLoad, candidate_homes, choose_home
-from .layout import Layout
+from .homes import (
+    PartitionLoad,
+    candidate_homes,
+    choose_home,
+    choose_homes_of_parts,
+    is_wide,
+    part_count,
+)
+from .layout import MIN_PARTITION_WORKERS, Layout
 from .model import JobSpec, WorkerInfo
 from .storage import Change, Storage
 
@@ -23,6 +31,10 @@
 # Timeout of a question for the load of a partition, in seconds. The submission of a job
 # waits for it, and short jobs are due within 0.25 s; an owner answers within 5 ms.
 LOAD_TIMEOUT_S = 0.06
+# Longest wait for the layout of a group before a wide job is stored, and time between
+# two looks, in seconds. A new cell writes its layouts within a few seconds.
+LAYOUT_WAIT_S = 2.0
+LAYOUT_LOOK_S = 0.05
 # Number of jobs whose homes a process remembers. A few thousand jobs are in progress in
 # a cell at a time.
 MAX_KNOWN_HOMES = 2000
@@ -54,7 +66,7 @@
         self._peers = peers
         self.claims: dict[str, tuple[records.Claim, int]] = {}
         self.layouts: dict[str, tuple[Layout, int]] = {}
-        self._homes: dict[str, str] = {}
+        self._homes: dict[str, tuple[str, ...]] = {}
 
     def layout(self, group: str) -> Layout:
         """Return the layout of a group, by default one partition without racks."""
@@ -98,39 +110,59 @@
 
     # Homes of jobs
 
-    async def with_home(self, spec: JobSpec, local_load: LocalLoad) -> JobSpec:
-        """Return a job whose group is the partition that it is to be stored in.
+    async def assign_homes(self, spec: JobSpec, local_load: LocalLoad) -> list[JobSpec]:
+        """Return the parts of a job, whose groups are the partitions to store them in.
+
+        Most jobs have one part.
 
         Parameters
         ----------
         local_load : callable
             Returns the load of a partition that this process owns, else None.
         """
+        if is_wide(spec):
+            await self._wait_for_layout(spec.group)
         partitions = self.partitions(spec.group)
         if len(partitions) == 1:
-            return spec
+            return [spec]
         layout = self.layout(spec.group)
         names = candidate_homes(
             spec, partitions, lambda rack: layout.partition_of(spec.group, rack)
         )
         loads = await self._loads(names, local_load)
+        others = [name for name in partitions if name not in names]
+        workers = max((load.workers for load in loads.values()), default=0)
+        count = part_count(spec, workers or MIN_PARTITION_WORKERS, len(partitions))
+        if count > 1:
+            more = random.sample(others, min(count, len(others)))
+            loads |= await self._loads(more, local_load)
+            parts = choose_homes_of_parts(spec, [*names, *more], loads, count)
+            if parts:
+                self._log_homes(spec, [part.group for part in parts], loads)
+                return parts
+            others = [name for name in others if name not in more]
         home = choose_home(spec, loads)
         if home is None:
-            others = [name for name in partitions if name not in names]
             loads |= await self._loads(others, local_load)
             home = choose_home(spec, loads) or next(iter(loads), names[0])
-        logger.info(
-            "home chosen",
-            extra={
-                "request": spec.job_id,
-                "home": home,
-                "loads": {
-                    name: round(load.share_with(spec), 2)
-                    for name, load in loads.items()
-                },
-            },
-        )
-        return replace(spec, group=home)
+        self._log_homes(spec, [home], loads)
+        return [replace(spec, group=home)]
+
+    async def _wait_for_layout(self, group: str) -> None:
+        """Wait for the layout of a group, which a new cell does not have at first."""
+        give_up_at = asyncio.get_running_loop().time() + LAYOUT_WAIT_S
+        while group not in self.layouts:
+            if asyncio.get_running_loop().time() > give_up_at:
+                logger.warning("layout not known", extra={"group": group})
+                return
+            await asyncio.sleep(LAYOUT_LOOK_S)
+
+    def _log_homes(
+        self, spec: JobSpec, homes: list[str], loads: dict[str, PartitionLoad]
+    ) -> None:
+        shares = {name: round(load.share_with(spec), 2) for name, load in loads.items()}
+        extra = {"request": spec.job_id, "home": " ".join(homes), "loads": shares}
+        logger.info("home chosen", extra=extra)
 
     async def _loads(
         self, names: list[str], local_load: LocalLoad
@@ -154,14 +186,14 @@
             logger.warning("unreadable load", extra={"reason": str(exc)})
             return None
 
-    def remember_home(self, job_id: str, partition: str) -> None:
-        """Keep the home of a stored job, which never changes."""
-        self._homes[job_id] = partition
+    def remember_homes(self, job_id: str, partitions: tuple[str, ...]) -> None:
+        """Keep the homes of a stored job, which never change."""
+        self._homes[job_id] = partitions
         if len(self._homes) > MAX_KNOWN_HOMES:
             del self._homes[next(iter(self._homes))]
 
-    async def home_of(self, job_id: str) -> str | None:
-        """Return the partition of a job, or None if there is no such job.
+    async def homes_of(self, job_id: str) -> tuple[str, ...]:
+        """Return the partitions of a job; empty if there is no such job.
 
         Raises `StoreDown` or `StoreReplyLost` if it must be read from the store and
         this does not answer.
@@ -171,10 +203,10 @@
             return known
         item = await self._storage.get(records.home_key(job_id))
         if item is None:
-            return None
-        home = item.value.decode("utf-8", "replace")
-        self.remember_home(job_id, home)
-        return home
+            return ()
+        homes = records.decode_homes(item.value)
+        self.remember_homes(job_id, homes)
+        return homes
 
     # Owners
 
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -157,11 +157,17 @@
             self._finish(job, JobState.CANCELLED, now)
 
     def pending(self, queue: str) -> int:
-        """Return the number of a queue's jobs that have not started."""
+        """Return the number of a queue's jobs that have not started.
+
+        Of a job with parts in several partitions the first part counts.
+        """
         return sum(
             1
             for job in self.jobs.values()
-            if job.spec.queue == queue and not job.started and not job.state.final
+            if job.spec.queue == queue
+            and not job.started
+            and not job.state.final
+            and not job.spec.steps[0].first_index
         )
 
     def forget_finished(self, before_wall: float) -> list[str]:
@@ -195,7 +201,7 @@
         for index, spec in enumerate(job.spec.steps):
             step = StepRun(job, number, index, spec)
             done = set(job.progress.done.get(step.key, ()))
-            for position in range(spec.count):
+            for position in spec.indices:
                 name = f"{step.name}.{position}"
                 task = Task(
                     name,
--- a/src/poplaryard/workload/lookup.py
+++ b/src/poplaryard/workload/lookup.py
@@ -21,6 +21,21 @@
     """Raised if a call cannot be answered now; the caller may retry."""
 
 
+# The state of a job with several parts is the first of these that a part has.
+_PRECEDENCE = (
+    JobState.FAILED,
+    JobState.CANCELLED,
+    JobState.RUNNING,
+    JobState.QUEUED,
+    JobState.DONE,
+)
+
+
+def _combined(states: t.Sequence[JobState | None]) -> JobState | None:
+    """Return the state of a job from those of its parts; None if none is known."""
+    return next((state for state in _PRECEDENCE if state in states), None)
+
+
 class JobLookup:
     """Answers questions about jobs, whichever process owns their partitions.
 
@@ -60,13 +75,11 @@
             if state is not None:
                 return state
         try:
-            home = await self._directory.home_of(job_id)
+            homes = await self._directory.homes_of(job_id)
         except (StoreDown, StoreReplyLost) as exc:
             return await self._state_at_any_owner(partitions, job_id, exc)
-        if home is None:
-            return None
-        state = await self._state_at_owner(home, job_id)
-        return state if state is not None else await self._stored_state(home, job_id)
+        states = await asyncio.gather(*(self._state_in(name, job_id) for name in homes))
+        return _combined(states)
 
     async def pending(self, queue: Queue) -> int:
         """Return how many jobs of a queue have not started.
@@ -82,6 +95,13 @@
         )
         return sum(counts)
 
+    async def _state_in(self, partition: str, job_id: str) -> JobState | None:
+        """Return the state of the part of a job in a partition, or None."""
+        state = await self._state_at_owner(partition, job_id)
+        if state is not None:
+            return state
+        return await self._stored_state(partition, job_id)
+
     async def _state_at_any_owner(
         self, partitions: list[str], job_id: str, exc: PoplaryardError
     ) -> JobState:
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -160,6 +160,9 @@
     may_miss : int
         Maximum number of the step's lasting tasks that the scheduler may leave without
         a run at the same time.
+    first_index : int
+        Index of the first task; above 0 in a part of a job whose earlier tasks belong
+        to other partitions.
     """
 
     count: int
@@ -178,6 +181,12 @@
     latency_target_s: float = 0.0
     fills: bool = False
     may_miss: int = 0
+    first_index: int = 0
+
+    @property
+    def indices(self) -> range:
+        """Indices of the tasks."""
+        return range(self.first_index, self.first_index + self.count)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -355,8 +355,8 @@
             self.meters.count("poplaryard_jobs_total", SubmitOutcome.REFUSED.value)
             return SubmitOutcome.REFUSED
         began = self._clock.now()
-        spec = await self._directory.with_home(spec, self._local_load)
-        accepted = await self._acceptance.submit(spec, retry_window_s)
+        parts = await self._directory.assign_homes(spec, self._local_load)
+        accepted = await self._acceptance.submit(*parts, retry_window_s=retry_window_s)
         self.meters.count("poplaryard_jobs_total", accepted.value)
         self.meters.observe("poplaryard_accept_seconds", self._clock.now() - began)
         return accepted
@@ -370,22 +370,26 @@
             If the store does not answer.
         """
         try:
-            home = await self._directory.home_of(job_id)
-            if home is None:
+            homes = await self._directory.homes_of(job_id)
+            if not homes:
                 return False
-            entry = (records.cancel_key(home, job_id), b"1", 0)
-            result = await self._storage.commit(Transaction(puts=[entry]))
+            entries = [(records.cancel_key(home, job_id), b"1", 0) for home in homes]
+            result = await self._storage.commit(Transaction(puts=entries))
         except (StoreDown, StoreReplyLost, LeaseLost) as exc:
             raise Unavailable(exc.code, exc.detail) from exc
         logger.info("job cancelled", extra={"request": job_id})
         revision = result if isinstance(result, int) else 0
-        self._notify_owner(records.StoredJobs(home, revision, cancelled=[job_id]))
+        for home in homes:
+            self._notify_owner(records.StoredJobs(home, revision, cancelled=[job_id]))
         return True
 
     def _notify_owners(self, specs: list[JobSpec], revision: int) -> None:
         """Notify the groups' owners of stored jobs, without waiting for an answer."""
+        homes: dict[str, tuple[str, ...]] = {}
         for spec in specs:
-            self._directory.remember_home(spec.job_id, spec.group)
+            homes[spec.job_id] = (*homes.get(spec.job_id, ()), spec.group)
+        for job_id, partitions in homes.items():
+            self._directory.remember_homes(job_id, partitions)
         for group in {spec.group for spec in specs}:
             group_specs = [spec for spec in specs if spec.group == group]
             self._notify_owner(records.StoredJobs(group, revision, group_specs))
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -16,6 +16,7 @@
     "claim_key",
     "claim_prefix",
     "decode_claim",
+    "decode_homes",
     "decode_job",
     "decode_layout",
     "decode_member",
@@ -23,6 +24,7 @@
     "decode_stored_jobs",
     "decode_workers",
     "encode",
+    "encode_homes",
     "home_key",
     "job_key",
     "job_prefix",
@@ -106,7 +108,7 @@
 
 
 def home_key(job_id: str) -> str:
-    """Return the key that holds the name of the partition to which a job belongs.
+    """Return the key that holds the names of the partitions to which a job belongs.
 
     A job is stored only where this key does not exist, so that an id that is sent to
     several processes names one job, whichever partition each of them chooses.
@@ -114,6 +116,16 @@
     return f"home/{job_id}"
 
 
+def encode_homes(partitions: t.Iterable[str]) -> bytes:
+    """Encode the names of the partitions to which a job belongs."""
+    return "\n".join(partitions).encode()
+
+
+def decode_homes(value: bytes) -> tuple[str, ...]:
+    """Decode the names of the partitions to which a job belongs."""
+    return tuple(value.decode("utf-8", "replace").split("\n"))
+
+
 def claim_prefix() -> str:
     """Return the key prefix of the claims and layouts."""
     return "owner/"
--- a/tests/load_patterns/test_resets_in_a_rush.py
+++ b/tests/load_patterns/test_resets_in_a_rush.py
@@ -52,7 +52,9 @@
             for _ in range(2)
         ]
         calls = [
-            process.submit(job(f"{number:016x}", group=home), CALLER_WAIT_S)
+            process.submit(
+                job(f"{number:016x}", group=home), retry_window_s=CALLER_WAIT_S
+            )
             for number in range(JOBS)
             for process, home in zip(processes, ("desk", "desk~1"), strict=True)
         ]
@@ -83,7 +85,9 @@
         storage = ResettingStorage(1)
         acceptance = Acceptance(storage, lambda specs, revision: None)
         specs = [job(f"{number:016x}") for number in range(JOBS)]
-        calls = (acceptance.submit(spec, CALLER_WAIT_S) for spec in specs)
+        calls = (
+            acceptance.submit(spec, retry_window_s=CALLER_WAIT_S) for spec in specs
+        )
         handed_in = asyncio.gather(*calls)
         await asyncio.sleep(0.5)
         during = len(storage.calls)
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -16,7 +16,7 @@
 from poplaryard.platform.services import AdviceClient, WorkerClient
 from poplaryard.platform.store import PlatformStore
 from poplaryard.server import HttpServer
-from poplaryard.workload import layout
+from poplaryard.workload import directory, layout
 from poplaryard.workload.node import Node, NodeConfig, StoreSchema
 from poplaryard.workload.owner import OwnerLimits
 from poplaryard.workload.records import home_key, progress_key
@@ -107,6 +107,14 @@
     raise AssertionError(f"{path} is not {wanted}: {status} {body}")
 
 
+async def until_equal(call, wanted, seconds=8.0):
+    for _ in range(int(seconds / 0.02)):
+        if call() == wanted:
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"{call()} is not {wanted}")
+
+
 def test_job_is_accepted_at_one_process_and_shown_at_another():
     async def scenario(platform, first, second):
         path = "/checks/" + "a" * 16
@@ -155,6 +163,51 @@
     run_with_processes(scenario, count=3, workers=6)
 
 
+def test_parts_of_a_wide_lasting_job_are_one_job_to_callers(monkeypatch):
+    """Guards against tasks that have no run, or go on after the job was cancelled.
+
+    Pattern: a job with more lasting tasks than one partition has room for.
+    """
+    for module in (layout, directory):
+        monkeypatch.setattr(module, "MIN_PARTITION_WORKERS", 2)
+
+    async def scenario(platform, *processes):
+        first, second, third = processes
+        await until_owned(processes, 3)
+        await until_equal(lambda: [usable_workers(p) for p in processes], [2, 2, 2])
+        path = "/checks/" + "a" * 16
+        step = {"count": 6, "cpu": 3000, "daemon": True}
+        body = {"spec": "text", "steps": [step]}
+        for process in (first, second):
+            assert (await process.call("POST", path, body))[0] == 200
+        await until(third, path, "running")
+        sims = {name: sim for name, (sim, _) in platform.sims.items()}
+        tasks = {f"{'a' * 16}.0.0.{index}" for index in range(6)}
+
+        def started(*names):
+            return {task for name in names for task, _ in sims[name].started}
+
+        await until_equal(lambda: started(*sims), tasks)
+        for process in processes:
+            [owner] = process.node.owners.values()
+            assert len(started(*owner.partition.workers)) == 2
+        assert (await third.call("GET", "/checks/"))[1] == {"pending": 0}
+        assert (await second.call("DELETE", path))[0] == 200
+        for process in processes:
+            await until(process, path, "cancelled")
+        runs = sum(len(sim.started) for sim in sims.values())
+        await asyncio.sleep(0.5)
+        assert runs == sum(len(sim.started) for sim in sims.values())
+
+    run_with_processes(scenario, count=3, workers=6)
+
+
+def usable_workers(process):
+    """Return the number of usable workers of the only partition of a process."""
+    [owner] = process.node.owners.values()
+    return owner.load().workers
+
+
 def test_partitions_of_a_stopped_owner_are_taken_over(monkeypatch):
     """Guards against a partition without an owner, or workers without a partition.
 
--- a/tests/workload/test_acceptance.py
+++ b/tests/workload/test_acceptance.py
@@ -9,7 +9,9 @@
 def submit_all(storage, specs, retry_window_s=0.0):
     async def run():
         acceptance = Acceptance(storage, lambda specs, revision: None)
-        jobs = (acceptance.submit(spec, retry_window_s) for spec in specs)
+        jobs = (
+            acceptance.submit(spec, retry_window_s=retry_window_s) for spec in specs
+        )
         return await asyncio.gather(*jobs)
 
     return asyncio.run(run())
@@ -44,7 +46,9 @@
         acceptance = Acceptance(storage, lambda specs, revision: notified.append(specs))
         storage.faults["commit"] = [None, "dropped"]
         for group in ("desk", "desk~1"):
-            outcome = await acceptance.submit(job("a" * 16, group=group), 3.0)
+            outcome = await acceptance.submit(
+                job("a" * 16, group=group), retry_window_s=3.0
+            )
             assert outcome is SubmitOutcome.STORED
         assert [key for key in storage.items if key.startswith("job/")] == [
             records.job_key("desk", "a" * 16)
@@ -105,10 +109,15 @@
         storage = MemoryStorage()
         storage.faults["commit"] = ["dropped"] + ["down"] * 20
         acceptance = Acceptance(storage, lambda specs, revision: None)
-        first = asyncio.create_task(acceptance.submit(job("a" * 16), 0.6))
+        first = asyncio.create_task(
+            acceptance.submit(job("a" * 16), retry_window_s=0.6)
+        )
         await asyncio.sleep(0.01)
         began = asyncio.get_running_loop().time()
-        assert await acceptance.submit(job("b" * 16), 0.6) is SubmitOutcome.REFUSED
+        assert (
+            await acceptance.submit(job("b" * 16), retry_window_s=0.6)
+            is SubmitOutcome.REFUSED
+        )
         assert asyncio.get_running_loop().time() - began < 0.3
         assert await first is SubmitOutcome.UNKNOWN
 
@@ -122,11 +131,16 @@
         storage = MemoryStorage()
         storage.faults["commit"] = ["dropped"] * 50
         acceptance = Acceptance(storage, lambda specs, revision: None)
-        in_doubt = asyncio.create_task(acceptance.submit(job("a" * 16), 3.0))
+        in_doubt = asyncio.create_task(
+            acceptance.submit(job("a" * 16), retry_window_s=3.0)
+        )
         await asyncio.sleep(0.05)
         acceptance.isolated = True
         began = asyncio.get_running_loop().time()
-        assert await acceptance.submit(job("b" * 16), 3.0) is SubmitOutcome.REFUSED
+        assert (
+            await acceptance.submit(job("b" * 16), retry_window_s=3.0)
+            is SubmitOutcome.REFUSED
+        )
         assert await in_doubt is SubmitOutcome.UNKNOWN
         assert asyncio.get_running_loop().time() - began < 1.0
 
--- a/tests/workload/test_homes_stateful.py
+++ b/tests/workload/test_homes_stateful.py
@@ -22,8 +22,9 @@
 class HomesMachine(RuleBasedStateMachine):
     """Processes store the same ids in different partitions of a store with faults.
 
-    Guards against a job with two homes, which would run twice, against a job that is
-    called stored and is not, and against one that is called refused and runs.
+    Some jobs have parts in several partitions. Guards against a job or a part that is
+    stored twice, which would run twice, or only in some of its homes, against a job
+    that is called stored and is not, and against one that is called refused and runs.
     """
 
     def __init__(self):
@@ -44,7 +45,7 @@
             st.tuples(
                 st.integers(0, PROCESSES - 1),
                 st.sampled_from(IDS),
-                st.sampled_from(PARTITIONS),
+                st.sets(st.sampled_from(PARTITIONS), min_size=1),
                 st.sampled_from((0.0, 0.15)),
             ),
             min_size=1,
@@ -56,8 +57,11 @@
         async def run():
             return await asyncio.gather(
                 *(
-                    self.acceptances[process].submit(job(job_id, group=group), wait_s)
-                    for process, job_id, group, wait_s in submissions
+                    self.acceptances[process].submit(
+                        *(job(job_id, group=group) for group in sorted(groups)),
+                        retry_window_s=wait_s,
+                    )
+                    for process, job_id, groups, wait_s in submissions
                 )
             )
 
@@ -72,15 +76,16 @@
         self.loop.run_until_complete(self.storage.deliver())
 
     @invariant()
-    def each_job_has_one_home(self):
+    def each_job_is_stored_in_its_homes_and_nowhere_else(self):
         for job_id in IDS:
             found = [
                 partition
                 for partition in PARTITIONS
                 if records.job_key(partition, job_id) in self.storage.items
             ]
-            home = self.storage.items.get(records.home_key(job_id))
-            assert found == ([home.value.decode()] if home is not None else [])
+            homes = self.storage.items.get(records.home_key(job_id))
+            expected = records.decode_homes(homes.value) if homes is not None else ()
+            assert tuple(found) == expected
 
     @invariant()
     def outcomes_are_true(self):
