Give up a partition whose jobs cannot be loaded; allow slow links for large pages

A weak process that claims a partition then never loads it, keeps the claim, and claims it again after a restart, since it finds its own claim.

Change: 3 s for a page; a process that cannot load the jobs removes its claim and waits for a second, with five tries, since the failed read also counts as a failure of the direct path.

Tests: test_take_over_on_slow_links.py and the test of the connection; all three failed before.

--- a/src/poplaryard/client.py
+++ b/src/poplaryard/client.py
@@ -90,7 +90,8 @@
     def _flush(self) -> None:
         data = b"".join(self._unsent)
         self._unsent.clear()
-        if self.writer is not None:
+        # The connection may have been lost since `write`.
+        if self.writer is not None and not self.writer.is_closing():
             self.writer.write(data)
 
     async def __aexit__(
--- a/src/poplaryard/platform/store.py
+++ b/src/poplaryard/platform/store.py
@@ -20,6 +20,9 @@
 # A slow store takes 0.24 s to answer. A dead connection must be detected, and the call
 # repeated, well within the 2 s that the platform allows as `config_apply_ms`.
 CALL_TIMEOUT_S = 0.7
+# Timeout of the read of a page, in seconds. A page of 1 MB of values takes 2.1 s over a
+# link of 5 Mbit/s, the slowest of the users' entry VMs.
+PAGE_TIMEOUT_S = 3.0
 # Added to the requested wait of a watch to get its timeout, in seconds.
 WATCH_SLACK_S = 0.5
 # Statuses with which the store refuses a call without executing it.
@@ -78,7 +81,8 @@
         query = f"prefix={quote(prefix)}"
         after = ""
         while True:
-            body = _check(await self._get("kv-range", query + after))
+            reply = await self._get("kv-range", query + after, PAGE_TIMEOUT_S)
+            body = _check(reply)
             items += [_parse_item(found) for found in body["items"]]
             # Pages are read at different revisions. Watching from the revision of the
             # first one covers the changes made in between.
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -38,6 +38,13 @@
 # after a failed claim, in seconds. Other processes claim meanwhile, which spreads the
 # groups.
 CLAIM_DELAY_PER_GROUP_S = 0.15
+# Pause before the next claim of a process that could not load a group's jobs, in
+# seconds, in which the others claim the group. Weak ones claim 0.3 s later.
+FAILED_LOAD_PAUSE_S = 1.0
+# Number of tries to remove a claim, and the pause between them in seconds. A store that
+# is reached again is noticed within 0.2 s.
+RELEASE_TRIES = 5
+RELEASE_RETRY_S = 0.2
 # Delay before a claim of a process of strength 0, in seconds, so that stronger ones
 # claim first. A claim takes about 10 ms, and peers see it through their watches about
 # 10 ms later.
@@ -675,16 +682,23 @@
                 continue
             logger.info("group handed to a stronger process", extra={"group": group})
             await owner.close()
-            self._drop_group(group)
-            key = records.claim_key(group)
-            removal = Transaction(expected={key: owner.revision}, removes=[key])
+            await self._release(group, owner.revision)
+            return
+
+    async def _release(self, group: str, revision: int) -> None:
+        """Give a group up, so that another process can claim it at once."""
+        self._drop_group(group)
+        key = records.claim_key(group)
+        for _ in range(RELEASE_TRIES):
+            removal = Transaction(expected={key: revision}, removes=[key])
             try:
                 await self._storage.commit(removal)
+                return
             except (StoreDown, StoreReplyLost, LeaseLost) as exc:
-                # If the claim is still stored, the next check takes the group back.
                 extra = {"group": group, "reason": exc.detail}
                 logger.warning("claim not removed", extra=extra)
-            return
+                await asyncio.sleep(RELEASE_RETRY_S)
+        # If the claim is still stored, the next check takes the group back.
 
     async def _claim(self, group: str) -> None:
         key = records.claim_key(group)
@@ -737,11 +751,12 @@
         except (StoreDown, StoreReplyLost, LeaseLost) as exc:
             extra = {"group": group, "reason": exc.detail}
             logger.warning("jobs could not be loaded", extra=extra)
-            self._drop_group(group)
-            await self._pause_after_failed_claim()
+            # Another process may have a better path to the store.
+            await self._release(group, revision)
+            await asyncio.sleep(FAILED_LOAD_PAUSE_S)
             return
         except Exception:
-            self._drop_group(group)
+            await self._release(group, revision)
             raise
         self._sort_workers(group_of(group))
         took_s = round(time.monotonic() - began, 3)
--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -22,6 +22,9 @@
 RELAY_PATH = "/peer/v1/store"
 # Timeout of a relayed call in seconds; the peer's call to the store takes up to 1 s.
 RELAY_TIMEOUT_S = 1.2
+# Timeout of a relayed read of all keys under a prefix, in seconds: the peer reads
+# several pages and returns them together.
+SCAN_RELAY_TIMEOUT_S = 8.0
 # Added to the wait of a watch for the timeout of its relayed call, in seconds.
 WATCH_SLACK_S = 0.8
 # Time between direct calls to a store that could not be reached directly, in seconds.
@@ -200,7 +203,7 @@
                 return self._direct_succeeded(await self.direct.scan(prefix))
             except (StoreDown, StoreReplyLost) as exc:
                 self._direct_failed(exc)
-        found = await self._relay(_Call("scan", prefix))
+        found = await self._relay(_Call("scan", prefix), SCAN_RELAY_TIMEOUT_S)
         return [item for item in found.items or [] if item], found.revision
 
     async def watch(
--- /dev/null
+++ b/tests/load_patterns/test_take_over_on_slow_links.py
@@ -0,0 +1,79 @@
+"""Pattern: a process on a slow link takes over a partition with thousands of jobs.
+
+The store returns up to a megabyte a page, which takes seconds on the slowest links of
+the users. A process that never gets to the end of its reads must not keep the claim.
+"""
+
+import asyncio
+import json
+
+from poplaryard.client import HttpClient
+from poplaryard.exceptions import StoreReplyLost
+from poplaryard.platform.store import PlatformStore
+from poplaryard.server import HttpServer
+from poplaryard.workload import records
+from poplaryard.workload.model import QueueTable
+from tests.workload.fakes import MemoryStorage, make_node
+from tests.workload.test_owner import until
+
+# Time that a page of 1 MB takes on a link of 5 Mbit/s, in seconds.
+PAGE_S = 2.1
+
+
+async def slow_page(scope, receive, send):
+    """Answer like the store after the time that a large page takes."""
+    await asyncio.sleep(PAGE_S)
+    body = json.dumps({"items": [], "truncated": False, "at": 7}).encode()
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def test_large_page_is_read_over_a_slow_link():
+    """Guards against a take-over that never ends, since each read is given up."""
+
+    async def scenario():
+        server = HttpServer(slow_page, "127.0.0.1", 0, graceful_s=0.1)
+        await server.start()
+        client = HttpClient()
+        store = PlatformStore(client, f"127.0.0.1:{server.ports[0]}")
+        assert await store.scan("job/desk/") == ([], 7)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
+class BadPath:
+    """Storage that loses the replies to reads of the progress of jobs."""
+
+    def __init__(self, storage):
+        self._storage = storage
+
+    def __getattr__(self, name):
+        return getattr(self._storage, name)
+
+    async def scan(self, prefix):
+        if prefix.startswith("progress/"):
+            raise StoreReplyLost("timeout")
+        return await self._storage.scan(prefix)
+
+
+def test_process_that_cannot_load_the_jobs_leaves_the_partition_to_others():
+    """Guards against a partition that a process claims again and again in vain."""
+
+    async def scenario():
+        storage = MemoryStorage()
+        first = make_node(BadPath(storage))
+        second = make_node(storage, name="p1")
+        for node in (first, second):
+            node.queues = QueueTable(version=1, groups=("desk",))
+        await first.start()
+        await until(lambda: records.claim_key("desk") in storage.items)
+        await second.start()
+        await until(lambda: any(o.loaded for o in second.owners.values()))
+        assert not first.owners
+        for node in (first, second):
+            await node.stop()
+
+    asyncio.run(scenario())
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,7 +5,7 @@
 
 import testtools
 
-from poplaryard.client import HttpClient
+from poplaryard.client import HttpClient, _Connection
 from poplaryard.codes import Code
 from poplaryard.exceptions import PoplaryardError
 from poplaryard.server import HttpServer
@@ -85,6 +85,36 @@
         self.fail("the call succeeded")
 
 
+class ConnectionTest(testtools.TestCase):
+    def test_connection_lost_before_the_data_is_sent_raises_nothing(self):
+        """Guards against errors in the event loop when many connections are reset.
+
+        Pattern: a process wakes from a pause, and calls over connections that are lost
+        in the same iteration of the event loop.
+        """
+        asyncio.run(self._lost_before_flush())
+
+    async def _lost_before_flush(self):
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: errors.append(context))
+        conn = _Connection(None)
+        conn.writer = ClosedWriter()
+        conn.write(b"GET / HTTP/1.1")
+        await asyncio.sleep(0.01)
+        self.assertEqual([], errors)
+
+
+class ClosedWriter:
+    """Writer whose transport raises once it is closed, as that of uvloop does."""
+
+    def is_closing(self):
+        return True
+
+    def write(self, data):
+        raise RuntimeError("the handler is closed")
+
+
 class PoolTest(testtools.TestCase):
     def test_more_hosts_than_connections_replace_only_the_idle_ones(self):
         """Guards against busy hosts that connect for each call once the pool is full.
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -332,10 +332,10 @@
         return RawReply(200, b"")
 
 
-def make_node(storage, decode_config=None):
+def make_node(storage, decode_config=None, name="p0"):
     """Return a process without workers and advice, whose peers answer probes."""
     limits = OwnerLimits(run_lease_s=6.0, retention_s=60.0)
     schema = StoreSchema("op/config", "workers/", decode_config, WorkerInfo, ValueError)
-    cfg = NodeConfig("p0", "dc1", "10.0.0.1:1", 1.0, limits)
+    cfg = NodeConfig(name, "dc1", "10.0.0.1:1", 1.0, limits)
     peers = RespondingPeers()
     return Node(cfg, storage, None, None, peers, schema, SystemClock())
