Wait for the direct path to the store before loading jobs again

Cause, by reading: the pauses between the tries were drawn from 0 to 0.3 s, and a failed read marks the direct path as failed for 0.05 to 0.2 s, so that all four tries could go through peers, which do not answer in this test. Ten plays of the test by itself passed before and after the change; they show nothing.

Change: a fixed pause of 0.25 s.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -38,9 +38,12 @@
 # after a failed claim, in seconds. Other processes claim meanwhile, which spreads the
 # groups.
 CLAIM_DELAY_PER_GROUP_S = 0.15
-# Number of tries to load the jobs of a group: while the store loses a third of its
-# replies, most reads of several pages fail.
+# Number of tries to load the jobs of a group, and the pause between them in seconds.
+# While the store loses a third of its replies, most reads of several pages fail. A
+# failed read counts as a failure of the direct path for up to 0.2 s, in which another
+# try would go through a peer.
 LOAD_TRIES = 4
+LOAD_RETRY_S = 0.25
 # Pause before the next claim of a process that could not load a group's jobs, in
 # seconds, in which the others claim the group. Weak ones claim 0.3 s later.
 FAILED_LOAD_PAUSE_S = 1.0
@@ -774,7 +777,7 @@
                 logger.warning("jobs could not be loaded", extra=extra)
             if owner.closed.is_set():
                 break
-            await self._pause_after_failed_claim()
+            await asyncio.sleep(LOAD_RETRY_S)
         return False
 
     def _workers_of(self, partition: str) -> dict[str, WorkerInfo]:
