Use the shared backoff, task callback and transaction limit

Acceptance computed the exponential backoff with full jitter that limits.backoff_s holds; acceptance and node logged failed tasks as logs.log_failure does; the limit of 32 entries stood in two modules. An attribute of Node that nothing used is removed. No change of behaviour.

--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -8,16 +8,15 @@
 from dataclasses import dataclass
 
 from ..exceptions import LeaseLost, StoreDown, StoreReplyLost
-from ..logs import logger
+from ..limits import backoff_s
+from ..logs import log_failure, logger
 from . import records
 from .model import JobSpec
-from .storage import Item, Storage, Transaction
+from .storage import MAX_TRANSACTION_ENTRIES, Item, Storage, Transaction
 
 __all__ = ["Acceptance", "SubmitOutcome"]
 
-# Maximum number of entries in a transaction, and of jobs of the usual size, for each of
-# which it has an expectation and two writes.
-BATCH_ENTRIES = 32
+# Number of jobs that fill a transaction: each takes an expectation and two writes.
 BATCH_JOBS = 10
 # Maximum number of concurrent transactions: one that waits for the store must not delay
 # the jobs after it.
@@ -108,6 +107,7 @@
         self._storage = storage
         self._on_stored = on_stored
         self.isolated = False
+        self._rng = random.Random()
         self._waiting: deque[_Submission] = deque()
         self._commits: set[asyncio.Task[None]] = set()
 
@@ -148,15 +148,14 @@
         entries = batch[0].entry_count
         while self._waiting:
             entries += self._waiting[0].entry_count
-            if entries > BATCH_ENTRIES:
+            if entries > MAX_TRANSACTION_ENTRIES:
                 break
             batch.append(self._waiting.popleft())
         return batch
 
     def _commit_finished(self, task: "asyncio.Task[None]") -> None:
         self._commits.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.critical("task ended by an error", exc_info=task.exception())
+        log_failure(task)
         self._start_commits()
 
     async def _commit(self, batch: list[_Submission]) -> None:
@@ -184,8 +183,7 @@
         if not batch:
             return
         tries = max(submission.lost_replies for submission in batch)
-        limit_s = min(REPEAT_PAUSE_S * 2 ** (tries - 1), REPEAT_PAUSE_MAX_S)
-        pause_s = random.uniform(0.0, limit_s)
+        pause_s = backoff_s(self._rng, tries, REPEAT_PAUSE_S, REPEAT_PAUSE_MAX_S)
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + pause_s
         retried = (
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -12,7 +12,7 @@
 from ..client import HttpClient
 from ..clock import Clock
 from ..exceptions import LeaseLost, PoplaryardError, StoreDown, StoreReplyLost
-from ..logs import logger
+from ..logs import log_failure, logger
 from ..waiting import wait_until_set
 from . import records
 from .acceptance import Acceptance, SubmitOutcome
@@ -230,7 +230,6 @@
         self._layout_writer = LayoutWriter(
             storage, clock, self._workers, self._claim_changed
         )
-        self._unreadable: dict[str, bytes] = {}
         config_prefix = schema.config_key.rpartition("/")[0] + "/"
         self._config_watch = PrefixWatcher(storage, config_prefix, self._config_changed)
         self._claim_watch = PrefixWatcher(
@@ -803,10 +802,6 @@
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task[t.Any]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
+        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(log_failure)
         return task
-
-    def _on_task_done(self, task: "asyncio.Task[t.Any]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.critical("task ended by an error", exc_info=task.exception())
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -29,7 +29,7 @@
 )
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
-from .storage import Change, Storage, Transaction
+from .storage import MAX_TRANSACTION_ENTRIES, Change, Storage, Transaction
 from .watching import PrefixWatcher
 
 __all__ = ["GroupOwner", "OwnerLimits", "WorkerCalls"]
@@ -48,9 +48,8 @@
 # Longest time for which the lease renewals of a worker pause until the ends that it
 # reported are written, in seconds.
 MAX_RENEWAL_PAUSE_S = 0.25
-# Most entries of one transaction, and those that `GroupOwner` adds to each: the
-# expected claim, the expected sequence key and the new sequence key.
-MAX_TRANSACTION_ENTRIES = 32
+# Entries that `GroupOwner` adds to each transaction: the expected claim, the expected
+# sequence key and the new sequence key.
 OVERHEAD_ENTRIES = 3
 # Time within which a start must reach its worker, in seconds. The worker refuses a
 # later one, so that a delayed order does not start a run unexpectedly.
--- a/src/poplaryard/workload/storage.py
+++ b/src/poplaryard/workload/storage.py
@@ -3,7 +3,17 @@
 import typing as t
 from dataclasses import dataclass, field
 
-__all__ = ["Change", "Item", "Page", "Storage", "Transaction"]
+__all__ = [
+    "MAX_TRANSACTION_ENTRIES",
+    "Change",
+    "Item",
+    "Page",
+    "Storage",
+    "Transaction",
+]
+
+# Most entries of one transaction: expectations, writes and removals together.
+MAX_TRANSACTION_ENTRIES = 32
 
 
 @dataclass(frozen=True, slots=True)
