Tell how much of a response of the store arrived before a timeout

Reads are streamed, and the error names the bytes received. The line on an applied configuration gives its size. No decision changes.

--- a/src/poplaryard/client.py
+++ b/src/poplaryard/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import json
 import socket
 import typing as t
@@ -194,10 +195,15 @@
         return await self.request("GET", url, None, timeout_s)
 
     async def request(
-        self, method: str, url: str, data: bytes | None, timeout_s: float
+        self,
+        method: str,
+        url: str,
+        data: bytes | None,
+        timeout_s: float,
+        streamed: bool = False,
     ) -> Reply:
-        """Send a request and decode the JSON response; raises like `post`."""
-        reply = await self.request_raw(method, url, data, timeout_s)
+        """Send a request and decode the JSON response; see `request_raw`."""
+        reply = await self.request_raw(method, url, data, timeout_s, streamed=streamed)
         try:
             return Reply(reply.status, _decode(reply.content))
         except ValueError as exc:
@@ -211,20 +217,44 @@
         data: bytes | None,
         timeout_s: float,
         headers: t.Mapping[str, str] | None = None,
+        streamed: bool = False,
     ) -> RawReply:
-        """Send a request and return the undecoded response; raises like `post`."""
+        """Send a request and return the undecoded response; raises like `post`.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time for the whole call, in seconds.
+        streamed : bool
+            Whether to read the response in pieces, so that the error of a call whose
+            response was not received in time tells how much of it was.
+        """
         all_headers = {**self._headers, **headers} if headers else self._headers
+        content = bytearray()
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self._client.request(
-                    url, method, headers=all_headers, data=data, timeouts=_NO_TIMEOUTS
+                    url,
+                    method,
+                    headers=all_headers,
+                    data=data,
+                    timeouts=_NO_TIMEOUTS,
+                    stream=streamed,
                 )
-                return RawReply(response.status_code, await response.content())
+                if not streamed:
+                    return RawReply(response.status_code, await response.content())
+                async with contextlib.aclosing(response.iter_bytes()) as pieces:
+                    async for piece in pieces:
+                        content += piece
+                return RawReply(response.status_code, bytes(content))
         except _NOT_SENT as exc:
             detail = f"{url} cannot be reached: {exc or type(exc).__name__}"
             raise PoplaryardError(Code.PEER_UNREACHABLE, detail) from exc
         except _REPLY_LOST as exc:
-            detail = f"{url} did not answer: {exc or type(exc).__name__}"
+            failure = str(exc) or type(exc).__name__
+            detail = f"{url} did not answer: {failure}"
+            if content:
+                detail = f"{url} stopped after {len(content)} bytes: {failure}"
             raise PoplaryardError(Code.PEER_TIMEOUT, detail) from exc
 
     async def close(self) -> None:
--- a/src/poplaryard/platform/store.py
+++ b/src/poplaryard/platform/store.py
@@ -155,7 +155,8 @@
     async def _get(
         self, name: str, query: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> Reply:
-        return await self._call("GET", f"{name}?{query}", None, timeout_s)
+        path = f"{name}?{query}"
+        return await self._call("GET", path, None, timeout_s, streamed=True)
 
     async def _post(self, name: str, body: t.Any) -> Reply:
         return await self._call("POST", name, json.dumps(body).encode())
@@ -166,12 +167,13 @@
         path: str,
         data: bytes | None,
         timeout_s: float = CALL_TIMEOUT_S,
+        streamed: bool = False,
     ) -> Reply:
         name = path.partition("?")[0].partition("/")[0]
         self.calls[name] = self.calls.get(name, 0) + 1
         try:
             return await self._client.request(
-                method, f"{self._url}/{path}", data, timeout_s
+                method, f"{self._url}/{path}", data, timeout_s, streamed
             )
         except PoplaryardError as exc:
             if exc.code is Code.PEER_UNREACHABLE:
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -484,7 +484,11 @@
         self._claims_changed.set()
         logger.info(
             "configuration applied",
-            extra={"version": queues.version, "queues": len(queues.queues)},
+            extra={
+                "version": queues.version,
+                "queues": len(queues.queues),
+                "bytes": len(change.item.value),
+            },
         )
 
     def _claim_changed(self, change: Change) -> None:
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -134,7 +134,7 @@
 
 
 def fixed_reply(body, status=200):
-    async def request(method, url, data=None, timeout_s=1.0):
+    async def request(method, url, data=None, timeout_s=1.0, **options):
         return Reply(status, body)
 
     return SimpleNamespace(request=request)
