--- /dev/null
+++ b/tests/load_patterns/test_large_config_on_slow_links.py
@@ -0,0 +1,111 @@
+"""Pattern: configurations of nearly a megabyte reach processes on slow links.
+
+A link of 5 Mbit/s takes over a second for such a value, and several versions may follow
+one another.
+"""
+
+import asyncio
+import base64
+import contextlib
+import json
+
+import pytest
+
+from poplaryard.client import HttpClient
+from poplaryard.exceptions import StoreReplyLost
+from poplaryard.platform.store import PlatformStore
+
+# Bandwidth of the slowest link of the users, in bytes a second, and time between two
+# pieces of a response, in seconds.
+LINK_BYTES_PER_S = 625_000
+PIECE_S = 0.05
+WAIT_S = 1.0
+# Size of a configuration of 4,000 routes, in bytes.
+CONFIG_BYTES = 700_000
+# Time in which a call over a silent connection has to fail, in seconds: the call has to
+# be repeated within the 3 s in which a configuration has to be in force.
+SILENCE_S = 1.0
+
+
+class SlowStore:
+    """Store whose responses take the time of a slow link.
+
+    ``delay_s`` is the time before the response, and ``silent_after`` the number of
+    bytes after which nothing more is sent.
+    """
+
+    def __init__(self, body, delay_s=0.0, silent_after=None):
+        content = json.dumps(body).encode()
+        head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(content)}\r\n\r\n"
+        self._pieces = [head.encode()]
+        size = int(LINK_BYTES_PER_S * PIECE_S)
+        end = len(content) if silent_after is None else silent_after
+        self._pieces += [content[n : min(n + size, end)] for n in range(0, end, size)]
+        self._delay_s = delay_s
+
+    async def _serve(self, reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(self._delay_s)
+            for piece in self._pieces:
+                writer.write(piece)
+                await asyncio.sleep(PIECE_S)
+            await reader.read()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass  # the client has closed the connection
+        finally:
+            writer.close()
+
+    @contextlib.asynccontextmanager
+    async def client(self):
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        client = HttpClient()
+        port = server.sockets[0].getsockname()[1]
+        try:
+            yield PlatformStore(client, f"127.0.0.1:{port}")
+        finally:
+            await client.close()
+            server.close()
+
+
+def event(revision, size=CONFIG_BYTES):
+    value = base64.b64encode(b"x" * size).decode()
+    return {"key": "op/config", "value": value, "rev": revision, "lease": 0}
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.5, 0.95])
+@pytest.mark.parametrize("versions", [1, 2])
+def test_large_change_is_received_whenever_it_comes(delay_s, versions):
+    """Guards against a watch that is given up while its response arrives.
+
+    The next watch would begin anew, and the process would keep an old configuration.
+    """
+
+    async def scenario():
+        events = [event(8 + number) for number in range(versions)]
+        store = SlowStore({"events": events, "at": 9}, delay_s)
+        async with store.client() as storage:
+            changes, revision = await storage.watch("op/", 7, WAIT_S)
+        assert [change.revision for change in changes] == [8, 9][:versions]
+        assert revision == 9
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("received", [0, 93_750])
+def test_silent_connection_fails_the_call_soon(received):
+    """Guards against a watch that waits for the rest of a response that never comes."""
+
+    async def scenario():
+        store = SlowStore({"events": [event(8)], "at": 8}, silent_after=received)
+        loop = asyncio.get_running_loop()
+        async with store.client() as storage:
+            began = loop.time()
+            with pytest.raises(StoreReplyLost) as failure:
+                await storage.watch("op/", 7, 0.0)
+        transfer_s = received / LINK_BYTES_PER_S
+        assert loop.time() - began < transfer_s + SILENCE_S
+        if received:
+            assert f"after {received} bytes" in str(failure.value)
+
+    asyncio.run(scenario())
