Let reads of the store take as long as data arrives

Cause: a watch had one timeout for the whole response, its wait plus 0.5 s. On a link of 5 Mbit/s a configuration of 2,800 routes takes over 1 s. A response that did not arrive in time was thrown away and read again from the start; once two versions were stored, the response never fitted. Each failure also sent all other calls through peers. Class: a fixed time for a transfer of any size.

Ruled out: a slow store (it answered all calls), weak processors (idle), rejected versions (no such line in the logs).

Change: reads of the store and relayed calls have a timeout until the first part of the response and one between two parts. The same limit applied to pages at a take-over (3 s for 1 MB), which took 2.1 s of it. A silent connection is still noticed within 0.7 s.

--- a/src/poplaryard/client.py
+++ b/src/poplaryard/client.py
@@ -200,10 +200,12 @@
         url: str,
         data: bytes | None,
         timeout_s: float,
-        streamed: bool = False,
+        stall_timeout_s: float | None = None,
     ) -> Reply:
         """Send a request and decode the JSON response; see `request_raw`."""
-        reply = await self.request_raw(method, url, data, timeout_s, streamed=streamed)
+        reply = await self.request_raw(
+            method, url, data, timeout_s, stall_timeout_s=stall_timeout_s
+        )
         try:
             return Reply(reply.status, _decode(reply.content))
         except ValueError as exc:
@@ -217,7 +219,7 @@
         data: bytes | None,
         timeout_s: float,
         headers: t.Mapping[str, str] | None = None,
-        streamed: bool = False,
+        stall_timeout_s: float | None = None,
     ) -> RawReply:
         """Send a request and return the undecoded response; raises like `post`.
 
@@ -225,27 +227,30 @@
         ----------
         timeout_s : float
             Time for the whole call, in seconds.
-        streamed : bool
-            Whether to read the response in pieces, so that the error of a call whose
-            response was not received in time tells how much of it was.
+        stall_timeout_s : float, optional
+            If given, `timeout_s` is the time until the first part of the response's
+            body, and this the longest time between two parts, in seconds. A large
+            response may then take as long as the link needs.
         """
         all_headers = {**self._headers, **headers} if headers else self._headers
         content = bytearray()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 response = await self._client.request(
                     url,
                     method,
                     headers=all_headers,
                     data=data,
                     timeouts=_NO_TIMEOUTS,
-                    stream=streamed,
+                    stream=stall_timeout_s is not None,
                 )
-                if not streamed:
+                if stall_timeout_s is None:
                     return RawReply(response.status_code, await response.content())
-                async with contextlib.aclosing(response.iter_bytes()) as pieces:
-                    async for piece in pieces:
-                        content += piece
+                loop = asyncio.get_running_loop()
+                async with contextlib.aclosing(response.iter_bytes()) as parts:
+                    async for part in parts:
+                        content += part
+                        limit.reschedule(loop.time() + stall_timeout_s)
                 return RawReply(response.status_code, bytes(content))
         except _NOT_SENT as exc:
             detail = f"{url} cannot be reached: {exc or type(exc).__name__}"
--- a/src/poplaryard/platform/store.py
+++ b/src/poplaryard/platform/store.py
@@ -20,11 +20,15 @@
 # A slow store takes 0.24 s to answer. A dead connection must be detected, and the call
 # repeated, well within the 2 s that the platform allows as `config_apply_ms`.
 CALL_TIMEOUT_S = 0.7
-# Timeout of the read of a page, in seconds. A page of 1 MB of values takes 2.1 s over a
-# link of 5 Mbit/s, the slowest of the users' entry VMs.
+# Time until the first part of a page, in seconds.
 PAGE_TIMEOUT_S = 3.0
-# Added to the requested wait of a watch to get its timeout, in seconds.
+# Added to the requested wait of a watch to get the time until the first part of the
+# response, in seconds.
 WATCH_SLACK_S = 0.5
+# Longest time between two parts of a response to a read, in seconds. There is no limit
+# for the whole: 1 MB of values takes 2.1 s over a link of 5 Mbit/s, the slowest of the
+# users' entry VMs, and a read that is given up on the way would begin anew.
+STALL_TIMEOUT_S = 0.7
 # Statuses with which the store refuses a call without executing it.
 _NOT_EXECUTED = (429, 503)
 
@@ -156,7 +160,7 @@
         self, name: str, query: str, timeout_s: float = CALL_TIMEOUT_S
     ) -> Reply:
         path = f"{name}?{query}"
-        return await self._call("GET", path, None, timeout_s, streamed=True)
+        return await self._call("GET", path, None, timeout_s, STALL_TIMEOUT_S)
 
     async def _post(self, name: str, body: t.Any) -> Reply:
         return await self._call("POST", name, json.dumps(body).encode())
@@ -167,13 +171,13 @@
         path: str,
         data: bytes | None,
         timeout_s: float = CALL_TIMEOUT_S,
-        streamed: bool = False,
+        stall_timeout_s: float | None = None,
     ) -> Reply:
         name = path.partition("?")[0].partition("/")[0]
         self.calls[name] = self.calls.get(name, 0) + 1
         try:
             return await self._client.request(
-                method, f"{self._url}/{path}", data, timeout_s, streamed
+                method, f"{self._url}/{path}", data, timeout_s, stall_timeout_s
             )
         except PoplaryardError as exc:
             if exc.code is Code.PEER_UNREACHABLE:
--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -27,6 +27,9 @@
 SCAN_RELAY_TIMEOUT_S = 8.0
 # Added to the wait of a watch for the timeout of its relayed call, in seconds.
 WATCH_SLACK_S = 0.8
+# Longest time between two parts of a response, in seconds. The timeouts above are those
+# until the first part: the rest takes as long as the link needs.
+STALL_TIMEOUT_S = 0.7
 # Time between direct calls to a store that could not be reached directly, in seconds.
 PROBE_PERIOD_S = 0.3
 # Timeout of a probe, and shortest and longest pause before the next one, in seconds,
@@ -326,7 +329,9 @@
         body = msgspec.json.encode(call)
         url = f"http://{address}{RELAY_PATH}"
         try:
-            reply = await self._client.request_raw("POST", url, body, timeout_s)
+            reply = await self._client.request_raw(
+                "POST", url, body, timeout_s, stall_timeout_s=STALL_TIMEOUT_S
+            )
         except PoplaryardError as exc:
             if call.call == "commit" and exc.code is not Code.PEER_UNREACHABLE:
                 self._last_peer = ""
--- a/tests/load_patterns/test_large_config_on_slow_links.py
+++ b/tests/load_patterns/test_large_config_on_slow_links.py
@@ -12,8 +12,12 @@
 import pytest
 
 from poplaryard.client import HttpClient
+from poplaryard.clock import SystemClock
 from poplaryard.exceptions import StoreReplyLost
 from poplaryard.platform.store import PlatformStore
+from poplaryard.workload.relay import RelayedStorage, answer_relayed
+from poplaryard.workload.storage import Transaction
+from tests.workload.fakes import MemoryStorage
 
 # Bandwidth of the slowest link of the users, in bytes a second, and time between two
 # pieces of a response, in seconds.
@@ -27,15 +31,14 @@
 SILENCE_S = 1.0
 
 
-class SlowStore:
-    """Store whose responses take the time of a slow link.
+class SlowServer:
+    """Server whose responses take the time of a slow link.
 
     ``delay_s`` is the time before the response, and ``silent_after`` the number of
     bytes after which nothing more is sent.
     """
 
-    def __init__(self, body, delay_s=0.0, silent_after=None):
-        content = json.dumps(body).encode()
+    def __init__(self, content, delay_s=0.0, silent_after=None):
         head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(content)}\r\n\r\n"
         self._pieces = [head.encode()]
         size = int(LINK_BYTES_PER_S * PIECE_S)
@@ -57,20 +60,26 @@
             writer.close()
 
     @contextlib.asynccontextmanager
-    async def client(self):
+    async def started(self):
+        """Yield a client and the address of the server."""
         server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         client = HttpClient()
         port = server.sockets[0].getsockname()[1]
         try:
-            yield PlatformStore(client, f"127.0.0.1:{port}")
+            yield client, f"127.0.0.1:{port}"
         finally:
             await client.close()
             server.close()
 
 
-def event(revision, size=CONFIG_BYTES):
-    value = base64.b64encode(b"x" * size).decode()
-    return {"key": "op/config", "value": value, "rev": revision, "lease": 0}
+def watch_response(*revisions):
+    """Return the store's response with one version of the configuration each."""
+    value = base64.b64encode(b"x" * CONFIG_BYTES).decode()
+    events = [
+        {"key": "op/config", "value": value, "rev": revision, "lease": 0}
+        for revision in revisions
+    ]
+    return json.dumps({"events": events, "at": revisions[-1]}).encode()
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.5, 0.95])
@@ -82,12 +91,31 @@
     """
 
     async def scenario():
-        events = [event(8 + number) for number in range(versions)]
-        store = SlowStore({"events": events, "at": 9}, delay_s)
-        async with store.client() as storage:
-            changes, revision = await storage.watch("op/", 7, WAIT_S)
-        assert [change.revision for change in changes] == [8, 9][:versions]
-        assert revision == 9
+        revisions = [8, 9][:versions]
+        server = SlowServer(watch_response(*revisions), delay_s)
+        async with server.started() as (client, address):
+            store = PlatformStore(client, address)
+            changes, revision = await store.watch("op/", 7, WAIT_S)
+        assert [change.revision for change in changes] == revisions
+        assert revision == revisions[-1]
+
+    asyncio.run(scenario())
+
+
+def test_large_change_is_received_through_a_peer():
+    """Guards against a relayed watch that is given up while its response arrives."""
+
+    async def scenario():
+        storage = MemoryStorage()
+        await storage.commit(Transaction(puts=[("op/config", b"x" * CONFIG_BYTES, 0)]))
+        call = {"call": "watch", "key": "op/", "after": 1, "wait_s": WAIT_S}
+        answer = await answer_relayed(storage, json.dumps(call).encode())
+        server = SlowServer(answer, delay_s=0.95)
+        async with server.started() as (client, address):
+            storage.faults["watch"] = ["down"]
+            relayed = RelayedStorage(storage, client, lambda: [address], SystemClock())
+            changes, _ = await relayed.watch("op/", 1, WAIT_S)
+        assert len(changes[0].item.value) == CONFIG_BYTES
 
     asyncio.run(scenario())
 
@@ -97,12 +125,12 @@
     """Guards against a watch that waits for the rest of a response that never comes."""
 
     async def scenario():
-        store = SlowStore({"events": [event(8)], "at": 8}, silent_after=received)
+        server = SlowServer(watch_response(8), silent_after=received)
         loop = asyncio.get_running_loop()
-        async with store.client() as storage:
+        async with server.started() as (client, address):
             began = loop.time()
             with pytest.raises(StoreReplyLost) as failure:
-                await storage.watch("op/", 7, 0.0)
+                await PlatformStore(client, address).watch("op/", 7, 0.0)
         transfer_s = received / LINK_BYTES_PER_S
         assert loop.time() - began < transfer_s + SILENCE_S
         if received:
--- a/tests/platform/test_failover.py
+++ b/tests/platform/test_failover.py
@@ -84,7 +84,7 @@
     def __init__(self, answering):
         self.answering = answering
 
-    async def request_raw(self, method, url, data, timeout_s):
+    async def request_raw(self, method, url, data, timeout_s, **options):
         raise PoplaryardError(Code.PEER_TIMEOUT)
 
     async def post(self, url, body, timeout_s):
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -328,7 +328,7 @@
 class RespondingPeers:
     """Client of peers that answer every probe."""
 
-    async def request_raw(self, method, url, body, timeout_s, headers=None):
+    async def request_raw(self, method, url, body, timeout_s, **options):
         return RawReply(200, b"")
 
 
--- a/tests/workload/test_relay.py
+++ b/tests/workload/test_relay.py
@@ -18,7 +18,7 @@
         self.storage = storage
         self.lost = False
 
-    async def request_raw(self, method, url, body, timeout_s, headers=None):
+    async def request_raw(self, method, url, body, timeout_s, **options):
         answer = await answer_relayed(self.storage, body)
         if self.lost:
             raise PoplaryardError(Code.PEER_TIMEOUT)
@@ -130,11 +130,11 @@
         call_peer = relayed.client.request_raw
         unreachable = set()
 
-        async def request_raw(method, url, body, timeout_s, headers=None):
+        async def request_raw(method, url, body, timeout_s, **options):
             if not unreachable or url in unreachable:
                 unreachable.add(url)
                 raise PoplaryardError(Code.PEER_UNREACHABLE)
-            return await call_peer(method, url, body, timeout_s, headers)
+            return await call_peer(method, url, body, timeout_s, **options)
 
         relayed.client.request_raw = request_raw
         relayed.storage._peers = lambda: ["10.0.0.1:1", "10.0.0.2:1"]
