Skip entries of workers with odd fields

Report of other operators: an odd entry among those of the workers ended the processes that read the list.

What could happen: an entry with a port out of range, a host name, a number such as 1e300 or a field of another type was taken for a worker. Owners called it several times a second, looked its name up, and recorded it as a worker that may hold runs, which a new owner asks before it starts older jobs.

Change: an address is an IPv4 address with a port from 1 to 65535; numbers go up to 2**53; all documented fields have their types.

--- a/src/poplaryard/platform/codec.py
+++ b/src/poplaryard/platform/codec.py
@@ -1,5 +1,6 @@
 """Decoders of the messages of the platform's clients, operators and workers."""
 
+import ipaddress
 import re
 import typing as t
 
@@ -37,9 +38,13 @@
 MAX_STEPS = 1000
 MAX_TASKS = 100_000
 
-Natural: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0)]
+# Largest number of a message. Every float up to it is exact, and as milliseconds it is
+# 285,000 years.
+MAX_NUMBER = 2**53
+
+Natural: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 # The platform sends times as whole or fractional milliseconds.
-Milliseconds: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=0)]
+Milliseconds: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 
 
 class DecodeFailed(ValueError):
@@ -128,18 +133,24 @@
     labels: list[str]
     remaining_ms: Milliseconds = 0.0
     clock_ms: Milliseconds = 0.0
-    born: float = 0
+    born: Milliseconds = 0
     machine: str = ""
+    # Not used; an entry in which one of them is malformed has another writer.
+    version: str = ""
+    slots: Natural = 0
+    remaining_cold_ms: Milliseconds = 0.0
+    seq: Natural = 0
 
 
 class _HoldAnswer(msgspec.Struct):
-    clock_ms: float
+    clock_ms: Milliseconds
     running: list[list[t.Any]] = []
     finished: list[list[t.Any]] = []
-    born: float = 0
+    born: Milliseconds = 0
 
 
-_ADDRESS = re.compile(r"[0-9A-Za-z.\-]+:[0-9]{1,5}\Z")
+MAX_PORT = 65_535
+_PORT = re.compile(r"[0-9]{1,5}\Z")
 _submission_decoder = msgspec.json.Decoder(_Submission)
 _config_decoder = msgspec.json.Decoder(_Config)
 _worker_entry_decoder = msgspec.json.Decoder(_WorkerEntry)
@@ -207,8 +218,7 @@
 def decode_worker(key: str, value: bytes) -> WorkerInfo:
     """Decode the entry that a worker wrote about itself; raises `DecodeFailed`."""
     entry = _decode(_worker_entry_decoder, value)
-    if not _ADDRESS.match(entry.address):
-        raise DecodeFailed(f"no address: {entry.address!r}")
+    _check_address(entry.address)
     return WorkerInfo(
         worker_id=key.removeprefix(WORKER_PREFIX),
         group=entry.service,
@@ -235,6 +245,17 @@
     return HoldReport(hold.clock_ms / 1000, int(hold.born), running, ended)
 
 
+def _check_address(address: str) -> None:
+    """Raise `DecodeFailed` unless an address is an IPv4 address with a port."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ipaddress.AddressValueError as exc:
+        raise DecodeFailed(f"no address: {address!r}") from exc
+    if not _PORT.match(port) or not 1 <= int(port) <= MAX_PORT:
+        raise DecodeFailed(f"no port: {address!r}")
+
+
 def _running_run(row: list[t.Any]) -> RunningRun:
     load = row[4] if len(row) > 4 else 0.0
     _check_run_key(row[0], row[1], row[2])
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -120,12 +120,55 @@
         assert (type(ended.seq), type(ended.task), type(ended.run)) == (int, str, int)
 
 
-@pytest.mark.parametrize("address", ["", "10.0.0.1", "10.0.0.1:x", "a b:80", "[::1"])
+@pytest.mark.parametrize(
+    "address",
+    [
+        "",
+        "10.0.0.1",
+        "10.0.0.1:x",
+        "a b:80",
+        "[::1",
+        "10.0.0.256:80",
+        "desk:80",
+        "..:80",
+    ],
+)
 def test_worker_without_a_usable_address_is_rejected(address):
     with pytest.raises(DecodeFailed):
         decode_worker("servers/w", json.dumps(WORKER | {"address": address}).encode())
 
 
+# Odd fields as another writer may leave them. `1e400` and 5,000 digits are no numbers
+# that a decoder can hold.
+ODD_FIELDS = [
+    *(("address", f'"127.0.0.1:{port}"') for port in (0, 65536, 99999, "8o8")),
+    *((name, "[" * 100_000 + "]" * 100_000) for name in ("room", "seq", "other")),
+    *((name, "1e400") for name in ("clock_ms", "born", "remaining_ms", "room")),
+    *((name, "1e300") for name in ("clock_ms", "born", "remaining_cold_ms")),
+    *((name, "9" * 5_000) for name in ("clock_ms", "born", "slots", "seq")),
+    *((name, "-1") for name in ("clock_ms", "born", "remaining_ms", "slots")),
+    *(("room", f'{{"cpu": {number}}}') for number in ("1e400", "9" * 30, "-1")),
+    ("version", "3"),
+    ("slots", '"8"'),
+    ("seq", "1.5"),
+    ("labels", "[1]"),
+    ("machine", "{}"),
+]
+
+
+def odd_entry(name, value):
+    """Return the entry of a worker with one odd field, given as JSON text."""
+    entry = WORKER | {"address": "127.0.0.1:9", name: "ODD"}
+    return json.dumps(entry).replace('"ODD"', value).encode()
+
+
+@pytest.mark.parametrize(("name", "value"), ODD_FIELDS)
+def test_odd_entry_names_no_worker(name, value):
+    """Guards against an entry of another writer that is called as a worker."""
+    with pytest.raises(DecodeFailed):
+        decode_worker("servers/w", odd_entry(name, value))
+
+
 def test_job_with_too_many_tasks_is_rejected():
     """Guards against one job that exhausts the memory of its owner."""
     steps = [{"count": MAX_TASKS // 2}] * 3
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -22,6 +22,7 @@
 from poplaryard.workload.records import home_key, progress_key
 from poplaryard.workload.storage import Transaction
 from tests.platform.standin import PlatformStandIn, config, entry
+from tests.platform.test_codec import ODD_FIELDS, odd_entry
 
 SCHEMA = StoreSchema(
     CONFIG_KEY, WORKER_PREFIX, decode_config, decode_worker, DecodeFailed
@@ -355,6 +356,26 @@
     run_with_processes(scenario, count=1)
 
 
+def test_process_follows_the_workers_beside_odd_entries():
+    """Guards against a process that ends, or calls workers that do not exist.
+
+    Pattern: another writer leaves odd entries among those of the workers.
+    """
+
+    async def scenario(platform, process):
+        for number, (name, value) in enumerate(ODD_FIELDS):
+            await platform.put(f"servers/odd{number}", odd_entry(name, value))
+        sim, _ = next(iter(platform.sims.values()))
+        await platform.put("servers/later", entry(sim, 9))
+        path = "/checks/" + "a" * 16
+        assert (await process.call("POST", path, JOB))[0] == 200
+        await until(process, path, "done")
+        await until_equal(lambda: "later" in process.node._workers, True)
+        assert set(process.node._workers) == {*platform.sims, "later"}
+
+    run_with_processes(scenario, count=1)
+
+
 def test_metrics_are_served():
     async def scenario(platform, process):
         reply = await process.client.request_raw(
