Reject jobs of which too many occurrences are due

Found while looking for messages that take a process down. A job with a thousand million occurrences and no interval made its owner create them all at once, for ever, and then the next owner.

Change: the limit of 100,000 tasks counts all occurrences that are due when the job is handed in.

Test: 3 of 4 new cases failed before, all pass now.

--- a/src/poplaryard/platform/codec.py
+++ b/src/poplaryard/platform/codec.py
@@ -33,8 +33,8 @@
 CONFIG_KEY = "op/config"
 WORKER_PREFIX = "servers/"
 
-# Limits of a submitted job: number of steps, and number of tasks of all steps. A task
-# takes about 0.5 KB of the owner's memory.
+# Limits of a submitted job: number of steps, and number of tasks of all steps and of all
+# occurrences that are due. A task takes about 0.5 KB of the owner's memory.
 MAX_STEPS = 1000
 MAX_TASKS = 100_000
 
@@ -175,11 +175,13 @@
     Raises
     ------
     DecodeFailed
-        If the body is malformed or a step depends on itself or a later one.
+        If the body is malformed, a step depends on itself or a later one, or too many
+        tasks are due.
     """
     submission = _decode(_submission_decoder, body)
-    if sum(step.count for step in submission.steps) > MAX_TASKS:
-        raise DecodeFailed(f"more than {MAX_TASKS} tasks")
+    tasks = sum(step.count for step in submission.steps)
+    if tasks * _due_occurrences(submission, accepted_at) > MAX_TASKS:
+        raise DecodeFailed(f"more than {MAX_TASKS} tasks are due")
     steps = tuple(
         _step_spec(number, step) for number, step in enumerate(submission.steps)
     )
@@ -201,6 +203,16 @@
     )
 
 
+def _due_occurrences(submission: _Submission, now: float) -> float:
+    """Return the number of occurrences that are due; 1 for a job that runs once."""
+    late_ms = now * 1000 - submission.first_run_ms
+    if submission.times <= 1 or late_ms < 0:
+        return 1
+    if late_ms >= (submission.times - 1) * submission.interval_ms:
+        return submission.times
+    return 1 + late_ms / submission.interval_ms
+
+
 def decode_config(value: bytes) -> QueueTable:
     """Decode the operator's configuration; raises `DecodeFailed`."""
     config = _decode(_config_decoder, value)
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -138,6 +139,30 @@
         decode_worker("servers/w", json.dumps(WORKER | {"address": address}).encode())
 
 
+@pytest.mark.parametrize(
+    "schedule",
+    [
+        {"times": 10**9},
+        {"times": 10**9, "first_run_ms": 1.0, "interval_ms": 0.001},
+        {"times": 10**9, "first_run_ms": -1e308, "interval_ms": 1.0},
+    ],
+)
+def test_job_with_too_many_due_occurrences_is_rejected(schedule):
+    """Guards against one job whose due occurrences keep its owner busy for ever."""
+    body = json.dumps({"steps": [{"count": 2}], **schedule}).encode()
+    queue = Queue("q", "h", "/", "desk")
+    with pytest.raises(DecodeFailed):
+        decode_submission(body, "1" * 16, queue, time.time())
+
+
+def test_job_with_many_later_occurrences_is_accepted():
+    now = time.time()
+    schedule = {"times": 10**6, "first_run_ms": now * 1000, "interval_ms": 60_000.0}
+    body = json.dumps({"steps": [{"count": 2}], **schedule}).encode()
+    spec = decode_submission(body, "1" * 16, Queue("q", "h", "/", "desk"), now)
+    assert spec.times == 10**6
+
+
 # Odd fields as another writer may leave them. `1e400` and 5,000 digits are no numbers
 # that a decoder can hold.
 ODD_FIELDS = [
