--- a/src/poplaryard/platform/codec.py
+++ b/src/poplaryard/platform/codec.py
@@ -33,7 +33,7 @@
 CONFIG_KEY = "op/config"
 WORKER_PREFIX = "servers/"
 
-# Limits of a submitted job: number of steps, and number of tasks of all steps and of all
+# Limits of a submitted job: number of steps, and number of tasks of all steps and all
 # occurrences that are due. A task takes about 0.5 KB of the owner's memory.
 MAX_STEPS = 1000
 MAX_TASKS = 100_000
