Do not begin to schedule a group that was lost while it was read

It could happen here: the claim of an owner that reads the jobs over a slow link may be removed, or replaced by another process, meanwhile. The owner was closed, but went on after the read, asked all workers and started tasks; until a worker had seen the later owner's token it carried these orders out.

Change: an owner that was closed while it read the jobs does not begin.

Test: the owner called its workers and started the job before; it does neither now.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -774,7 +774,7 @@
         for _ in range(LOAD_TRIES):
             try:
                 await owner.start(self._workers_of(owner.group))
-                return True
+                return owner.loaded
             except (StoreDown, StoreReplyLost, LeaseLost) as exc:
                 extra = {"group": owner.group, "reason": exc.detail}
                 logger.warning("jobs could not be loaded", extra=extra)
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -238,7 +238,7 @@
         self.loaded = False
 
     async def start(self, workers: dict[str, WorkerInfo]) -> None:
-        """Load the group's jobs and begin to schedule them.
+        """Load the group's jobs and begin to schedule them, unless it was closed.
 
         Parameters
         ----------
@@ -274,6 +274,9 @@
         await watch.reload()
         self._stored_progress.clear()
         await self._record_workers(set(workers) - restricted)
+        if self.closed.is_set():
+            # The group may have got another owner meanwhile.
+            return
         self.partition.allow_starts_on(_unrestricted(self._stored_workers))
         self.loaded = True
         self._meters.count("poplaryard_owner_changes_total", "taken over")
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -137,6 +137,36 @@
     asyncio.run(run())
 
 
+def test_owner_that_was_dropped_while_it_loaded_gives_no_orders():
+    """Guards against two owners that both act after a hand-over.
+
+    The claim changes while a slow link delays the read of the jobs.
+    """
+
+    async def run():
+        storage = MemoryStorage()
+        fixture = OwnerFixture(storage)
+        owner = await fixture.claim()
+        await fixture.store(job())
+        scan = storage.scan
+
+        async def slow_scan(prefix):
+            found = await scan(prefix)
+            if prefix.startswith("progress/"):
+                owner.abandon()
+            return found
+
+        storage.scan = slow_scan
+        await owner.start(fixture.infos())
+        await asyncio.sleep(0.3)
+        assert not owner.loaded
+        assert not fixture.calls.holds
+        assert not any(sim.started for sim in fixture.sims.values())
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_owner_hears_of_a_cancellation_while_its_watch_is_silent():
     """Guards against a start of a cancelled job because the watch reports it late."""
 
