Let reports of workers take as long as data arrives

A new owner asks all its workers at once, and after an outage of the store each of them reports the ends that could not be written. Over a link of 5 Mbit/s a hundred such reports need seconds; each was given up after 0.7 s and asked for again, so that the owner might get none.

Change: the timeout of a report is one between two parts of it.

Test: 199 ends over a hundredth of the link; failed before, passes now.

--- a/src/poplaryard/platform/services.py
+++ b/src/poplaryard/platform/services.py
@@ -44,7 +44,8 @@
     ----------
     client : HttpClient
     timeout_s : float
-        Timeout of a call in seconds. A start that times out may have taken effect.
+        Timeout of a call in seconds, and for a report the longest time between two
+        parts of it. A start that times out may have taken effect.
     """
 
     def __init__(self, client: HttpClient, timeout_s: float):
@@ -135,7 +136,10 @@
         if wait_s > 0:
             body["wait_ms"] = int(wait_s * 1000)
         try:
-            reply = await self._post(worker, "hold", body, wait_s + self._timeout_s)
+            # A new owner asks all workers at once, and their reports share its link.
+            reply = await self._post(
+                worker, "hold", body, wait_s + self._timeout_s, self._timeout_s
+            )
         except PoplaryardError as exc:
             refused = exc.code is Code.PEER_UNREACHABLE
             raise WorkerUnreachable(exc.detail, refused=refused) from exc
@@ -151,7 +155,12 @@
             raise WorkerUnreachable(str(exc)) from exc
 
     async def _post(
-        self, worker: WorkerInfo, call: str, body: t.Any, timeout_s: float
+        self,
+        worker: WorkerInfo,
+        call: str,
+        body: t.Any,
+        timeout_s: float,
+        stall_timeout_s: float | None = None,
     ) -> RawReply:
         return await self._client.request_raw(
             "POST",
@@ -159,6 +168,7 @@
             json.dumps(body, separators=(",", ":")).encode(),
             timeout_s,
             {"X-Expect-Instance": worker.worker_id},
+            stall_timeout_s,
         )
 
 
--- a/tests/load_patterns/test_take_over_on_slow_links.py
+++ b/tests/load_patterns/test_take_over_on_slow_links.py
@@ -9,10 +9,14 @@
 
 from poplaryard.client import HttpClient
 from poplaryard.exceptions import StoreReplyLost
+from poplaryard.platform.entry import WORKER_CALL_TIMEOUT_S
+from poplaryard.platform.services import WorkerClient
 from poplaryard.platform.store import PlatformStore
 from poplaryard.server import HttpServer
 from poplaryard.workload import records
 from poplaryard.workload.model import QueueTable
+from tests.slow_link import LINK_BYTES_PER_S, SlowServer
+from tests.workload.builders import worker_info
 from tests.workload.fakes import MemoryStorage, make_node
 from tests.workload.test_owner import until
 
@@ -44,6 +48,28 @@
     asyncio.run(scenario())
 
 
+def test_reports_of_many_workers_are_read_over_a_slow_link():
+    """Guards against a new owner that never gets the reports of its workers.
+
+    A hundred workers that are asked at once share its link, and report the ends of an
+    outage of the store.
+    """
+
+    async def scenario():
+        rows = [
+            [number, "a" * 16 + ".0.0.0", 1, "done", ""] for number in range(1, 200)
+        ]
+        body = json.dumps({"clock_ms": 5, "running": [], "finished": rows}).encode()
+        server = SlowServer(body, bytes_per_s=LINK_BYTES_PER_S / 100)
+        async with server.started() as (client, address):
+            worker = worker_info(0, address=address)
+            calls = WorkerClient(client, WORKER_CALL_TIMEOUT_S)
+            report = await calls.hold(worker, 1, 0, None, 0.0)
+        assert len(report.ended) == len(rows)
+
+    asyncio.run(scenario())
+
+
 class BadPath:
     """Storage that loses the replies to reads of the progress of jobs.
 
