--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -117,6 +117,22 @@
     assert [run for _, _, run in group.starts()] == [1, 2]
 
 
+def test_nothing_starts_on_a_worker_whose_room_has_shrunk():
+    """Guards against an overloaded worker; its room may shrink while it runs tasks."""
+    group = SimulatedGroup(workers=1)
+    group.submit(job(JOB, step(4, cpu=1000, estimate_s=5.0)))
+    group.run(0.5)
+    for cpu, state in ((2000, JobState.QUEUED), (4000, JobState.DONE)):
+        sim = group.sims["w0"]
+        sim.info = worker_info(0, cpu=cpu)
+        group.partition.worker_listed(sim.info, group.now)
+        later = "b" * 16
+        group.submit(job(later, step(3, cpu=1000)))
+        group.run(3.0)
+        assert group.partition.jobs[later].state is state
+        group.run(2.0)
+
+
 def test_stalled_run_moves_to_another_worker():
     """Guards against tasks stuck on a worker that otherwise looks healthy."""
     group = SimulatedGroup(workers=2)
