Wait for the last count of a crash before a task starts again

Found when reading the change. A crash that was counted while an earlier one was being written counted as stored with it, so that the task could start before the second was stored. Tasks that are acquitted leave no empty entry in the progress.

Test: failed before, passes now.

--- a/src/poplaryard/workload/crashes.py
+++ b/src/poplaryard/workload/crashes.py
@@ -90,32 +90,35 @@
 
     def _accuse(self, task: Task, instance: str) -> None:
         """Count the crash of a worker against a task."""
-        crashes = task.step.job.progress.crashes.setdefault(task.name, [])
+        job = task.step.job
+        crashes = job.progress.crashes.get(task.name, [])
         if task.finished or instance in crashes:
             return
-        crashes.append(instance)
+        job.progress.crashes[task.name] = [*crashes, instance]
+        job.progress.run = max(job.progress.run, task.last_run_number)
+        task.crash_stored = False
+        self._crashed_tasks.append(task)
+        self._dirty.add(job.spec.job_id)
+        self.progress_urgent = True
         extra = {
-            "request": task.step.job.spec.job_id,
+            "request": job.spec.job_id,
             "task": task.name,
             "worker": instance,
-            "crashes": len(crashes),
+            "crashes": len(crashes) + 1,
             "trial": task.trial_at == instance,
         }
         logger.info("crash counted", extra=extra)
-        progress = task.step.job.progress
-        progress.run = max(progress.run, task.last_run_number)
-        task.crash_stored = False
-        self._crashed_tasks.append(task)
-        self._dirty.add(task.step.job.spec.job_id)
-        self.progress_urgent = True
 
     def _acquit(self, task: Task, instance: str) -> None:
         """Take back what was counted against a task."""
         if task.trial_at == instance:
             task.trial_at = ""
-        crashes = task.step.job.progress.crashes.get(task.name, [])
-        if instance in crashes:
-            crashes.remove(instance)
+        progress = task.step.job.progress
+        crashes = progress.crashes.pop(task.name, [])
+        left = [crash for crash in crashes if crash != instance]
+        if left:
+            progress.crashes[task.name] = left
+        if len(left) < len(crashes):
             self._dirty.add(task.step.job.spec.job_id)
 
     def _judge(self, task: Task, now: float) -> bool:
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -368,7 +368,8 @@
             if job is not None and state.final:
                 job.stored_state = state
         for task in batch.crashed:
-            task.crash_stored = True
+            # It may have been counted again since the batch was taken.
+            task.crash_stored = task not in self._crashed_tasks
         for worker, (born_ms, seq) in batch.seen.items():
             if worker.born_ms == born_ms:
                 worker.acked_seq = max(worker.acked_seq, seq)
--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -132,6 +132,19 @@
     assert len(group.crashes) > 1
 
 
+def test_crash_that_is_counted_during_a_write_is_not_stored_by_it():
+    """Guards against a start before the second of two crashes is stored."""
+    group = CrashingGroup(1)
+    task = group.submit(job(DEADLY)).occurrences[0][0].tasks[0]
+    group.partition._accuse(task, "w1@1")
+    batch = group.partition.take_progress()
+    group.partition._accuse(task, "w2@1")
+    group.partition.progress_written(batch)
+    assert not task.crash_stored
+    group.partition.progress_written(group.partition.take_progress())
+    assert task.crash_stored
+
+
 def test_work_beside_tasks_that_crash_workers_is_done():
     """Guards against giving up the jobs that lost runs to other jobs' crashes."""
     deadly = [f"{number:016x}" for number in range(6)]
