Let a test of a stopped owner wait for what its callers are told

The test submitted a job right after the outage and took for granted that the other process had noticed the return of the store; until its next probe it refuses with 503 and asks the caller to come back after 1 s, which is true and wanted.

Replaced by a check that is as strict: every answer is 200 or 503, and the job is accepted within the 1 s that callers are told.

--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -5,6 +5,7 @@
 
 from poplaryard.client import HttpClient
 from poplaryard.clock import SystemClock
+from poplaryard.platform import front
 from poplaryard.platform.codec import (
     CONFIG_KEY,
     WORKER_PREFIX,
@@ -437,10 +438,26 @@
     run_with_processes(scenario, count=3, strength=(1.0, 0.1, 0.1))
 
 
+async def submit_when_store_is_back(process, path):
+    """Submit a job; a process that has not noticed the store's return refuses it.
+
+    It must accept the job by the time at which it asks callers to come back.
+    """
+    loop = asyncio.get_running_loop()
+    until_s = loop.time() + front.RETRY_S
+    status = 0
+    while status != 200:
+        assert loop.time() < until_s, status
+        status, _ = await process.call("POST", path, JOB)
+        assert status in (200, 503)
+        await asyncio.sleep(0.02)
+
+
 def test_owner_stopped_during_an_outage_schedules_until_it_can_hand_over():
     """Guards against a pause in scheduling: no process can claim a group meanwhile."""
 
     async def scenario(platform, first, second):
+        await until_owned((first, second), 1)
         owner, other = (first, second) if first.node.owners else (second, first)
         platform.store_refuses = True
         hand_over_task = asyncio.create_task(owner.node.hand_over(5.0))
@@ -449,7 +466,7 @@
         platform.store_refuses = False
         await hand_over_task
         path = "/checks/" + "a" * 16
-        assert (await other.call("POST", path, JOB))[0] == 200
+        await submit_when_store_is_back(other, path)
         await until(other, path, "done")
 
     run_with_processes(scenario)
@@ -459,6 +476,7 @@
     """Guards against a stop that waits for unanswered calls until SIGKILL."""
 
     async def scenario(platform, first, second):
+        await until_owned((first, second), 1)
         owner = first if first.node.owners else second
         platform.store_silent = True
         began = asyncio.get_running_loop().time()
