Start nothing of a job that was given up in the same pass

Found when reading the change. A new owner that finds three crashes of a task stored gives its job up when the task's turn comes; the waiting siblings of the task, and other steps of the job, were still started in that pass.

Test: failed before, passes now.

--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -149,7 +149,8 @@
     def _start_step(self, step: StepRun, usable: dict[str, Worker], now: float) -> bool:
         """Start the tasks that fit; return False if a waiting task does not."""
         waiting = step.waiting(now)
-        if not waiting:
+        # The job may have been given up earlier in this pass.
+        if not waiting or step.job.progress.state.final:
             return True
         candidates = _permitted(step, usable, now)
         if step.spec.gang:
@@ -165,6 +166,8 @@
         for task in waiting:
             if self._needs_trial(task):
                 self._start_trial(task, usable, now)
+                if task.finished:
+                    return True
                 candidates = _permitted(step, usable, now)
                 continue
             found = placing.place(step, task, candidates, self._reservations.free)
--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from poplaryard.workload.model import JobState
+from poplaryard.workload.model import JobState, Progress
 from poplaryard.workload.partition import StartOrder
 from poplaryard.workload.records import decode_progress, encode
 from tests.workload.builders import job, step, worker_info
@@ -181,6 +181,20 @@
     assert group.state(DEADLY) is JobState.DONE
 
 
+def test_nothing_of_a_job_starts_after_a_task_was_given_up():
+    """Guards against starts for a job that ends in the same pass.
+
+    A new owner finds the crashes of one task stored, and its siblings wait.
+    """
+    group = CrashingGroup(4, deadly=())
+    progress = Progress(crashes={TASK: ["x@1", "y@1", "z@1"]}, run=3)
+    steps = (step(count=3), step(count=2, gang=True))
+    group.submit(job(DEADLY, *steps), fresh=False, progress=progress)
+    group.run(3.0)
+    assert group.state(DEADLY) is JobState.FAILED
+    assert not group.starts()
+
+
 def test_workers_that_were_only_cut_off_have_not_crashed():
     """Guards against giving up a task because links were cut, not workers crashed."""
     group = CrashingGroup(3, deadly=())
