--- a/review/4/case.py
+++ b/review/4/case.py
@@ -13,10 +13,10 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "lib"))
 from standin import Deployment, main  # noqa: E402
 
-SLOW = 60.0
+SLOW = 97.0
 DOWN_S = 4.5
 # Time from the read of the jobs until the store is down.
-READ_TO_DOWN_S = 0.1
+READ_TO_DOWN_S = 0.15
 
 
 async def scenario(record, trouble):
