--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -308,8 +308,8 @@
     draining : bool
         Whether the worker was draining.
     tasks : tuple of str, optional
-        All tasks that an unresponsive worker may run; it is given no new ones. None if
-        they are not known.
+        All tasks that a draining or unresponsive worker may run; it is given no new
+        ones. None if they are not known.
     """
 
     address: str = ""
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -397,7 +397,8 @@
                 self._renewal_broke(worker, exc)
                 await asyncio.sleep(BROKEN_RENEWAL_PAUSE_S)
                 continue
-            if worker.listed and not self._stored_unrestricted(worker.worker_id):
+            may_be_used = worker.listed and not worker.info.draining
+            if may_be_used and not self._stored_unrestricted(worker.worker_id):
                 await self._record_workers({worker.worker_id})
             self._wake_loops()
             if worker.acked_seq < worker.seen_seq:
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -16,10 +16,14 @@
 UNRESPONSIVE_AFTER_S = 1.0
 
 
-def _tasks_if_silent(worker: Worker, now: float) -> tuple[str, ...] | None:
-    """Return all tasks that a worker may run if it is unresponsive, else None."""
+def _tasks_if_closed(worker: Worker, now: float) -> tuple[str, ...] | None:
+    """Return all tasks that a worker may run if it is given no new ones, else None.
+
+    That is a worker that is draining or unresponsive.
+    """
+    silent = not worker.reachable and now > worker.clock_at + UNRESPONSIVE_AFTER_S
     known = worker.synced and not worker.rejected_runs
-    if worker.reachable or not known or now <= worker.clock_at + UNRESPONSIVE_AFTER_S:
+    if not known or not (silent or worker.info.draining):
         return None
     return tuple(sorted({run.task.name for run in worker.runs.values()}))
 
@@ -48,13 +52,25 @@
         return worker
 
     def worker_unlisted(self, worker_id: str, now: float) -> None:
-        """Process the removal of a worker's entry; its runs may continue."""
+        """Process the removal of a worker's entry.
+
+        Its runs may continue, even if it was draining and refuses connections: a worker
+        that is cut off does so, too, and its entry expires.
+        """
         worker = self.workers.get(worker_id)
         if worker is None:
             return
         worker.listed = False
-        if worker.info.draining and worker.refused:
-            self._mark_gone(worker, "left after draining", now)
+        logger.info(
+            "worker unlisted",
+            extra={
+                "worker": worker_id,
+                "draining": worker.info.draining,
+                "reachable": worker.reachable,
+                "runs": len(worker.runs),
+                "leases_left_s": round(worker.leases_expired_at() - now, 3),
+            },
+        )
 
     def _drop_replaced(self, worker: Worker, now: float) -> None:
         """Mark workers with the same address or machine as gone: they were replaced."""
@@ -89,7 +105,7 @@
             worker.worker_id: Suspect(
                 worker.info.address,
                 worker.info.draining,
-                _tasks_if_silent(worker, now),
+                _tasks_if_closed(worker, now),
             )
             for worker in self.workers.values()
             if worker.runs or (worker.listed and not worker.gone)
@@ -147,7 +163,8 @@
         Parameters
         ----------
         refused : bool
-            Whether the connection was refused.
+            Whether the connection was refused, for the log: it does not prove that the
+            worker has ended.
         other_instance : bool
             Whether another instance of the worker, or another worker, answered.
         fenced : bool
@@ -162,11 +179,8 @@
                 extra={"worker": worker.worker_id, "refused": refused},
             )
         worker.reachable = False
-        worker.refused = refused
-        if other_instance or (refused and worker.info.draining and not worker.listed):
-            self._mark_gone(
-                worker, "another instance answered" if other_instance else "left", now
-            )
+        if other_instance:
+            self._mark_gone(worker, "another instance answered", now)
 
     def hold_answered(
         self, worker: Worker, report: HoldReport, sent_at: float, now: float
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -70,8 +70,6 @@
         Whether the last renewal of its leases succeeded.
     gone : bool
         Whether it certainly holds no runs any more.
-    refused : bool
-        Whether the last renewal failed because the connection was refused.
     silent_since : float
         Time of the first failed renewal since it last answered.
     seen_seq, acked_seq : int
@@ -107,7 +105,6 @@
     synced: bool = False
     reachable: bool = False
     gone: bool = False
-    refused: bool = False
     silent_since: float = float("-inf")
     born_ms: int = 0
     seen_seq: int = 0
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -33,7 +33,8 @@
     """Worker that follows the platform's protocol in virtual time.
 
     With ``stalled`` its tasks make no progress, with ``failing`` they fail, and with
-    ``unreachable`` it does not answer. ``slowness`` is a factor on run times.
+    ``unreachable`` it does not answer; with ``refusing``, too, it refuses connections.
+    ``slowness`` is a factor on run times.
     """
 
     def __init__(self, info):
@@ -42,7 +43,8 @@
         self.ended = []
         self.fence = 0
         self.deadline = 0.0
-        self.stalled = self.failing = self.unreachable = False
+        self.stalled = self.failing = False
+        self.unreachable = self.refusing = False
         self.slowness = 1.0
         self._seq = itertools.count(1)
         self.started = []
@@ -153,7 +155,7 @@
 
     def renew_leases(self, worker, sim):
         if sim.unreachable:
-            self.partition.hold_failed(worker, self.now)
+            self.partition.hold_failed(worker, self.now, refused=sim.refusing)
             return
         deadline = None
         if worker.reachable:
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from poplaryard.workload.model import JobState, Progress, RunOutcome, Suspect
 from tests.workload.builders import ADVICE, job, step, worker_info
 from tests.workload.fakes import SimulatedGroup
@@ -380,19 +382,79 @@
     assert len(new.starts(f"{JOB}.0.0.0")) == 2
 
 
-def test_worker_that_left_while_the_owner_changed_blocks_nothing():
-    """Guards against waiting for a worker that was removed during a store outage."""
-    group = SimulatedGroup(
-        workers=1, suspects={"left": Suspect("10.0.9.9:80", draining=True)}
-    )
-    group.partition._quarantine_until = group.now + 12.0
-    left = group.partition.add_unlisted_suspect(
-        "left", group.partition._suspects["left"]
-    )
-    spec = job(JOB)
-    group.submit(spec, fresh=False)
+def drain(group, worker_id):
+    info = replace(group.sims[worker_id].info, draining=True)
+    group.sims[worker_id].info = info
+    group.partition.worker_listed(info, group.now)
+
+
+def cut_off(group, worker_id):
+    """Let a worker refuse connections and its entry expire while it runs on."""
+    group.sims[worker_id].unreachable = group.sims[worker_id].refusing = True
+    group.run(0.2)
+    group.partition.worker_unlisted(worker_id, group.now)
+
+
+def test_draining_worker_that_refuses_connections_keeps_its_runs_while_leases_last():
+    """Guards against a second run while a draining worker is only cut off."""
+    group = SimulatedGroup(workers=2)
+    group.submit(job(JOB, step(1, estimate_s=30.0)))
     group.run(0.5)
-    assert group.starts() == []
-    group.partition.hold_failed(left, group.now, refused=True)
+    holder = group.starts()[0][0]
+    drain(group, holder)
+    cut_off(group, holder)
+    while group.sims[holder].runs:
+        group.run(0.1)
+        assert len(group.starts()) == 1
+    group.run(1.0)
+    assert len(group.starts()) == 2
+
+
+def test_worker_that_refused_its_first_call_keeps_its_runs_without_an_entry():
+    """Guards against a second run beside a worker that answers after its entry went."""
+    group = SimulatedGroup(workers=2)
+    for sim in group.sims.values():
+        sim.unreachable = sim.refusing = True
+    group.run(0.2)
+    for sim in group.sims.values():
+        sim.unreachable = sim.refusing = False
+    group.submit(job(JOB, step(1, estimate_s=2.0)))
+    group.run(0.5)
+    holder = group.starts()[0][0]
+    drain(group, holder)
+    group.partition.worker_unlisted(holder, group.now)
+    group.partition.advance(group.now)
     group.run(2.0)
     assert state(group) is JobState.DONE
+    assert len(group.starts()) == 1
+
+
+def test_worker_that_left_while_the_owner_changed_blocks_no_task_of_others():
+    """Guards against waiting for a worker that was removed during a store outage."""
+    old = SimulatedGroup(workers=2)
+    spec = job(JOB, step(1, estimate_s=30.0))
+    other = job("b" * 16, step(1, estimate_s=1.0))
+    old.submit(spec)
+    old.run(0.5)
+    holder = old.starts()[0][0]
+    drain(old, holder)
+    old.submit(other)
+    suspects = old.partition.possible_run_holders(old.now)
+    assert suspects[holder].tasks == (f"{JOB}.0.0.0",)
+    sims = {name: sim for name, sim in old.sims.items() if name != holder}
+    new = SimulatedGroup(
+        fence=9,
+        now=old.now,
+        sims=sims,
+        suspects=suspects,
+        quarantine_until=old.now + 12.0,
+    )
+    left = new.partition.add_unlisted_suspect(holder, suspects[holder])
+    new.submit(spec, fresh=False)
+    new.submit(other, fresh=False)
+    new.partition.hold_failed(left, new.now, refused=True)
+    new.run(2.0)
+    assert state(new, other.job_id) is JobState.DONE
+    assert new.starts(f"{JOB}.0.0.0") == []
+    new.run(11.0)
+    assert len(new.starts(f"{JOB}.0.0.0")) == 1
