End a take-over once the claim is lost (LOST and a hang)

Cause: GroupOwner._record_workers repeated its write until it succeeded, and did not ask whether the group had been given up meanwhile. The claim loop of the process waits for it, so that no group was claimed any more.

Evidence: the log shows "write failed" from the write of the workers on, then "group given up", "lease granted", and "group has another owner" every 0.16 s without end (259 refused writes). Ruled out: no new lease (it was granted), a watch that stopped ("claim removed" is logged).

Change: _record_workers returns once the group is lost, and _commit sends nothing for a group that was given up; the take-over fails as after any other loss. The other loops that repeat calls were read: none waits for a claim that is gone.

--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -444,9 +444,12 @@
         """Record in the store that these workers may run any task.
 
         Tasks are started on a worker only afterwards, so that the next owner of the
-        group knows which workers may have runs.
+        group knows which workers may have runs. Returns early if this process has lost
+        the group, since no write of it can succeed any more.
         """
         while not all(map(self._stored_unrestricted, added)):
+            if self.closed.is_set():
+                return
             if not await self._write_workers(added):
                 await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -747,6 +750,8 @@
         instead of overwriting newer progress.
         """
         async with self._commit_lock:
+            if self.closed.is_set():
+                return False
             key = records.sequence_key(self.group)
             transaction.expected[key] = self._sequence
             transaction.puts.append((key, b"", 0))
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -1,14 +1,16 @@
 import asyncio
 
 from poplaryard.clock import SystemClock
+from poplaryard.exceptions import StoreDown
 from poplaryard.workload import records
 from poplaryard.workload.advice import ChannelPool
+from poplaryard.workload.layout import Layout
 from poplaryard.workload.membership import ProcessLease
-from poplaryard.workload.model import JobState, StartOutcome
+from poplaryard.workload.model import JobState, QueueTable, StartOutcome
 from poplaryard.workload.owner import GroupOwner, OwnerLimits
 from poplaryard.workload.storage import Transaction
 from tests.workload.builders import job, step, worker_info
-from tests.workload.fakes import MemoryStorage, SimWorker
+from tests.workload.fakes import MemoryStorage, SimWorker, make_node
 
 JOB = "a" * 16
 CLOCK = SystemClock()
@@ -167,6 +169,57 @@
     asyncio.run(run())
 
 
+class LapsingStorage(MemoryStorage):
+    """Storage that is down for the first write of workers; all leases end meanwhile."""
+
+    async def commit(self, transaction):
+        keys = {key for key, _, _ in transaction.puts}
+        if records.workers_key("desk") in keys and not self.lapsed:
+            self.lapsed = True
+            for lease in list(self.leases):
+                await self.revoke(lease)
+            raise StoreDown("down")
+        return await super().commit(transaction)
+
+    lapsed = False
+
+
+def test_owner_that_loses_its_claim_while_it_records_workers_gives_up():
+    """Guards against a take-over that never ends, and repeats a write in vain."""
+
+    async def run():
+        fixture = OwnerFixture(LapsingStorage())
+        owner = await fixture.claim()
+        async with asyncio.timeout(5.0):
+            await owner.start(fixture.infos())
+        assert owner.closed.is_set()
+        assert not owner.loaded
+        fixture.close()
+
+    asyncio.run(run())
+
+
+def test_process_that_loses_its_claim_while_it_takes_over_claims_again():
+    """Guards against accepted jobs that no process schedules any more."""
+
+    async def run():
+        storage = LapsingStorage()
+        info = worker_info(0)
+        layout = records.encode(Layout(1, {info.rack: 0}))
+        await storage.commit(
+            Transaction(puts=[(records.layout_key("desk"), layout, 0)])
+        )
+        node = make_node(storage)
+        node.queues = QueueTable(version=1, groups=("desk",))
+        node._workers[info.worker_id] = info
+        await node.start()
+        await until(lambda: any(owner.loaded for owner in node.owners.values()))
+        assert storage.lapsed
+        await node.stop()
+
+    asyncio.run(run())
+
+
 def test_owner_hears_of_a_cancellation_while_its_watch_is_silent():
     """Guards against a start of a cancelled job because the watch reports it late."""
 
