--- a/src/poplaryard/platform/codec.py
+++ b/src/poplaryard/platform/codec.py
@@ -38,6 +38,9 @@
 MAX_STEPS = 1000
 MAX_TASKS = 100_000
 
+# Number of ended runs that a worker lists at a time.
+MAX_LISTED_ENDS = 500
+
 # Largest number of a message. Every float up to it is exact, and as milliseconds it is
 # 285,000 years.
 MAX_NUMBER = 2**53
@@ -254,7 +257,8 @@
         ended = tuple(_ended_run(row) for row in hold.finished)
     except (IndexError, TypeError, ValueError) as exc:
         raise DecodeFailed(f"malformed list of runs: {exc}") from exc
-    return HoldReport(hold.clock_ms / 1000, int(hold.born), running, ended)
+    complete = len(ended) < MAX_LISTED_ENDS
+    return HoldReport(hold.clock_ms / 1000, int(hold.born), running, ended, complete)
 
 
 def _check_address(address: str) -> None:
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -366,12 +366,16 @@
         The worker's monotonic clock, in seconds.
     born_ms : int
         Start time of the worker process, in milliseconds since 1970.
+    complete : bool
+        Whether `ended` holds all ended runs that are not acknowledged; a worker lists
+        a limited number of them at a time.
     """
 
     clock_s: float
     born_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    complete: bool = True
 
 
 class StartOutcome(enum.Enum):
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -185,7 +185,11 @@
     def hold_answered(
         self, worker: Worker, report: HoldReport, sent_at: float, now: float
     ) -> None:
-        """Process a worker's report; `sent_at` is the time of the request."""
+        """Process a worker's report; `sent_at` is the time of the request.
+
+        A run that an incomplete report does not list may have ended, so that nothing is
+        concluded from its absence.
+        """
         if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
             if report.born_ms < worker.born_ms:
                 return
@@ -193,12 +197,9 @@
         worker.born_ms = report.born_ms or worker.born_ms
         if report.clock_s < worker.clock_s:
             return  # a later report was processed already
-        if not worker.synced:
-            logger.info("worker synchronised", extra={"worker": worker.worker_id})
         worker.clock_s, worker.clock_at = report.clock_s, now
-        worker.synced = worker.reachable = True
+        worker.reachable = True
         worker.gone = False
-        self._clear_suspect(worker.worker_id)
         for ended in report.ended:
             if ended.seq > worker.seen_seq:
                 worker.seen_seq = ended.seq
@@ -207,9 +208,17 @@
         worker.rejected_runs &= listed
         for running in report.running:
             self._run_reported(worker, running, now)
-        for run in list(worker.runs.values()):
-            if run.key not in listed:
-                self._run_not_reported(run, sent_at, now)
+        if report.complete:
+            for run in list(worker.runs.values()):
+                if run.key not in listed:
+                    self._run_not_reported(run, sent_at, now)
+            self._clear_suspect(worker.worker_id)
+            if not worker.synced:
+                logger.info("worker synchronised", extra={"worker": worker.worker_id})
+            worker.synced = True
+        else:
+            extra = {"worker": worker.worker_id, "last_end": worker.seen_seq}
+            logger.info("worker has more ended runs than it lists", extra=extra)
         self._worker_survived(worker)
 
     def _run_reported(self, worker: Worker, running: RunningRun, now: float) -> None:
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -107,6 +107,14 @@
         hash(decoded)
 
 
+@pytest.mark.parametrize(("ends", "complete"), [(0, True), (499, True), (500, False)])
+def test_report_with_the_largest_number_of_ends_may_leave_some_out(ends, complete):
+    """Guards against taking runs whose ends are not listed yet for lost ones."""
+    rows = [[number, "t.0.0.0", number, "done", ""] for number in range(1, ends + 1)]
+    body = json.dumps({"clock_ms": 5, "running": [], "finished": rows}).encode()
+    assert decode_hold_report(body).complete is complete
+
+
 @given(mutated(HOLD))
 def test_runs_of_a_report_have_their_types(body):
     """Guards against a worker whose report makes the owner give its group up."""
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -9,6 +9,8 @@
 
 # Lowest rate of a worker's clock that the requirements allow, relative to real time.
 SLOWEST_CLOCK = 0.98
+# Number of ended runs that a worker lists at a time.
+LISTED_ENDS = 500
 # Time for which a silent party withholds its answer, longer than any caller waits, in
 # seconds.
 SILENT_S = 60.0
@@ -174,7 +176,7 @@
             self.advance()
         # As in `RunningRun`: no checkpoint, and a progress of 10 percent.
         running = [[task, run, "", 10] for task, run in self.runs]
-        finished = [list(end[:5]) for end in self._ended]
+        finished = [list(end[:5]) for end in self._ended[:LISTED_ENDS]]
         return 200, {"born": self.born_ms, "running": running, "finished": finished}
 
 
--- a/tests/workload/builders.py
+++ b/tests/workload/builders.py
@@ -39,8 +39,8 @@
     return WorkerInfo(capacity=Resources(cpu, 8000, gpus), **fields)
 
 
-def report(clock_s, *, running=(), ended=(), born_ms=1000):
-    return HoldReport(clock_s, born_ms, tuple(running), tuple(ended))
+def report(clock_s, *, running=(), ended=(), born_ms=1000, complete=True):
+    return HoldReport(clock_s, born_ms, tuple(running), tuple(ended), complete)
 
 
 def running(task, run=1, percent=10.0, checkpoint=""):
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -27,6 +27,8 @@
 
 # Difference between the workers' clocks and the owner's, in seconds.
 CLOCK_OFFSET_S = 50.0
+# Number of ended runs that a worker lists at a time.
+LISTED_ENDS = 500
 
 
 class SimWorker:
@@ -96,8 +98,9 @@
         return report(
             self.clock(now),
             running=running_runs,
-            ended=self.ended,
+            ended=self.ended[:LISTED_ENDS],
             born_ms=self.info.born_ms,
+            complete=len(self.ended) < LISTED_ENDS,
         )
 
 
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -1,8 +1,9 @@
 from dataclasses import replace
 
+from poplaryard.resources import Resources
 from poplaryard.workload.model import JobState, Progress, RunOutcome, Suspect
 from tests.workload.builders import ADVICE, job, step, worker_info
-from tests.workload.fakes import SimulatedGroup
+from tests.workload.fakes import LISTED_ENDS, SimulatedGroup
 
 JOB = "a" * 16
 # Workers for which the earlier owner recorded no list of tasks.
@@ -158,6 +159,57 @@
     assert len(group.starts()) == started
 
 
+MANY_TASKS = LISTED_ENDS + 150
+
+
+def group_with_ends(tasks=MANY_TASKS):
+    """Return a group and its job, all of whose tasks have ended while nobody asked."""
+    group = SimulatedGroup(workers=1)
+    group.add_worker(worker_info(0, cpu=tasks))
+    spec = job(JOB, step(tasks, need=Resources(1, 1, 0), estimate_s=3.0))
+    group.submit(spec)
+    group.run(0.5)
+    assert len(group.starts()) == tasks
+    group.now += 3.0
+    for sim in group.sims.values():
+        sim.advance(group.now)
+    return group, spec
+
+
+def test_ends_that_a_full_report_leaves_out_are_not_taken_for_lost_runs():
+    """Guards against running done tasks again after many ended at once."""
+    group, _ = group_with_ends()
+    group.run(1.0)
+    assert state(group) is JobState.DONE
+    assert len(group.starts()) == MANY_TASKS
+
+
+def test_new_owner_starts_no_task_whose_end_a_full_report_leaves_out():
+    """Guards against running done tasks again after a change of the owner."""
+    old, spec = group_with_ends()
+    new = SimulatedGroup(
+        fence=9,
+        now=old.now,
+        sims=old.sims,
+        suspects={"w0": Suspect()},
+        quarantine_until=old.now + 12.0,
+    )
+    new.submit(spec, fresh=False)
+    new.run(1.0)
+    assert state(new) is JobState.DONE
+    assert len(new.starts()) == MANY_TASKS
+
+
+def test_run_is_lost_once_a_report_is_complete():
+    """Guards against waiting for ever for the end of a run that the worker forgot."""
+    group, _ = group_with_ends()
+    sim = group.sims["w0"]
+    forgotten = sim.ended.pop()
+    group.run(4.0)
+    assert state(group) is JobState.DONE
+    assert len(group.starts(forgotten.task)) == 2
+
+
 def test_gang_starts_whole_or_not_at_all():
     """Guards against members that hold room while they wait for the others."""
     group = SimulatedGroup(workers=2)
