Wait for a lost worker only while its leases may last (LOST)

Cause: a new owner waited for a worker that did not answer as if the earlier owner could still renew its leases (3 s + 4 s + 6.6 s), though it was an earlier incarnation of the same process; and the wait began anew with every owner.

Ruled out: a list of tasks that came too late; the lasting task was on the lost worker itself.

Change: each write of an owner carries its process and incarnation. If that process has certainly ended, the next owner waits for one lease, 6.6 s. A worker that an owner has not reached is stored with the time that is left of its leases, and gets none before it is stored anew. Beside it: leases that an earlier owner gave count until this owner renews them, and a task that two workers may run waits for both.

Conclusion: fixed for owners that restart. An owner that is gone for good is waited for as before.

--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -55,13 +55,15 @@
     wall_offset : float
         Wall-clock time minus the owner's clock, in seconds.
     quarantine_until : float
-        Time until which workers that did not report may hold runs of an earlier owner.
+        Time until which leases may last that the owner before this one gave.
     suspects : mapping of str to Suspect
-        Workers that may hold runs of an earlier owner.
+        Workers that may hold runs of an earlier owner, as that owner recorded them.
     early_s : float
         Not used.
     meters : Meters, optional
         Metrics of the process.
+    loaded_at : float
+        Time at which `suspects` was read.
 
     Attributes
     ----------
@@ -86,6 +88,7 @@
         suspects: t.Mapping[str, Suspect] | None = None,
         early_s: float = 0.0,
         meters: Meters | None = None,
+        loaded_at: float = 0.0,
     ):
         self.group = group
         self.fencing_token = claim_revision
@@ -98,10 +101,12 @@
         self.sole_owner = True
         self._startable_workers: set[str] = set()
         self._wall_offset = wall_offset
-        self._quarantine_until = quarantine_until
+        self._loaded_at = loaded_at
         self._suspects = dict(suspects or {})
-        self._quarantined_tasks = {
-            task for found in self._suspects.values() for task in found.tasks or ()
+        # Time by which all leases of each suspect have lapsed.
+        self._suspected_until = {
+            name: self._lapses_at(suspect, quarantine_until)
+            for name, suspect in self._suspects.items()
         }
         self._early_s = early_s
         self._meters = meters or Meters()
@@ -201,6 +206,7 @@
 
     def _open_occurrence(self, job: JobRun, number: int, now: float) -> None:
         steps = []
+        quarantined = self._quarantined_tasks()
         base_run = 0 if job.fresh else job.progress.run + RUN_NUMBERS_SKIPPED
         for index, spec in enumerate(job.spec.steps):
             step = StepRun(job, number, index, spec)
@@ -218,8 +224,7 @@
                 for instance in job.progress.crashes.get(name, ()):
                     task.suspected = True
                     self._accused.setdefault(instance, {})[task] = None
-                if name in self._quarantined_tasks:
-                    task.not_before = self._quarantine_until
+                task.not_before = quarantined.get(name, 0.0)
                 step.tasks.append(task)
                 if not task.done:
                     self._tasks[name] = task
@@ -286,10 +291,40 @@
 
     def _current_suspects(self, now: float) -> dict[str, Suspect]:
         """Return the workers that may still hold runs of an earlier owner."""
-        if now >= self._quarantine_until:
-            self._suspects.clear()
+        for name in list(self._suspects):
+            if now >= self._suspected_until[name]:
+                del self._suspects[name]
         return self._suspects
 
+    def _lapses_at(self, suspect: Suspect, quarantine_until: float) -> float:
+        """Return the time by which all leases of a suspect have lapsed."""
+        earlier = self._loaded_at + suspect.lapses_in_s
+        return max(earlier, quarantine_until) if suspect.renewed else earlier
+
+    def _quarantined_tasks(self) -> dict[str, float]:
+        """Return the tasks that suspects may run, and until when."""
+        found: dict[str, float] = {}
+        for worker_id, suspect in self._suspects.items():
+            for name in suspect.tasks or ():
+                until = self._suspected_until[worker_id]
+                found[name] = max(until, found.get(name, 0.0))
+        return found
+
+    def earlier_owner_ended(self, lapsed_at: float) -> None:
+        """Shorten the wait for suspects: the owner before this one gives no leases.
+
+        Parameters
+        ----------
+        lapsed_at : float
+            Time by which the last leases that it gave have lapsed.
+        """
+        for name, suspect in self._suspects.items():
+            until = self._lapses_at(suspect, lapsed_at)
+            self._suspected_until[name] = min(until, self._suspected_until[name])
+        for name, until in self._quarantined_tasks().items():
+            if name in self._tasks:
+                self._tasks[name].not_before = until
+
     def _blocked(self, job: JobRun, runs_unknown: bool) -> bool:
         """Return whether starting tasks of the job could repeat another owner's runs.
 
@@ -305,10 +340,12 @@
     def _clear_suspect(self, worker_id: str) -> None:
         """Release the tasks that were held back because the worker might run them."""
         suspect = self._suspects.pop(worker_id, None)
-        for name in (suspect.tasks or ()) if suspect is not None else ():
-            self._quarantined_tasks.discard(name)
+        if suspect is None or not suspect.tasks:
+            return
+        quarantined = self._quarantined_tasks()
+        for name in suspect.tasks:
             if name in self._tasks:
-                self._tasks[name].not_before = 0.0
+                self._tasks[name].not_before = quarantined.get(name, 0.0)
 
     def _waiting_steps(self, now: float) -> list[StepRun]:
         """Return the steps that are ready to start, the most urgent first."""
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -310,11 +310,18 @@
     tasks : tuple of str, optional
         All tasks that a draining or unresponsive worker may run; it is given no new
         ones. None if they are not known.
+    renewed : bool
+        Whether the owner that made the record may renew the leases of the worker.
+    lapses_in_s : float
+        Longest time from the record until all leases that earlier owners gave to the
+        worker have lapsed, in seconds; 0 if there are none.
     """
 
     address: str = ""
     draining: bool = False
     tasks: tuple[str, ...] | None = None
+    renewed: bool = True
+    lapses_in_s: float = 0.0
 
 
 class RunOutcome(enum.StrEnum):
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -4,6 +4,7 @@
 import random
 import time
 import typing as t
+import uuid
 import zlib
 from dataclasses import dataclass
 
@@ -221,8 +222,13 @@
             self._directory, storage, self._answering_owner, self._sole_owner
         )
         self._acceptance = Acceptance(storage, self._notify_owners)
+        self._identity = records.Identity(cfg.process, uuid.uuid4().hex)
         member = records.Member(
-            cfg.process, cfg.peer_address, cfg.data_centre, cfg.strength
+            cfg.process,
+            cfg.peer_address,
+            cfg.data_centre,
+            cfg.strength,
+            self._identity.incarnation,
         )
         self._claims_changed = asyncio.Event()
         self._lease = ProcessLease(storage, clock, member, self._claims_changed.set)
@@ -239,6 +245,7 @@
             pause_s=CLAIM_BATCH_S,
         )
         self._members: dict[str, records.Member] = {}
+        self._member_revisions: dict[str, int] = {}
         self.monitor = OwnerMonitor(
             cfg.process,
             cfg.data_centre,
@@ -526,10 +533,30 @@
             try:
                 member = records.decode_member(change.item.value)
                 self._members[process] = member
+                self._member_revisions[process] = change.revision
+                for owner in self.owners.values():
+                    owner.check_earlier_owner()
             except msgspec.DecodeError as exc:
                 logger.error("unreadable member", extra={"reason": str(exc)})
         self._update_channels_soon()
 
+    def _has_ended(self, identity: records.Identity, revision: int) -> bool:
+        """Return whether a process that wrote at a revision has certainly ended.
+
+        That is so for an earlier incarnation of this process, and for a process of
+        which another incarnation has joined since then. An earlier owner in this
+        process counts as ended, too: it was closed before the group was claimed again.
+        """
+        if identity.process == self.cfg.process:
+            return True
+        member = self._members.get(identity.process)
+        if member is None or not member.incarnation:
+            return False
+        return (
+            member.incarnation != identity.incarnation
+            and self._member_revisions[identity.process] > revision
+        )
+
     def _peer_addresses(self) -> list[str]:
         return [member.address for member in self._members.values()]
 
@@ -751,6 +778,8 @@
             self._clock,
             self.cfg.limits,
             self.meters,
+            self._identity,
+            self._has_ended,
         )
         self.owners[group] = owner
         self._update_channels()
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -6,7 +6,7 @@
 import asyncio
 import functools
 import typing as t
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -29,7 +29,7 @@
 )
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
-from .storage import MAX_TRANSACTION_ENTRIES, Change, Storage, Transaction
+from .storage import MAX_TRANSACTION_ENTRIES, Change, Item, Storage, Transaction
 from .watching import PrefixWatcher
 
 __all__ = ["GroupOwner", "OwnerLimits", "WorkerCalls"]
@@ -156,19 +156,35 @@
     retention_s: float
     early_s: float = 0.0
 
+    def longest_lease_s(self) -> float:
+        """Return how long a lease may last that an owner has just given."""
+        return self.run_lease_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+
     def quarantine_s(self) -> float:
-        """Return how long an unreachable worker may run tasks of an earlier owner.
+        """Return how long leases of an earlier owner may last that may still act.
 
         That is until the earlier owner has lost its authority and the last lease that
         it gave has lapsed on the worker's clock.
         """
-        longest_lease_s = self.run_lease_s / (1 - CLOCK_DRIFT)
-        return LEASE_TTL_S + GRACE_S + longest_lease_s + LAPSE_SLACK_S
+        return LEASE_TTL_S + GRACE_S + self.longest_lease_s()
 
 
 def _unrestricted(workers: dict[str, Suspect]) -> set[str]:
-    """Return the workers whose possible tasks are not limited to a stored list."""
-    return {name for name, suspect in workers.items() if suspect.tasks is None}
+    """Return the workers on which any task may be started by their records."""
+    return {name for name, suspect in workers.items() if _is_unrestricted(suspect)}
+
+
+def _is_unrestricted(suspect: Suspect) -> bool:
+    return suspect.tasks is None and suspect.renewed
+
+
+def _unrenewed(workers: dict[str, Suspect]) -> set[str]:
+    """Return the workers whose leases are not renewed by their records."""
+    return {name for name, suspect in workers.items() if not suspect.renewed}
+
+
+def _never_ended(identity: records.Identity, revision: int) -> bool:
+    return False
 
 
 def _release_channel(channel: Channel, slow: bool, _: "asyncio.Task[t.Any]") -> None:
@@ -190,6 +206,10 @@
     clock : Clock
     limits : OwnerLimits
     meters : Meters, optional
+    identity : records.Identity, optional
+        This process; it is stored with every write.
+    has_ended : callable, optional
+        Returns whether a process that wrote at a revision can write no more.
 
     Attributes
     ----------
@@ -210,8 +230,13 @@
         clock: Clock,
         limits: OwnerLimits,
         meters: Meters | None = None,
+        identity: records.Identity | None = None,
+        has_ended: t.Callable[[records.Identity, int], bool] = _never_ended,
     ):
         self.group = group
+        self._identity = records.encode(identity or records.Identity())
+        self._has_ended = has_ended
+        self._earlier_owner: tuple[records.Identity, int] | None = None
         self._meters = meters or Meters()
         self.closed = asyncio.Event()
         self.revision = claim_revision
@@ -230,6 +255,8 @@
         self._sequence = 0
         self._progress_written = asyncio.Event()
         self._stored_workers: dict[str, Suspect] = {}
+        self._unrenewed: set[str] = set()
+        self._has_written = False
         self._starts_in_flight = 0
         self._next_summary_at = clock.now() + SUMMARY_EVERY_S
         self._next_prune_at = clock.now() + WORKERS_UPDATE_PERIOD_S
@@ -248,22 +275,26 @@
         began = self._clock.now()
         sequence = await self._storage.get(records.sequence_key(self.group))
         self._sequence = sequence.revision if sequence is not None else 0
+        ended = self._earlier_owner_ended(sequence)
+        limits = self._limits
+        leases_s = limits.longest_lease_s() if ended else limits.quarantine_s()
         suspects = await self._load_suspects()
-        restricted = {
-            name for name, suspect in suspects.items() if suspect.tasks is not None
-        }
+        loaded_at = self._clock.now()
+        restricted = set(suspects) - _unrestricted(suspects)
         progress, _ = await self._storage.scan(records.progress_prefix(self.group))
         now = self._clock.now()
         self.partition = Partition(
             self.group,
             self.revision,
             self._clock.wall() - now,
-            began + self._limits.quarantine_s(),
+            began + leases_s,
             suspects,
             self._limits.early_s,
             self._meters,
+            loaded_at,
         )
         self._stored_workers = suspects
+        self._unrenewed = _unrenewed(suspects)
         self._stored_progress = {item.key: item.value for item in progress}
         watch = PrefixWatcher(
             self._storage,
@@ -274,6 +305,7 @@
         await watch.reload()
         self._stored_progress.clear()
         await self._record_workers(set(workers) - restricted)
+        await self._record_owner()
         if self.closed.is_set():
             # The group may have got another owner meanwhile.
             return
@@ -293,12 +325,38 @@
                 "fence": self.revision,
                 "jobs": len(self.partition.jobs),
                 "suspects": len(suspects),
+                "earlier_owner_ended": ended,
                 "took_s": round(self._clock.now() - began, 3),
             },
         )
         for loop in (watch.run(), self._scheduling_loop(), self._write_loop()):
             self._spawn(loop).add_done_callback(self._on_loop_done)
 
+    def _earlier_owner_ended(self, sequence: Item | None) -> bool:
+        """Note who wrote last for the group; return whether that process has ended."""
+        if sequence is None:
+            return False
+        try:
+            identity = records.decode_identity(sequence.value)
+        except msgspec.DecodeError as exc:
+            logger.error("unreadable owner", extra={"reason": str(exc)})
+            return False
+        if self._has_ended(identity, sequence.revision):
+            return True
+        self._earlier_owner = identity, sequence.revision
+        return False
+
+    def check_earlier_owner(self) -> None:
+        """Shorten the wait for unreachable workers if the earlier owner has ended."""
+        if self.partition is None or self._earlier_owner is None:
+            return
+        if self._has_ended(*self._earlier_owner):
+            extra = {"group": self.group, "peer": self._earlier_owner[0].process}
+            logger.info("earlier owner has ended", extra=extra)
+            self._earlier_owner = None
+            lapsed_at = self._clock.now() + self._limits.longest_lease_s()
+            self.partition.earlier_owner_ended(lapsed_at)
+
     async def close(self) -> None:
         """Stop starting runs, wait up to 0.2 s for starts in flight, and close."""
         if self.partition is not None:
@@ -372,7 +430,7 @@
             sent_at = self._clock.now()
             reachable = worker.reachable
             deadline = None
-            if reachable:
+            if reachable and worker.worker_id not in self._unrenewed:
                 deadline = worker.clock_now(sent_at) + self._limits.run_lease_s
                 worker.latest_deadline_s = max(worker.latest_deadline_s, deadline)
             acked = worker.acked_seq
@@ -382,6 +440,9 @@
                     worker.info, self.revision, acked, deadline, wait_s
                 )
                 partition.hold_answered(worker, report, sent_at, self._clock.now())
+                if not worker.latest_deadline_s:
+                    # An earlier owner may have renewed the leases.
+                    worker.latest_deadline_s = worker.clock_s + self._limits.run_lease_s
             except WorkerUnreachable as exc:
                 partition.hold_failed(
                     worker,
@@ -400,6 +461,8 @@
             may_be_used = worker.listed and not worker.info.draining
             if may_be_used and not self._stored_unrestricted(worker.worker_id):
                 await self._record_workers({worker.worker_id})
+            elif worker.worker_id in self._unrenewed:
+                await self._update_workers()
             self._wake_loops()
             if worker.acked_seq < worker.seen_seq:
                 await self._wait_for_write()
@@ -438,7 +501,7 @@
     def _stored_unrestricted(self, worker_id: str) -> bool:
         """Return whether the store says that the worker may run any task."""
         stored = self._stored_workers.get(worker_id)
-        return stored is not None and stored.tasks is None
+        return stored is not None and _is_unrestricted(stored)
 
     async def _record_workers(self, added: set[str]) -> None:
         """Record in the store that these workers may run any task.
@@ -453,6 +516,15 @@
             if not await self._write_workers(added):
                 await asyncio.sleep(RETRY_PAUSE_S)
 
+    async def _record_owner(self) -> None:
+        """Record that this process owns the group, which every write of it does.
+
+        It gives leases only afterwards, so that the next owner knows who renewed them.
+        """
+        while not (self._has_written or self.closed.is_set()):
+            if not await self._commit(self._new_transaction()):
+                await asyncio.sleep(RETRY_PAUSE_S)
+
     async def _update_workers(self) -> None:
         """Update the stored workers: add those that came back, remove those gone.
 
@@ -466,20 +538,24 @@
     async def _write_workers(self, added: set[str]) -> bool:
         partition = t.cast(Partition, self.partition)
         async with self._workers_lock:
+            if added and all(map(self._stored_unrestricted, added)):
+                return True
             workers = partition.possible_run_holders(self._clock.now())
             for name in added:
                 suspect = workers.get(name, Suspect())
-                workers[name] = Suspect(suspect.address, suspect.draining)
+                workers[name] = replace(suspect, tasks=None, renewed=True)
             # Until the outcome of the write is known, the store may hold the old or the
             # new list, so tasks may be started only on workers in both.
             in_both = {name for name in workers if self._stored_unrestricted(name)}
             partition.allow_starts_on(_unrestricted(workers) & in_both)
+            self._unrenewed |= _unrenewed(workers)
             transaction = self._new_transaction()
             value = records.encode(workers)
             transaction.puts.append((records.workers_key(self.group), value, 0))
             if not await self._commit(transaction):
                 return False
             self._stored_workers = workers
+            self._unrenewed = _unrenewed(workers)
             partition.allow_starts_on(_unrestricted(workers))
             return True
 
@@ -754,7 +830,7 @@
                 return False
             key = records.sequence_key(self.group)
             transaction.expected[key] = self._sequence
-            transaction.puts.append((key, b"", 0))
+            transaction.puts.append((key, self._identity, 0))
             try:
                 found = await self._storage.commit(transaction)
             except (StoreDown, StoreReplyLost, LeaseLost) as exc:
@@ -763,6 +839,7 @@
                 return False
             if isinstance(found, int):
                 self._sequence = found
+                self._has_written = True
                 return True
             present = {item.key: item.revision for item in found if item is not None}
             if present.get(records.claim_key(self.group)) == self.revision:
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CANCEL_SUFFIX",
     "Claim",
+    "Identity",
     "Member",
     "StoredJobs",
     "cancel_key",
@@ -17,6 +18,7 @@
     "claim_prefix",
     "decode_claim",
     "decode_homes",
+    "decode_identity",
     "decode_job",
     "decode_layout",
     "decode_member",
@@ -52,6 +54,13 @@
     address: str
 
 
+class Identity(msgspec.Struct, frozen=True):
+    """Process by its name, and its incarnation, which differs after a restart."""
+
+    process: str = ""
+    incarnation: str = ""
+
+
 class Member(msgspec.Struct, frozen=True):
     """Scheduler process, as listed in the store for its peers.
 
@@ -63,6 +72,7 @@
     address: str
     data_centre: str = ""
     strength: float = 1.0
+    incarnation: str = ""
 
 
 class StoredJobs(msgspec.Struct, frozen=True):
@@ -76,6 +86,7 @@
 
 _stored = msgspec.json.Decoder(StoredJobs)
 _claims = msgspec.json.Decoder(Claim)
+_identities = msgspec.json.Decoder(Identity)
 _members = msgspec.json.Decoder(Member)
 _workers = msgspec.json.Decoder(dict[str, Suspect])
 _layouts = msgspec.json.Decoder(Layout)
@@ -149,7 +160,8 @@
 def sequence_key(group: str) -> str:
     """Return the key that every write of a group's owner expects and changes.
 
-    A write that is carried out late thus fails instead of undoing a newer one.
+    A write that is carried out late thus fails instead of undoing a newer one. The
+    value is the `Identity` of the owner.
     """
     return f"sequence/{group}"
 
@@ -179,6 +191,11 @@
     return _claims.decode(value)
 
 
+def decode_identity(value: bytes) -> Identity:
+    """Decode the identity of an owner; raises `msgspec.DecodeError`."""
+    return _identities.decode(value) if value else Identity()
+
+
 def decode_layout(value: bytes) -> Layout:
     """Decode the layout of a group; raises `msgspec.DecodeError`."""
     return _layouts.decode(value)
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -1,5 +1,8 @@
 """Handling of workers' store entries and of the runs that they report."""
 
+import math
+from dataclasses import replace
+
 from ..logs import logger
 from ..resources import ZERO
 from .crashes import CrashHandler
@@ -110,7 +113,21 @@
             for worker in self.workers.values()
             if worker.runs or (worker.listed and not worker.gone)
         }
-        return found | self._current_suspects(now)
+        return found | self._recorded_suspects(now)
+
+    def _recorded_suspects(self, now: float) -> dict[str, Suspect]:
+        """Return the suspects with the time that is left of their leases.
+
+        This owner has not reached them, and so renews none of their leases.
+        """
+        return {
+            name: replace(
+                suspect,
+                renewed=False,
+                lapses_in_s=float(math.ceil(self._suspected_until[name] - now)),
+            )
+            for name, suspect in self._current_suspects(now).items()
+        }
 
     def add_unlisted_suspect(self, worker_id: str, suspect: Suspect) -> Worker:
         """Add a worker that is no longer listed, so that it is asked for its runs."""
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -1,14 +1,16 @@
 import asyncio
 
+import pytest
+
 from poplaryard.clock import SystemClock
-from poplaryard.exceptions import StoreDown
+from poplaryard.exceptions import StoreDown, WorkerUnreachable
 from poplaryard.workload import records
 from poplaryard.workload.advice import ChannelPool
 from poplaryard.workload.layout import Layout
 from poplaryard.workload.membership import ProcessLease
 from poplaryard.workload.model import JobState, QueueTable, StartOutcome
 from poplaryard.workload.owner import GroupOwner, OwnerLimits
-from poplaryard.workload.storage import Transaction
+from poplaryard.workload.storage import Change, Item, Transaction
 from tests.workload.builders import job, step, worker_info
 from tests.workload.fakes import MemoryStorage, SimWorker, make_node
 
@@ -22,6 +24,7 @@
     def __init__(self, sims):
         self.sims = sims
         self.holds = []
+        self.deadlines = []
 
     async def start(
         self, worker, task, run, payload, deadline_s, fence, checkpoint="", ticket=""
@@ -34,7 +37,10 @@
 
     async def hold(self, worker, fence, acknowledged, deadline_s, wait_s):
         sim = self.sims[worker.worker_id]
+        if sim.unreachable:
+            raise WorkerUnreachable("silent")
         self.holds.append((worker.worker_id, acknowledged))
+        self.deadlines.append((worker.worker_id, deadline_s))
         until = CLOCK.now() + wait_s
         while True:
             sim.advance(CLOCK.now())
@@ -47,13 +53,15 @@
 class OwnerFixture:
     """Owner of the group "desk" with its lease and claim."""
 
+    run_lease_s = 6.0
+
     def __init__(self, storage=None, sims=None):
         self.storage = storage or MemoryStorage()
         infos = [worker_info(0), worker_info(1)]
         self.sims = sims or {info.worker_id: SimWorker(info) for info in infos}
         self.calls = SimWorkerCalls(self.sims)
 
-    async def claim(self, process="p1"):
+    async def claim(self, process="p1", has_ended=lambda identity, revision: False):
         member = records.Member(process, "10.0.0.9:1")
         self.lease = ProcessLease(self.storage, CLOCK, member)
         self.lease_task = asyncio.create_task(self.lease.run())
@@ -70,7 +78,9 @@
             ChannelPool(None),
             self.lease,
             CLOCK,
-            OwnerLimits(run_lease_s=6.0, retention_s=120.0),
+            OwnerLimits(run_lease_s=self.run_lease_s, retention_s=120.0),
+            identity=records.Identity(process, "1"),
+            has_ended=has_ended,
         )
         return self.owner
 
@@ -85,6 +95,11 @@
         self.owner.abandon()
         self.lease_task.cancel()
 
+    async def end(self):
+        """Let the process end without a hand-over; its lease expires."""
+        self.close()
+        await self.storage.revoke(self.lease.lease)
+
 
 async def until(condition, seconds=5.0):
     end = CLOCK.now() + seconds
@@ -346,3 +361,119 @@
         fixture.close()
 
     asyncio.run(run())
+
+
+async def start_lasting_job(fixture):
+    """Start a job with a lasting task on each of two workers."""
+    owner = await fixture.claim()
+    await owner.start(fixture.infos())
+    await fixture.store(job(JOB, step(2, lasting=True, cpu=4000)))
+    await until(lambda: all(sim.runs for sim in fixture.sims.values()))
+
+
+def test_lost_worker_holds_jobs_back_for_one_lease_if_the_earlier_owner_has_ended():
+    """Guards against jobs that wait for leases that nobody can renew any more."""
+
+    async def run():
+        fixture = OwnerFixture()
+        fixture.run_lease_s = 1.0
+        await start_lasting_job(fixture)
+        fixture.sims["w0"].unreachable = True
+        await fixture.end()
+        began = CLOCK.now()
+        owner = await fixture.claim(has_ended=lambda *_: True)
+        info = worker_info(2)
+        fixture.sims["w2"] = SimWorker(info)
+        await owner.start(fixture.infos())
+        await until(lambda: fixture.sims["w2"].runs)
+        assert 1.0 < CLOCK.now() - began < 2.5
+        fixture.close()
+
+    asyncio.run(run())
+
+
+def test_lost_worker_holds_jobs_back_for_one_lease_once_the_earlier_owner_has_ended():
+    """Guards against a wait that goes on after the earlier owner has restarted."""
+
+    async def run():
+        fixture = OwnerFixture()
+        fixture.run_lease_s = 1.0
+        await start_lasting_job(fixture)
+        fixture.sims["w0"].unreachable = True
+        await fixture.end()
+        ended = []
+        owner = await fixture.claim("p2", lambda *_: bool(ended))
+        fixture.sims["w2"] = SimWorker(worker_info(2))
+        await owner.start(fixture.infos())
+        await asyncio.sleep(2.0)
+        assert not fixture.sims["w2"].runs
+        ended.append(True)
+        owner.check_earlier_owner()
+        began = CLOCK.now()
+        await until(lambda: fixture.sims["w2"].runs)
+        assert CLOCK.now() - began > 1.0
+        fixture.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("draining", [False, True])
+def test_unreached_worker_gets_no_lease_before_it_is_recorded_anew(draining):
+    """Guards against a later owner that does not wait for a lease that it must respect.
+
+    A worker that did not answer after a change of the owner is recorded with the time
+    that is left of its leases, and returns while the store is down.
+    """
+
+    async def run():
+        fixture = OwnerFixture()
+        await start_lasting_job(fixture)
+        fixture.sims["w0"].unreachable = True
+        await fixture.end()
+        owner = await fixture.claim("p2")
+        await owner.start(fixture.infos())
+
+        def stored():
+            item = fixture.storage.items[records.workers_key("desk")]
+            return records.decode_workers(item.value)["w0"]
+
+        await until(lambda: not stored().renewed)
+        assert 0 < stored().lapses_in_s <= 14
+        owner.worker_listed(worker_info(0, draining=draining))
+        fixture.storage.faults["commit"] = ["down"] * 1000
+        fixture.calls.deadlines.clear()
+        fixture.sims["w0"].unreachable = False
+        await asyncio.sleep(0.5)
+        held = [at for name, at in fixture.calls.deadlines if name == "w0"]
+        assert held
+        assert held == [None] * len(held)
+        fixture.storage.faults["commit"] = []
+        await until(lambda: stored().renewed)
+        await until(lambda: fixture.calls.deadlines[-1][1])
+        fixture.close()
+
+    asyncio.run(run())
+
+
+def test_process_has_ended_only_if_a_later_incarnation_has_joined():
+    """Guards against two owners that both act, because one of them counts as ended."""
+    node = make_node(MemoryStorage(), name="p0")
+    earlier, later = records.Identity("p1", "a"), records.Identity("p1", "b")
+
+    def join(identity, revision):
+        member = records.Member(
+            identity.process, "10.0.0.1:2", incarnation=identity.incarnation
+        )
+        item = Item("member/p1", records.encode(member), revision)
+        node._member_changed(Change(item.key, revision, item))
+
+    assert not node._has_ended(earlier, 10)
+    join(earlier, 5)
+    assert not node._has_ended(earlier, 10)
+    # An old entry does not show that a later incarnation, which wrote since, has ended.
+    assert not node._has_ended(later, 10)
+    join(later, 11)
+    assert node._has_ended(earlier, 10)
+    assert not node._has_ended(later, 12)
+    assert node._has_ended(records.Identity("p0", "before"), 10)
+    assert not node._has_ended(records.Identity(), 10)
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -434,6 +434,41 @@
     assert len(new.starts(f"{JOB}.0.0.0")) == 2
 
 
+def test_wait_for_an_unreached_worker_does_not_begin_anew_with_each_owner():
+    """Guards against tasks that wait without end while the owner changes repeatedly."""
+    sims = SimulatedGroup(workers=2).sims
+    sims["w0"].unreachable = True
+    spec = job(JOB, step(1))
+    now, suspects = 100.0, {"w0": Suspect()}
+    for fence in range(8, 12):
+        group = SimulatedGroup(
+            fence=fence,
+            now=now,
+            sims=sims,
+            suspects=suspects,
+            quarantine_until=now + 12.0,
+            loaded_at=now,
+        )
+        group.submit(spec, fresh=False)
+        group.run(3.5)
+        suspects = group.partition.possible_run_holders(group.now)
+        now = group.now
+        assert now > 112.0 or not group.starts()
+    assert group.starts()
+
+
+def test_task_that_two_workers_may_run_waits_for_both():
+    """Guards against a second run once only one of two suspects has answered."""
+    suspects = {name: Suspect(tasks=(f"{JOB}.0.0.0",)) for name in ("w0", "w1")}
+    group = SimulatedGroup(workers=3, suspects=suspects, quarantine_until=112.0)
+    group.sims["w0"].unreachable = True
+    group.submit(job(JOB), fresh=False)
+    group.run(11.5)
+    assert group.starts() == []
+    group.run(2.5)
+    assert len(group.starts()) == 1
+
+
 def drain(group, worker_id):
     info = replace(group.sims[worker_id].info, draining=True)
     group.sims[worker_id].info = info
