--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -404,7 +404,7 @@
         """
         if self.partition is None or not self.loaded:
             return
-        self._start_renewals(self.partition.worker_listed(info, self._clock.now()))
+        self._start_renewals(self.partition.worker_listed(info))
 
     def _start_renewals(self, worker: Worker) -> None:
         name = worker.worker_id
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -38,15 +38,16 @@
     them if their tasks still have to be run, and orders them to be stopped if not.
     """
 
-    def worker_listed(self, info: WorkerInfo, now: float) -> Worker:
-        """Process the entry that a worker wrote to the store, and return the worker."""
+    def worker_listed(self, info: WorkerInfo) -> Worker:
+        """Process the entry of a worker, and return the worker.
+
+        An entry may have been left by another writer. It does not prove that the worker
+        has restarted, or has replaced another one; see `hold_answered`.
+        """
         worker = self.workers.get(info.worker_id)
         if worker is None:
-            worker = Worker(info, born_ms=info.born_ms)
+            worker = Worker(info)
             self.workers[info.worker_id] = worker
-            self._drop_replaced(worker, now)
-        elif info.born_ms and worker.born_ms and info.born_ms > worker.born_ms:
-            self._reset_after_restart(worker, info.born_ms, now)
         if info.draining and not worker.info.draining:
             logger.info("worker leaves", extra={"worker": info.worker_id})
         worker.info = info
@@ -76,7 +77,10 @@
         )
 
     def _drop_replaced(self, worker: Worker, now: float) -> None:
-        """Mark workers with the same address or machine as gone: they were replaced."""
+        """Mark the workers as gone at whose address or on whose machine this one runs.
+
+        The worker has answered there under its own id.
+        """
         for other in list(self.workers.values()):
             if other is worker or other.gone:
                 continue
@@ -212,6 +216,8 @@
                 return
             self._reset_after_restart(worker, report.born_ms, now)
         worker.born_ms = report.born_ms or worker.born_ms
+        if not worker.synced:
+            self._drop_replaced(worker, now)
         if report.clock_s < worker.clock_s:
             return  # a later report was processed already
         worker.clock_s, worker.clock_at = report.clock_s, now
--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -75,7 +75,7 @@
         self.partition = later
         for sim in self.sims.values():
             if not sim.unreachable:
-                later.worker_listed(sim.info, self.now)
+                later.worker_listed(sim.info)
 
     def state(self, job_id):
         return self.partition.jobs[job_id].state
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -127,11 +127,11 @@
                 self.add_worker(worker_info(number))
         else:
             for sim in self.sims.values():
-                self.partition.worker_listed(sim.info, self.now)
+                self.partition.worker_listed(sim.info)
 
     def add_worker(self, info):
         self.sims[info.worker_id] = SimWorker(info)
-        self.partition.worker_listed(info, self.now)
+        self.partition.worker_listed(info)
 
     def submit(self, spec, fresh=True, progress=None):
         return self.partition.add_job(spec, self.now, fresh, progress)
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -1,5 +1,7 @@
 from dataclasses import replace
 
+import pytest
+
 from poplaryard.resources import Resources
 from poplaryard.workload.model import JobState, Progress, RunOutcome, Suspect
 from tests.workload.builders import ADVICE, job, step, worker_info
@@ -120,6 +122,42 @@
     assert [run for _, _, run in group.starts()] == [1, 2]
 
 
+@pytest.mark.parametrize(
+    "odd",
+    [
+        worker_info(9, address=worker_info(0).address),
+        worker_info(9, machine="m0"),
+        worker_info(0, machine="m0", born_ms=2000),
+    ],
+    ids=["same address", "same machine", "later start"],
+)
+def test_entry_of_another_writer_ends_no_runs(odd):
+    """Guards against a second run because of an entry that no worker has confirmed."""
+    group = SimulatedGroup(workers=0)
+    group.add_worker(worker_info(0, machine="m0"))
+    group.add_worker(worker_info(1))
+    group.submit(job(JOB, step(2, cpu=4000, estimate_s=2.0)))
+    group.run(0.5)
+    group.partition.worker_listed(odd)
+    group.partition.advance(group.now)
+    group.run(3.0)
+    assert state(group) is JobState.DONE
+    assert len(group.starts()) == 2
+
+
+def test_runs_end_once_another_worker_answers_on_the_machine():
+    """Guards against waiting for the leases of a worker that was replaced."""
+    group = SimulatedGroup(workers=0)
+    group.add_worker(worker_info(0, machine="m0"))
+    group.submit(job(JOB, step(1, estimate_s=30.0)))
+    group.run(0.5)
+    group.sims["w0"].unreachable = True
+    group.run(0.2)
+    group.add_worker(worker_info(1, machine="m0"))
+    group.run(0.3)
+    assert [worker for worker, _, _ in group.starts()] == ["w0", "w1"]
+
+
 def test_nothing_starts_on_a_worker_whose_room_has_shrunk():
     """Guards against an overloaded worker; its room may shrink while it runs tasks."""
     group = SimulatedGroup(workers=1)
@@ -128,7 +166,7 @@
     for cpu, state in ((2000, JobState.QUEUED), (4000, JobState.DONE)):
         sim = group.sims["w0"]
         sim.info = worker_info(0, cpu=cpu)
-        group.partition.worker_listed(sim.info, group.now)
+        group.partition.worker_listed(sim.info)
         later = "b" * 16
         group.submit(job(later, step(3, cpu=1000)))
         group.run(3.0)
@@ -244,7 +282,7 @@
 def test_nothing_starts_on_a_draining_worker():
     group = SimulatedGroup(workers=2)
     group.run(0.2)
-    group.partition.worker_listed(worker_info(0, draining=True), group.now)
+    group.partition.worker_listed(worker_info(0, draining=True))
     group.submit(job(JOB, step(8)))
     group.run(5)
     assert {worker for worker, _, _ in group.starts()} == {"w1"}
@@ -472,7 +510,7 @@
 def drain(group, worker_id):
     info = replace(group.sims[worker_id].info, draining=True)
     group.sims[worker_id].info = info
-    group.partition.worker_listed(info, group.now)
+    group.partition.worker_listed(info)
 
 
 def cut_off(group, worker_id):
