--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -305,7 +305,7 @@
         await watch.reload()
         self._stored_progress.clear()
         await self._record_workers(set(workers) - restricted)
-        await self._record_owner()
+        await self._record_owner(set(workers) - restricted)
         if self.closed.is_set():
             # The group may have got another owner meanwhile.
             return
@@ -516,13 +516,18 @@
             if not await self._write_workers(added):
                 await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def _record_owner(self) -> None:
+    async def _record_owner(self, added: set[str]) -> None:
         """Record that this process owns the group, which every write of it does.
 
         It gives leases only afterwards, so that the next owner knows who renewed them.
+        What is left of the leases of earlier owners is written with it.
         """
         while not (self._has_written or self.closed.is_set()):
-            if not await self._commit(self._new_transaction()):
+            if self._stored_workers:
+                written = await self._write_workers(added)
+            else:
+                written = await self._commit(self._new_transaction())
+            if not written:
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _update_workers(self) -> None:
@@ -538,7 +543,8 @@
     async def _write_workers(self, added: set[str]) -> bool:
         partition = t.cast(Partition, self.partition)
         async with self._workers_lock:
-            if added and all(map(self._stored_unrestricted, added)):
+            recorded = all(map(self._stored_unrestricted, added))
+            if added and recorded and self._has_written:
                 return True
             workers = partition.possible_run_holders(self._clock.now())
             for name in added:
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -46,8 +46,11 @@
         """
         worker = self.workers.get(info.worker_id)
         if worker is None:
-            worker = Worker(info)
+            worker = Worker(info, born_ms=info.born_ms)
             self.workers[info.worker_id] = worker
+        elif not worker.clock_at:
+            # It has not answered yet, so that only its entries tell its instance.
+            worker.born_ms = info.born_ms
         if info.draining and not worker.info.draining:
             logger.info("worker leaves", extra={"worker": info.worker_id})
         worker.info = info
@@ -72,7 +75,7 @@
                 "draining": worker.info.draining,
                 "reachable": worker.reachable,
                 "runs": len(worker.runs),
-                "leases_left_s": round(worker.leases_expired_at() - now, 3),
+                "leases_left_s": round(max(0.0, worker.leases_expired_at() - now), 3),
             },
         )
 
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -455,6 +455,27 @@
     asyncio.run(run())
 
 
+def test_owner_that_ends_at_once_leaves_the_leases_of_earlier_owners_recorded():
+    """Guards against a third owner that only waits for the leases of the second one."""
+
+    async def run():
+        fixture = OwnerFixture()
+        await start_lasting_job(fixture)
+        fixture.sims["w0"].unreachable = True
+        await fixture.end()
+        owner = await fixture.claim("p2")
+        await owner.start(fixture.infos())
+        await fixture.end()
+        item = fixture.storage.items[records.workers_key("desk")]
+        assert records.decode_workers(item.value)["w0"].lapses_in_s > 13.0
+        owner = await fixture.claim("p2", has_ended=lambda *_: True)
+        await owner.start(fixture.infos())
+        assert owner.partition._suspected_until["w0"] > CLOCK.now() + 13.0
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_process_has_ended_only_if_a_later_incarnation_has_joined():
     """Guards against two owners that both act, because one of them counts as ended."""
     node = make_node(MemoryStorage(), name="p0")
