Bind an owner's authority to the lease of its claim

Reported by operators of similar systems (both processes acted around a hand-over) and found by reading; not seen in operation. A claim ends with the lease of its process. The owner asked only whether the process has a lease, so that after a loss and a new grant it had its authority back until the loop that claims groups or the watch on claims dropped it. Both can be late: the loop waits for a take-over, which takes seconds at a slow store. Another process may own the group by then.

Change: an owner has authority, counts as the only one, and answers peers and callers only while the lease is the one under which it was claimed.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -458,7 +458,7 @@
         A process that was frozen or cut off may have lost the partition to another.
         """
         owner = self.owners.get(partition)
-        if owner is None or not owner.loaded or not self._lease.has_authority():
+        if owner is None or not owner.loaded or not owner.has_authority():
             return None
         return owner
 
@@ -468,7 +468,8 @@
         An owner whose lease may have expired goes on for a while. Jobs that a later
         owner has got are missing from its counts.
         """
-        return self._answering_owner(partition) if self._lease.has_lease() else None
+        owner = self._answering_owner(partition)
+        return owner if owner is not None and owner.has_lease() else None
 
     def _local_load(self, partition: str) -> PartitionLoad | None:
         owner = self._answering_owner(partition)
@@ -738,6 +739,7 @@
 
     async def _claim(self, group: str) -> None:
         key = records.claim_key(group)
+        generation = self._lease.generation
         known = self._directory.claims.get(group)
         claim = records.Claim(self.cfg.process, self.cfg.peer_address)
         transaction = Transaction(
@@ -757,13 +759,15 @@
         if not isinstance(result, int):
             await self._pause_after_failed_claim()
             return
-        await self._take_over(group, claim, result)
+        await self._take_over(group, claim, result, generation)
 
     async def _pause_after_failed_claim(self) -> None:
         """Wait so that processes that failed together do not claim together again."""
         await asyncio.sleep(random.uniform(0.0, 2 * CLAIM_DELAY_PER_GROUP_S))
 
-    async def _take_over(self, group: str, claim: records.Claim, revision: int) -> None:
+    async def _take_over(
+        self, group: str, claim: records.Claim, revision: int, generation: int
+    ) -> None:
         began = time.monotonic()
         if self._worker_watch_task is None:
             self._worker_watch_task = self._spawn_loop(self._worker_watch.run)
@@ -780,6 +784,7 @@
             self.meters,
             self._identity,
             self._has_ended,
+            generation,
         )
         self.owners[group] = owner
         self._update_channels()
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -210,6 +210,8 @@
         This process; it is stored with every write.
     has_ended : callable, optional
         Returns whether a process that wrote at a revision can write no more.
+    generation : int, optional
+        Generation of the lease to which the claim is bound; by default the present one.
 
     Attributes
     ----------
@@ -232,6 +234,7 @@
         meters: Meters | None = None,
         identity: records.Identity | None = None,
         has_ended: t.Callable[[records.Identity, int], bool] = _never_ended,
+        generation: int | None = None,
     ):
         self.group = group
         self._identity = records.encode(identity or records.Identity())
@@ -244,6 +247,7 @@
         self._calls = calls
         self._channels = channels
         self._lease = lease
+        self._generation = lease.generation if generation is None else generation
         self._clock = clock
         self._limits = limits
         self._tasks: set[asyncio.Task[t.Any]] = set()
@@ -376,6 +380,19 @@
         for task in [*self._tasks, *self._renewals.values()]:
             task.cancel()
 
+    def has_lease(self) -> bool:
+        """Return whether the claim is certainly valid now.
+
+        It ends with the lease to which it is bound, even if the process has another.
+        """
+        return self._lease.generation == self._generation and self._lease.has_lease()
+
+    def has_authority(self) -> bool:
+        """Return whether orders may still be sent; see `ProcessLease.has_authority`."""
+        return (
+            self._lease.generation == self._generation and self._lease.has_authority()
+        )
+
     def state(self, job_id: str) -> JobState | None:
         """Return the state of a job, or None if it is not known here."""
         if self.partition is None or job_id not in self.partition.jobs:
@@ -424,7 +441,7 @@
         """Renew the leases of a worker's runs for as long as it may have any."""
         partition = t.cast(Partition, self.partition)
         while partition.is_watched(worker, self._clock.now()):
-            if not self._lease.has_authority():
+            if not self.has_authority():
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             sent_at = self._clock.now()
@@ -571,8 +588,8 @@
         partition = t.cast(Partition, self.partition)
         while True:
             now = self._clock.now()
-            if self._lease.has_authority():
-                partition.sole_owner = self._lease.has_lease()
+            if self.has_authority():
+                partition.sole_owner = self.has_lease()
                 partition.advance(now)
                 self._send_orders()
                 self._ask_advice(now)
@@ -599,7 +616,7 @@
         run = order.run
         worker = run.worker
         now = self._clock.now()
-        if not self._lease.has_authority():
+        if not self.has_authority():
             # The process was paused between the decision and this call.
             partition.start_answered(run, StartOutcome.NOT_SENT, now)
             return
@@ -630,7 +647,7 @@
 
     async def _send_stop(self, order: StopOrder) -> None:
         partition = t.cast(Partition, self.partition)
-        if not self._lease.has_authority():
+        if not self.has_authority():
             return
         acked = await self._calls.stop(
             order.worker.info, order.task, order.number, self.revision
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -278,6 +278,28 @@
     asyncio.run(run())
 
 
+def test_owner_gives_no_orders_under_a_later_lease_of_its_process():
+    """Guards against two owners that both act after a lease was lost and replaced.
+
+    The claim ended with the first lease, and the process is slow to notice it.
+    """
+
+    async def run():
+        fixture = OwnerFixture()
+        owner = await fixture.claim()
+        await owner.start(fixture.infos())
+        fixture.lease.drop()
+        await until(fixture.lease.has_lease)
+        owner.partition.add_job(job(), CLOCK.now(), True)
+        await asyncio.sleep(0.3)
+        assert not owner.closed.is_set()
+        assert not any(sim.started for sim in fixture.sims.values())
+        assert not owner.has_lease()
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_orders_decided_before_a_pause_are_not_sent_after_the_authority_has_expired():
     """Guards against a process that resumes after seconds and acts on its old lease."""
 
