--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -126,6 +126,8 @@
             if path == "/peer/v1/stored":
                 self._node.jobs_stored(body)
                 return Response(200)
+            if path == "/peer/v1/give-up":
+                return Response(200, {"given_up": self._node.give_up(body)})
             query = json.loads(body)
         except (ValueError, msgspec.MsgspecError):
             return Response(400)
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -296,6 +296,10 @@
                 del self._suspects[name]
         return self._suspects
 
+    def waits_for_workers(self, now: float) -> bool:
+        """Return whether there are workers that may hold runs of an earlier owner."""
+        return bool(self._current_suspects(now))
+
     def _lapses_at(self, suspect: Suspect, quarantine_until: float) -> float:
         """Return the time by which all leases of a suspect have lapsed."""
         earlier = self._loaded_at + suspect.lapses_in_s
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -81,6 +81,8 @@
 # of peers in other data centres that a check calls.
 ISOLATION_CHECK_S = 0.4
 ISOLATION_PEERS = 3
+# Time between two requests to an earlier owner of a group to give it up, in seconds.
+GIVE_UP_PERIOD_S = 0.5
 
 
 def strength(cores: float, link_mbps: float) -> float:
@@ -222,7 +224,9 @@
             self._directory, storage, self._answering_owner, self._sole_owner
         )
         self._acceptance = Acceptance(storage, self._notify_owners)
-        self._identity = records.Identity(cfg.process, uuid.uuid4().hex)
+        self._identity = records.Identity(
+            cfg.process, uuid.uuid4().hex, cfg.peer_address
+        )
         member = records.Member(
             cfg.process,
             cfg.peer_address,
@@ -541,6 +545,43 @@
                 logger.error("unreadable member", extra={"reason": str(exc)})
         self._update_channels_soon()
 
+    async def _ask_earlier_owner(self, owner: GroupOwner) -> None:
+        """Ask the earlier owner of a group to give it up, while workers are waited for.
+
+        It may have lost its lease and not know it. Without its answer the wait lasts as
+        long as it could act.
+        """
+        while (earlier := owner.awaited_owner()) is not None:
+            message = records.GiveUp(owner.group, owner.revision, earlier)
+            url = f"http://{earlier.address}/peer/v1/give-up"
+            try:
+                reply = await self._peers.request(
+                    "POST", url, records.encode(message), PEER_TIMEOUT_S
+                )
+                given_up = reply.body.get("given_up") if reply.status == 200 else None
+            except (PoplaryardError, AttributeError) as exc:
+                extra = {"peer": earlier.process, "reason": str(exc)}
+                logger.info("earlier owner did not answer", extra=extra)
+                given_up = None
+            if given_up is True:
+                owner.earlier_owner_ended("it has given the group up")
+                return
+            await asyncio.sleep(GIVE_UP_PERIOD_S)
+
+    def give_up(self, body: bytes) -> bool:
+        """Give a group up that a peer has claimed; return whether it is given up.
+
+        Raises `msgspec.DecodeError` if the message is malformed.
+        """
+        message = records.decode_give_up(body)
+        if message.owner.process != self.cfg.process:
+            return False
+        owner = self.owners.get(message.group)
+        if owner is not None and owner.revision < message.revision:
+            self._drop_group(message.group)
+            owner = None
+        return owner is None or owner.closed.is_set()
+
     def _has_ended(self, identity: records.Identity, revision: int) -> bool:
         """Return whether a process that wrote at a revision has certainly ended.
 
@@ -799,6 +840,7 @@
             await self._release(group, revision)
             await asyncio.sleep(FAILED_LOAD_PAUSE_S)
             return
+        self._spawn(self._ask_earlier_owner(owner))
         self._sort_workers(group_of(group))
         took_s = round(time.monotonic() - began, 3)
         logger.info("group owned", extra={"group": group, "took_s": took_s})
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -350,16 +350,31 @@
         self._earlier_owner = identity, sequence.revision
         return False
 
+    def awaited_owner(self) -> records.Identity | None:
+        """Return the earlier owner that may act, if workers are waited for."""
+        if self.closed.is_set() or self.partition is None or not self._earlier_owner:
+            return None
+        waits = self.partition.waits_for_workers(self._clock.now())
+        return self._earlier_owner[0] if waits else None
+
     def check_earlier_owner(self) -> None:
         """Shorten the wait for unreachable workers if the earlier owner has ended."""
+        if self._earlier_owner is not None and self._has_ended(*self._earlier_owner):
+            self.earlier_owner_ended("another incarnation has joined")
+
+    def earlier_owner_ended(self, reason: str) -> None:
+        """Wait for unreachable workers only while leases given before may last."""
         if self.partition is None or self._earlier_owner is None:
             return
-        if self._has_ended(*self._earlier_owner):
-            extra = {"group": self.group, "peer": self._earlier_owner[0].process}
-            logger.info("earlier owner has ended", extra=extra)
-            self._earlier_owner = None
-            lapsed_at = self._clock.now() + self._limits.longest_lease_s()
-            self.partition.earlier_owner_ended(lapsed_at)
+        extra = {
+            "group": self.group,
+            "peer": self._earlier_owner[0].process,
+            "reason": reason,
+        }
+        logger.info("earlier owner has ended", extra=extra)
+        self._earlier_owner = None
+        lapsed_at = self._clock.now() + self._limits.longest_lease_s()
+        self.partition.earlier_owner_ended(lapsed_at)
 
     async def close(self) -> None:
         """Stop starting runs, wait up to 0.2 s for starts in flight, and close."""
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -10,6 +10,7 @@
 __all__ = [
     "CANCEL_SUFFIX",
     "Claim",
+    "GiveUp",
     "Identity",
     "Member",
     "StoredJobs",
@@ -17,6 +18,7 @@
     "claim_key",
     "claim_prefix",
     "decode_claim",
+    "decode_give_up",
     "decode_homes",
     "decode_identity",
     "decode_job",
@@ -55,10 +57,22 @@
 
 
 class Identity(msgspec.Struct, frozen=True):
-    """Process by its name, and its incarnation, which differs after a restart."""
+    """Process by its name, and its incarnation, which differs after a restart.
+
+    `address` is its address for peers.
+    """
 
     process: str = ""
     incarnation: str = ""
+    address: str = ""
+
+
+class GiveUp(msgspec.Struct, frozen=True):
+    """Message to an earlier owner of a group, which was claimed at a revision."""
+
+    group: str
+    revision: int
+    owner: Identity
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -87,6 +101,7 @@
 _stored = msgspec.json.Decoder(StoredJobs)
 _claims = msgspec.json.Decoder(Claim)
 _identities = msgspec.json.Decoder(Identity)
+_give_ups = msgspec.json.Decoder(GiveUp)
 _members = msgspec.json.Decoder(Member)
 _workers = msgspec.json.Decoder(dict[str, Suspect])
 _layouts = msgspec.json.Decoder(Layout)
@@ -191,6 +206,11 @@
     return _claims.decode(value)
 
 
+def decode_give_up(value: bytes) -> GiveUp:
+    """Decode a message to an earlier owner; raises `msgspec.DecodeError`."""
+    return _give_ups.decode(value)
+
+
 def decode_identity(value: bytes) -> Identity:
     """Decode the identity of an owner; raises `msgspec.DecodeError`."""
     return _identities.decode(value) if value else Identity()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -33,16 +33,20 @@
         self.store_refuses = self.store_silent = False
         self.sims = {}
         self.store = HttpServer(self._store_app, "127.0.0.1", 0)
-        self.workers = [self._add_worker(number) for number in range(workers)]
+        self.workers = []
+        for number in range(workers):
+            self.add_worker(number)
 
     @property
     def store_address(self):
         return f"127.0.0.1:{self.store.ports[0]}"
 
-    def _add_worker(self, number):
+    def add_worker(self, number):
+        """Return the server of a new worker; until started it refuses connections."""
         sim = SimWorker(worker_info(number))
         server = HttpServer(_WorkerApp(sim), "127.0.0.1", 0)
         self.sims[sim.info.worker_id] = (sim, server)
+        self.workers.append(server)
         return server
 
     async def start(self):
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -377,6 +377,35 @@
     run_with_processes(scenario, count=1)
 
 
+def test_worker_that_listens_late_keeps_its_runs_when_its_entry_is_removed():
+    """Guards against second runs beside a draining worker that once refused a call."""
+
+    async def scenario(platform, process):
+        late = platform.add_worker(0)
+        sim, _ = platform.sims["w0"]
+        sim.slowness = 30.0
+        await platform.put("servers/w0", entry(sim, late.ports[0]))
+        await until_equal(lambda: len(process.node.owners), 1)
+        owner = process.node.owners["desk"]
+        await until_equal(lambda: "w0" in owner.partition.workers, True)
+        await asyncio.sleep(0.4)
+        await late.start()
+        path = "/checks/" + "a" * 16
+        assert (await process.call("POST", path, JOB))[0] == 200
+        await until_equal(lambda: len(sim.started), 2)
+        other = platform.add_worker(1)
+        await other.start()
+        await platform.put("servers/w1", entry(platform.sims["w1"][0], other.ports[0]))
+        draining = entry(sim, late.ports[0]) | {"state": "draining"}
+        await platform.put("servers/w0", draining)
+        await asyncio.sleep(0.6)
+        await platform.storage.commit(Transaction(removes=["servers/w0"]))
+        await until(process, path, "done")
+        assert [len(sim.started) for sim, _ in platform.sims.values()] == [2, 0]
+
+    run_with_processes(scenario, count=1, workers=0)
+
+
 def test_metrics_are_served():
     async def scenario(platform, process):
         reply = await process.client.request_raw(
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from poplaryard.client import Reply
 from poplaryard.clock import SystemClock
-from poplaryard.exceptions import StoreDown, WorkerUnreachable
+from poplaryard.codes import Code
+from poplaryard.exceptions import PoplaryardError, StoreDown, WorkerUnreachable
 from poplaryard.workload import records
 from poplaryard.workload.advice import ChannelPool
 from poplaryard.workload.layout import Layout
@@ -498,6 +500,75 @@
     asyncio.run(run())
 
 
+class GiveUpPeers:
+    """Client of one peer, which is asked to give groups up."""
+
+    def __init__(self, node):
+        self.node = node
+        self.reachable = False
+        self.calls = 0
+
+    async def request(self, method, url, data, timeout_s):
+        self.calls += 1
+        if not self.reachable:
+            raise PoplaryardError(Code.PEER_TIMEOUT)
+        return Reply(200, {"given_up": self.node.give_up(data)})
+
+
+def test_lost_worker_holds_jobs_back_for_one_lease_once_the_earlier_owner_gives_up():
+    """Guards against idle workers after an outage in which the group changed hands.
+
+    The earlier owner lives on, and so does not join anew.
+    """
+
+    async def run():
+        fixture = OwnerFixture()
+        fixture.run_lease_s = 1.0
+        await start_lasting_job(fixture)
+        earlier = fixture.owner
+        node = make_node(fixture.storage, name="p1")
+        node.owners["desk"] = earlier
+        fixture.sims["w0"].unreachable = True
+        fixture.lease_task.cancel()
+        await fixture.storage.revoke(fixture.lease.lease)
+        owner = await fixture.claim("p2")
+        fixture.sims["w2"] = SimWorker(worker_info(2))
+        await owner.start(fixture.infos())
+        asker = make_node(fixture.storage, name="p2")
+        asker._peers = peers = GiveUpPeers(node)
+        asking = asyncio.create_task(asker._ask_earlier_owner(owner))
+        await asyncio.sleep(2.0)
+        assert peers.calls > 1
+        assert not fixture.sims["w2"].runs
+        peers.reachable = True
+        began = CLOCK.now()
+        await until(lambda: fixture.sims["w2"].runs)
+        assert CLOCK.now() - began > 1.0
+        assert earlier.closed.is_set()
+        await asking
+        fixture.close()
+
+    asyncio.run(run())
+
+
+def test_group_is_given_up_only_for_a_later_claim():
+    """Guards against an owner that ends, or counts as ended, by an old message."""
+    node = make_node(MemoryStorage(), name="p0")
+
+    def give_up(revision, process="p0"):
+        owner = records.Identity(process, "a", "10.0.0.1:1")
+        return node.give_up(records.encode(records.GiveUp("desk", revision, owner)))
+
+    assert give_up(5)
+    owner = GroupOwner("desk", 7, None, None, None, node._lease, CLOCK, None)
+    node.owners["desk"] = owner
+    assert not give_up(6)
+    assert not give_up(8, "p9")
+    assert not owner.closed.is_set()
+    assert give_up(8)
+    assert owner.closed.is_set()
+
+
 def test_process_has_ended_only_if_a_later_incarnation_has_joined():
     """Guards against two owners that both act, because one of them counts as ended."""
     node = make_node(MemoryStorage(), name="p0")
