Wait without losing a cancellation in the store of the tests

Traced: the in-memory store waited with asyncio.wait_for, which in Python 3.11 discards a cancellation that comes together with the result; the watch then went on for ever. The product waits with wait_until_set, which does not have this fault; the store of the tests does so now, too.

No check was changed.

--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -12,6 +12,7 @@
     StoreReplyLost,
     WorkerUnreachable,
 )
+from poplaryard.waiting import wait_until_set
 from poplaryard.workload.model import (
     EndedRun,
     RunningRun,
@@ -278,10 +279,7 @@
             if found or left <= 0:
                 return found, self.revision
             self._changed.clear()
-            try:
-                await asyncio.wait_for(self._changed.wait(), left)
-            except TimeoutError:
-                continue
+            await wait_until_set(self._changed, left)
 
     async def commit(self, transaction):
         fault = self._fault("commit")
