--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -6,11 +6,10 @@
 
 from poplaryard.server import HttpServer
 from tests.platform.standin import read, respond
+from tests.workload.fakes import LISTED_ENDS
 
 # Lowest rate of a worker's clock that the requirements allow, relative to real time.
 SLOWEST_CLOCK = 0.98
-# Number of ended runs that a worker lists at a time.
-LISTED_ENDS = 500
 # Time for which a silent party withholds its answer, longer than any caller waits, in
 # seconds.
 SILENT_S = 60.0
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -36,8 +36,8 @@
     """Worker that follows the platform's protocol in virtual time.
 
     With ``stalled`` its tasks make no progress, with ``failing`` they fail, and with
-    ``unreachable`` it does not answer; with ``refusing``, too, it refuses connections.
-    ``slowness`` is a factor on run times.
+    ``unreachable`` it does not answer. If it is also ``refusing``, its connections are
+    refused instead of silent. ``slowness`` is a factor on run times.
     """
 
     def __init__(self, info):
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -395,15 +395,20 @@
     await until(lambda: all(sim.runs for sim in fixture.sims.values()))
 
 
+async def lose_worker_and_owner(fixture):
+    """Start a lasting job; then its first worker falls silent and its owner ends."""
+    await start_lasting_job(fixture)
+    fixture.sims["w0"].unreachable = True
+    await fixture.end()
+
+
 def test_lost_worker_holds_jobs_back_for_one_lease_if_the_earlier_owner_has_ended():
     """Guards against jobs that wait for leases that nobody can renew any more."""
 
     async def run():
         fixture = OwnerFixture()
         fixture.run_lease_s = 1.0
-        await start_lasting_job(fixture)
-        fixture.sims["w0"].unreachable = True
-        await fixture.end()
+        await lose_worker_and_owner(fixture)
         began = CLOCK.now()
         owner = await fixture.claim(has_ended=lambda *_: True)
         fixture.sims["w2"] = SimWorker(worker_info(2))
@@ -422,9 +427,7 @@
     async def run():
         fixture = OwnerFixture()
         fixture.run_lease_s = 1.0
-        await start_lasting_job(fixture)
-        fixture.sims["w0"].unreachable = True
-        await fixture.end()
+        await lose_worker_and_owner(fixture)
         ended = []
         owner = await fixture.claim("p2", lambda *_: bool(ended))
         fixture.sims["w2"] = SimWorker(worker_info(2))
@@ -451,9 +454,7 @@
 
     async def run():
         fixture = OwnerFixture()
-        await start_lasting_job(fixture)
-        fixture.sims["w0"].unreachable = True
-        await fixture.end()
+        await lose_worker_and_owner(fixture)
         owner = await fixture.claim("p2")
         await owner.start(fixture.infos())
 
@@ -484,9 +485,7 @@
 
     async def run():
         fixture = OwnerFixture()
-        await start_lasting_job(fixture)
-        fixture.sims["w0"].unreachable = True
-        await fixture.end()
+        await lose_worker_and_owner(fixture)
         owner = await fixture.claim("p2")
         await owner.start(fixture.infos())
         await fixture.end()
