--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -5,11 +5,12 @@
 from ..logs import logger
 from ..resources import Resources
 from .meters import Meters
-from .model import JobSpec, JobState, Progress, Suspect
+from .model import JobSpec, JobState, Progress, Suspect, Tenant
 from .orders import ProgressBatch, StartOrder, StopOrder
 from .records import encode
 from .room import Plan, Reservations
 from .runtime import JobRun, Run, RunPhase, StepRun, Task, Worker
+from .tenancy import CapLimits, Unlimited
 
 __all__ = ["JobTable"]
 
@@ -77,6 +78,8 @@
         Whether tasks may be started.
     sole_owner : bool
         Whether the owner's lease is certainly valid, so that no other owner can exist.
+    caps : CapLimits
+        Limits on what tenants may run here.
     """
 
     def __init__(
@@ -99,6 +102,8 @@
         self.progress_urgent = False
         self.accepts_starts = True
         self.sole_owner = True
+        self.caps: CapLimits = Unlimited()
+        self._tenants: t.Mapping[str, Tenant] = {}
         self._startable_workers: set[str] = set()
         self._wall_offset = wall_offset
         self._loaded_at = loaded_at
@@ -123,6 +128,10 @@
         self._timed_jobs: dict[str, JobRun] = {}
         self._early_cancellations: dict[str, None] = {}
 
+    def configure_tenants(self, tenants: t.Mapping[str, Tenant]) -> None:
+        """Set the configured tenants by name."""
+        self._tenants = tenants
+
     def add_job(
         self, spec: JobSpec, now: float, fresh: bool, progress: Progress | None = None
     ) -> JobRun:
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -4,7 +4,7 @@
 import typing as t
 from dataclasses import dataclass, field
 
-from ..resources import Resources
+from ..resources import ZERO, Resources
 
 __all__ = [
     "AdviceCost",
@@ -20,6 +20,7 @@
     "StartOutcome",
     "StepSpec",
     "Suspect",
+    "Tenant",
     "WorkerInfo",
 ]
 
@@ -59,6 +60,23 @@
     valid_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """Tenant that shares the workers of all groups with others.
+
+    Attributes
+    ----------
+    weight : float
+        Weight of its share when all is full.
+    cap : Resources
+        Most that it may have running on all workers; a resource that is 0 has no limit.
+    """
+
+    name: str
+    weight: float = 1.0
+    cap: Resources = ZERO
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """Queue to which jobs are submitted, and the policy for them.
@@ -80,6 +98,8 @@
         Longest time to answer a request, in seconds.
     advice : AdviceCost or None
         Cost of a call to the advice service; None if its permission is not needed.
+    public : bool
+        Whether calls need no key of a tenant.
     """
 
     name: str
@@ -92,6 +112,7 @@
     slack_s: float = 1.0
     timeout_s: float = 3.0
     advice: AdviceCost | None = None
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +123,8 @@
     ----------
     capacity_checked : frozenset of str
         Groups whose workers reject tasks that exceed their capacity.
+    tenants : dict of str to Tenant
+        Tenants by name.
     """
 
     version: int = 0
@@ -109,6 +132,7 @@
     groups: tuple[str, ...] = ()
     capacity_checked: frozenset[str] = frozenset()
     max_body_bytes: int = 262144
+    tenants: dict[str, Tenant] = field(default_factory=dict)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path, or None."""
@@ -204,6 +228,9 @@
         occurrences in seconds.
     accepted_at : float
         Wall-clock time of acceptance in seconds.
+    tenant : str
+        Name of the tenant that submitted the job; empty without tenants, and on public
+        queues.
     """
 
     job_id: str
@@ -220,6 +247,7 @@
     stretch: float = 1.0
     slack_s: float = 1.0
     advice: AdviceCost | None = None
+    tenant: str = ""
 
     def critical_path_s(self) -> float:
         """Return the estimated run time of the critical path in seconds."""
