--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -132,7 +132,7 @@
     groups: tuple[str, ...] = ()
     capacity_checked: frozenset[str] = frozenset()
     max_body_bytes: int = 262144
-    tenants: dict[str, Tenant] = field(default_factory=dict)
+    tenants: dict[str, Tenant] = field(default_factory=dict, hash=False)
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path, or None."""
