Start nothing on a restarted worker before its entry is read (ROUTE)

Callers saw a task start on a worker without the label that it requires. The owner learned of the restart from the worker's report and went on with labels, rack and capacity of the instance before, until the watch on workers read the new entry up to 0.25 s later.

A worker is now usable only while its entry is of the instance that reports. Runs of a restarted worker start on others at once.

--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -103,6 +103,8 @@
     for worker in workers:
         if worker.gone or worker.info.draining or not worker.synced:
             continue
+        if not worker.described:
+            continue
         if placing.admits(step, worker) and step.may_run.get(
             worker.worker_id, step.job.spec.advice is None
         ):
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -144,9 +144,18 @@
             and not self.gone
             and not self.info.draining
             and not self.rejected_runs
+            and self.described
             and now >= self.paused_until
         )
 
+    @property
+    def described(self) -> bool:
+        """Whether `info` is of the present instance of the worker.
+
+        A worker that has restarted under its id may be of another kind.
+        """
+        return not self.info.born_ms or self.info.born_ms == self.born_ms
+
     @property
     def instance(self) -> str:
         """Name that differs from those of later instances with the same id."""
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -118,10 +118,45 @@
     sim = group.sims["w0"]
     sim.runs.clear()
     sim.info = worker_info(0, born_ms=2000)
+    group.partition.worker_listed(sim.info)
     group.run(0.3)
     assert [run for _, _, run in group.starts()] == [1, 2]
 
 
+def test_runs_of_a_restarted_worker_go_to_others_before_its_entry_is_read():
+    """Guards against a wait for the entry of a worker that has restarted."""
+    group = SimulatedGroup(workers=2)
+    group.submit(job(JOB, step(1, estimate_s=30.0)))
+    group.run(1)
+    [(first, _, _)] = group.starts()
+    sim = group.sims[first]
+    sim.runs.clear()
+    sim.info = worker_info(int(first[1:]), born_ms=2000)
+    group.run(0.3)
+    assert [run for _, _, run in group.starts()] in ([1, 2], [2, 1])
+    assert {worker for worker, _, _ in group.starts()} == {"w0", "w1"}
+
+
+def test_labels_of_an_earlier_instance_of_a_worker_are_not_used():
+    """Guards against a start on a worker that has restarted as another kind."""
+    group = SimulatedGroup(workers=0)
+    group.add_worker(worker_info(0, labels=("b", "r1")))
+    group.run(0.2)
+    sim = group.sims["w0"]
+    sim.info = worker_info(0, labels=("a", "r1"), born_ms=2000)
+    group.run(0.2)
+    group.submit(job(JOB, step(1, label="b")))
+    group.run(1)
+    assert not group.starts()
+    group.partition.worker_listed(sim.info)
+    group.run(1)
+    assert not group.starts()
+    sim.info = worker_info(0, labels=("b", "r1"), born_ms=3000)
+    group.partition.worker_listed(sim.info)
+    group.run(0.3)
+    assert len(group.starts()) == 1
+
+
 @pytest.mark.parametrize(
     "odd",
     [
