Abandon relayed calls once the store is reached directly again (CONFIG)

Callers saw 404 as of an older configuration. A watch that failed once was relayed to two peers that did not answer, 1.0 to 1.8 s each, though probes reached the store directly after 0.1 s; the configuration was that much older.

Calls that may be carried out twice (all but writes) now wait for the relayed answer or for the direct path, whichever comes first. Their six copies of the same steps became one. test_watch_returns_to_the_store_instead_of_waiting_for_silent_peers fails without the change.

--- a/src/poplaryard/workload/relay.py
+++ b/src/poplaryard/workload/relay.py
@@ -17,6 +17,8 @@
 from ..logs import logger
 from .storage import Change, Item, Storage, Transaction
 
+_T = t.TypeVar("_T")
+
 __all__ = ["RELAY_PATH", "RelayedStorage", "answer_relayed"]
 
 RELAY_PATH = "/peer/v1/store"
@@ -167,6 +169,7 @@
         self._relay_paused_until = 0.0
         self._last_peer = ""
         self._direct_lost = asyncio.Event()
+        self._direct_reached = asyncio.Event()
         self.store_unreachable = False
 
     async def watch_recovery(self) -> None:
@@ -192,37 +195,36 @@
 
     async def get(self, key: str) -> Item | None:
         """Return the item of a key, or None."""
-        if self._use_direct():
-            try:
-                return self._direct_succeeded(await self.direct.get(key))
-            except (StoreDown, StoreReplyLost) as exc:
-                self._direct_failed(exc)
-        return (await self._relay(_Call("get", key))).item
+        return await self._repeatable(
+            lambda: self.direct.get(key),
+            _Call("get", key),
+            lambda found: found.item,
+        )
 
     async def scan(self, prefix: str) -> tuple[list[Item], int]:
         """Return all items under a prefix and the revision to watch from."""
-        if self._use_direct():
-            try:
-                return self._direct_succeeded(await self.direct.scan(prefix))
-            except (StoreDown, StoreReplyLost) as exc:
-                self._direct_failed(exc)
-        found = await self._relay(_Call("scan", prefix), SCAN_RELAY_TIMEOUT_S)
-        return [item for item in found.items or [] if item], found.revision
+        return await self._repeatable(
+            lambda: self.direct.scan(prefix),
+            _Call("scan", prefix),
+            lambda found: (
+                [item for item in found.items or [] if item],
+                found.revision,
+            ),
+            SCAN_RELAY_TIMEOUT_S,
+        )
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
     ) -> tuple[list[Change], int] | None:
         """Return the changes after a revision; None if the store no longer has them."""
-        if self._use_direct():
-            try:
-                return self._direct_succeeded(
-                    await self.direct.watch(prefix, after, wait_s)
-                )
-            except (StoreDown, StoreReplyLost) as exc:
-                self._direct_failed(exc)
-        call = _Call("watch", prefix, after=after, wait_s=wait_s)
-        found = await self._relay(call, wait_s + WATCH_SLACK_S)
-        return None if found.changes is None else (found.changes, found.revision)
+        return await self._repeatable(
+            lambda: self.direct.watch(prefix, after, wait_s),
+            _Call("watch", prefix, after=after, wait_s=wait_s),
+            lambda found: (
+                None if found.changes is None else (found.changes, found.revision)
+            ),
+            wait_s + WATCH_SLACK_S,
+        )
 
     async def commit(self, transaction: Transaction) -> int | list[Item | None]:
         """Return the new revision, or the current items of the expected keys."""
@@ -241,32 +243,57 @@
 
     async def grant(self, ttl_s: float) -> int:
         """Return the id of a new lease."""
-        if self._use_direct():
-            try:
-                return self._direct_succeeded(await self.direct.grant(ttl_s))
-            except (StoreDown, StoreReplyLost) as exc:
-                self._direct_failed(exc)
-        return (await self._relay(_Call("grant", ttl_s=ttl_s))).revision
+        return await self._repeatable(
+            lambda: self.direct.grant(ttl_s),
+            _Call("grant", ttl_s=ttl_s),
+            lambda found: found.revision,
+        )
 
     async def renew(self, lease: int) -> bool:
         """Renew a lease; return False if it has ended."""
-        if self._use_direct():
-            try:
-                return self._direct_succeeded(await self.direct.renew(lease))
-            except (StoreDown, StoreReplyLost) as exc:
-                self._direct_failed(exc)
-        return (await self._relay(_Call("renew", lease=lease))).flag
+        return await self._repeatable(
+            lambda: self.direct.renew(lease),
+            _Call("renew", lease=lease),
+            lambda found: found.flag,
+        )
 
     async def revoke(self, lease: int) -> None:
         """End a lease and remove its keys."""
+        await self._repeatable(
+            lambda: self.direct.revoke(lease),
+            _Call("revoke", lease=lease),
+            lambda found: None,
+        )
+
+    async def _repeatable(
+        self,
+        call_direct: t.Callable[[], t.Awaitable[_T]],
+        call: _Call,
+        result: t.Callable[[_Outcome], _T],
+        timeout_s: float = RELAY_TIMEOUT_S,
+    ) -> _T:
+        """Make a call that may be carried out twice, directly or through a peer.
+
+        A relayed call is abandoned once the store is reached directly again: silent
+        peers would hold it up for seconds.
+        """
         if self._use_direct():
             try:
-                await self.direct.revoke(lease)
-                self._direct_succeeded(None)
-                return
+                return self._direct_succeeded(await call_direct())
             except (StoreDown, StoreReplyLost) as exc:
                 self._direct_failed(exc)
-        await self._relay(_Call("revoke", lease=lease))
+        relayed = asyncio.ensure_future(self._relay(call, timeout_s))
+        recovered = asyncio.ensure_future(self._direct_reached.wait())
+        try:
+            await asyncio.wait(
+                {relayed, recovered}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if relayed.done():
+                return result(relayed.result())
+        finally:
+            relayed.cancel()
+            recovered.cancel()
+        return await call_direct()
 
     def _use_direct(self) -> bool:
         if self.direct_ok:
@@ -282,6 +309,7 @@
             logger.warning("store reached directly again")
         self.direct_ok = True
         self._direct_lost.clear()
+        self._direct_reached.set()
         self.store_unreachable = False
         return result
 
@@ -292,6 +320,7 @@
             self._next_probe_at = self._clock.now() + PROBE_PERIOD_S
         self.direct_ok = False
         self._direct_lost.set()
+        self._direct_reached.clear()
 
     async def _relay(self, call: _Call, timeout_s: float = RELAY_TIMEOUT_S) -> _Outcome:
         """Make a call through one of up to `MAX_PEERS_TRIED` peers."""
--- a/tests/workload/test_relay.py
+++ b/tests/workload/test_relay.py
@@ -227,3 +227,28 @@
         task.cancel()
 
     asyncio.run(run())
+
+
+def test_watch_returns_to_the_store_instead_of_waiting_for_silent_peers():
+    """Guards against an old configuration: a watch that failed once was relayed for
+    seconds to peers that were cut off, while the store was reached directly again.
+    """
+
+    async def run():
+        relayed = RelayFixture()
+        for call in ("watch", "ping"):
+            relayed.direct.faults[call] = ["down"]
+
+        async def silent(method, url, body, timeout_s, **options):
+            await asyncio.sleep(timeout_s)
+            raise PoplaryardError(Code.PEER_TIMEOUT)
+
+        relayed.client.request_raw = silent
+        await relayed.direct.commit(put("k", b"v"))
+        probes = asyncio.create_task(relayed.storage.watch_recovery())
+        async with asyncio.timeout(0.8):
+            changes, _ = await relayed.storage.watch("k", 0, 1.0)
+        assert changes[0].item.value == b"v"
+        probes.cancel()
+
+    asyncio.run(run())
