Send refused callers with time to spare away for up to 3 s

Jobs of large objectives have seconds to spare. Retry-After is now a third of the time that the job has to spare, from 1 s to 3 s; short jobs return after 1 s as before. Not measured yet.

--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -12,6 +12,7 @@
 from ..workload.acceptance import SubmitOutcome
 from ..workload.model import JobState, Queue
 from ..workload.node import Node
+from ..workload.refusals import retry_after_s
 from ..workload.relay import RELAY_PATH, answer_relayed
 from .codec import DecodeFailed, decode_submission
 
@@ -162,7 +163,7 @@
         if outcome is SubmitOutcome.STORED:
             return Response(200, {})
         if outcome is SubmitOutcome.REFUSED:
-            return Response(503, retry_after_s=RETRY_S)
+            return Response(503, retry_after_s=retry_after_s(spec))
         # The job may have been stored; the client has to send it again.
         return Response(504)
 
