--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -6,6 +6,9 @@
 
 from ..resources import ZERO, Resources
 
+if t.TYPE_CHECKING:
+    from .tenancy.keys import KeyTable
+
 __all__ = [
     "AdviceCost",
     "EndedRun",
@@ -70,11 +73,14 @@
         Weight of its share when all is full.
     cap : Resources
         Most that it may have running on all workers; a resource that is 0 has no limit.
+    blocked : bool
+        Whether it may run nothing, since its cap is unreadable.
     """
 
     name: str
     weight: float = 1.0
     cap: Resources = ZERO
+    blocked: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,6 +131,10 @@
         Groups whose workers reject tasks that exceed their capacity.
     tenants : dict of str to Tenant
         Tenants by name.
+    keys : KeyTable or None
+        Keys of the tenants; None if no key is required.
+    problems : tuple of str
+        What is invalid in the configuration of tenants, without any key.
     """
 
     version: int = 0
@@ -132,7 +142,9 @@
     groups: tuple[str, ...] = ()
     capacity_checked: frozenset[str] = frozenset()
     max_body_bytes: int = 262144
-    tenants: dict[str, Tenant] = field(default_factory=dict)
+    tenants: dict[str, Tenant] = field(default_factory=dict, hash=False)
+    keys: "KeyTable | None" = None
+    problems: tuple[str, ...] = ()
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest match for a path, or None."""
--- a/src/poplaryard/workload/watching.py
+++ b/src/poplaryard/workload/watching.py
@@ -4,6 +4,7 @@
 import random
 import typing as t
 
+from ..clock import Clock, SystemClock
 from ..exceptions import StoreDown, StoreReplyLost
 from ..limits import backoff_s
 from ..logs import logger
@@ -53,11 +54,17 @@
     pause_s : float
         Pause after a call that returned changes, in seconds, so that changes in quick
         succession are read together: each call to the store has a cost.
+    clock : Clock, optional
+        Clock of `confirmed_at`.
 
     Attributes
     ----------
     loaded : asyncio.Event
         Set once all keys have been read.
+    confirmed_at : float
+        Time at which the last completed call to the store began, in seconds. The
+        reported state was the newest at some later time; a pending call, and one that
+        failed or found the history gone, proves nothing.
     """
 
     def __init__(
@@ -67,16 +74,19 @@
         on_change: t.Callable[[Change], None],
         wait_s: float = 1.0,
         pause_s: float = 0.0,
+        clock: Clock | None = None,
     ):
         self._storage = storage
         self._prefix = prefix
         self._on_change = on_change
         self._wait_s = wait_s
         self._pause_s = pause_s
+        self._clock = clock or SystemClock()
         self._rng = random.Random()
         self._revisions: dict[str, int] = {}
         self._revision = 0
         self.loaded = asyncio.Event()
+        self.confirmed_at = float("-inf")
 
     async def run(self) -> None:
         """Watch the keys until cancelled."""
@@ -85,6 +95,7 @@
             try:
                 if not self._revision:
                     await self.reload()
+                began = self._clock.now()
                 answer = await self._storage.watch(
                     self._prefix, self._revision, self._wait_s
                 )
@@ -101,6 +112,7 @@
             changes, self._revision = answer
             for change in changes:
                 self._apply(change)
+            self.confirmed_at = began
             if _outdated_bytes(changes) > MAX_OUTDATED_BYTES:
                 self._revision = 0
             if changes and self._pause_s:
@@ -108,6 +120,7 @@
 
     async def reload(self) -> None:
         """Read all keys and report those that differ from the last known state."""
+        began = self._clock.now()
         items, revision = await self._storage.scan(self._prefix)
         present = {item.key for item in items}
         for key in [key for key in self._revisions if key not in present]:
@@ -115,6 +128,7 @@
         for item in items:
             self._apply(Change(item.key, item.revision, item))
         self._revision = revision
+        self.confirmed_at = began
         self.loaded.set()
 
     def _apply(self, change: Change) -> None:
