Decode the tenants of the configuration

Each tenant, and each of its fields, is decoded by itself, so that a malformed one leaves the rest of the configuration valid. What is invalid is listed without keys or values. A list of tenants that is unreadable permits no key.

--- a/src/poplaryard/platform/codec.py
+++ b/src/poplaryard/platform/codec.py
@@ -1,6 +1,7 @@
 """Decoders of the messages of the platform's clients, operators and workers."""
 
 import ipaddress
+import math
 import re
 import typing as t
 
@@ -17,8 +18,10 @@
     RunningRun,
     RunOutcome,
     StepSpec,
+    Tenant,
     WorkerInfo,
 )
+from ..workload.tenancy import KeyTable
 
 __all__ = [
     "CONFIG_KEY",
@@ -45,6 +48,9 @@
 # 285,000 years.
 MAX_NUMBER = 2**53
 
+# Cap of a tenant whose cap is unreadable: the smallest one, since 0 is no limit.
+SMALLEST_CAP = Resources(1, 1, 1)
+
 Natural: t.TypeAlias = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 # The platform sends times as whole or fractional milliseconds.
 Milliseconds: t.TypeAlias = t.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
@@ -102,6 +108,16 @@
     attempts: int = 1
     stretch: float = 1.0
     advice: _Advice | None = None
+    # Only `true` counts, and whatever else it is leaves the route readable.
+    public: msgspec.Raw = msgspec.Raw(b"false")
+
+
+class _Tenant(msgspec.Struct):
+    # Each field is decoded by itself, so that a malformed one leaves the others valid.
+    name: t.Annotated[str, msgspec.Meta(min_length=1)]
+    api_keys: msgspec.Raw = msgspec.Raw(b"[]")
+    weight: msgspec.Raw = msgspec.Raw(b"null")
+    cap: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Service(msgspec.Struct):
@@ -119,6 +135,7 @@
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
+    tenants: msgspec.Raw = msgspec.Raw(b"null")
 
 
 class _Capacity(msgspec.Struct):
@@ -127,6 +144,12 @@
     gpu: Natural = 0
 
 
+class _Cap(msgspec.Struct):
+    cpu: t.Annotated[float, msgspec.Meta(ge=0)] = 0
+    mem_mb: t.Annotated[float, msgspec.Meta(ge=0)] = 0
+    gpu: t.Annotated[float, msgspec.Meta(ge=0)] = 0
+
+
 class _WorkerEntry(msgspec.Struct):
     service: str
     address: str
@@ -156,12 +179,17 @@
 _PORT = re.compile(r"[0-9]{1,5}\Z")
 _submission_decoder = msgspec.json.Decoder(_Submission)
 _config_decoder = msgspec.json.Decoder(_Config)
+_raw_list_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+_tenant_decoder = msgspec.json.Decoder(_Tenant)
+_text_decoder = msgspec.json.Decoder(str)
+_weight_decoder = msgspec.json.Decoder(float)
+_cap_decoder = msgspec.json.Decoder(_Cap)
 _worker_entry_decoder = msgspec.json.Decoder(_WorkerEntry)
 _hold_answer_decoder = msgspec.json.Decoder(_HoldAnswer)
 
 
 def decode_submission(
-    body: bytes, job_id: str, queue: Queue, accepted_at: float
+    body: bytes, job_id: str, queue: Queue, accepted_at: float, tenant: str = ""
 ) -> JobSpec:
     """Decode the body with which a client submits a job.
 
@@ -174,6 +202,8 @@
         Queue whose policy applies to the job.
     accepted_at : float
         Wall-clock time in seconds.
+    tenant : str, optional
+        Tenant that submits the job; empty for none.
 
     Raises
     ------
@@ -203,6 +233,7 @@
         stretch=queue.stretch,
         slack_s=queue.slack_s,
         advice=queue.advice,
+        tenant=tenant,
     )
 
 
@@ -217,8 +248,12 @@
 
 
 def decode_config(value: bytes) -> QueueTable:
-    """Decode the operator's configuration; raises `DecodeFailed`."""
+    """Decode the operator's configuration; raises `DecodeFailed`.
+
+    What is invalid about tenants is listed in `QueueTable.problems`.
+    """
     config = _decode(_config_decoder, value)
+    tenants, keys, problems = _decode_tenants(config.tenants)
     return QueueTable(
         version=config.version,
         queues=tuple(_route_queue(route) for route in config.routes),
@@ -227,9 +262,96 @@
             service.name for service in config.services if service.admission_check
         ),
         max_body_bytes=config.limits.max_body_bytes,
+        tenants=tenants,
+        keys=keys,
+        problems=problems,
     )
 
 
+def _decode_tenants(
+    value: msgspec.Raw,
+) -> tuple[dict[str, Tenant], KeyTable | None, tuple[str, ...]]:
+    """Return the tenants by name, their keys, and what is invalid.
+
+    An invalid list names no tenant, so that all keys are unknown. The problems tell
+    neither keys nor values.
+    """
+    if bytes(value) == b"null":
+        return {}, None, ()
+    problems: list[str] = []
+    rows = _decode_or_none(_raw_list_decoder, value)
+    if rows is None:
+        return {}, KeyTable(), ("the list of tenants is malformed",)
+    found: dict[str, _Tenant] = {}
+    for number, row in enumerate(rows):
+        entry = _decode_or_none(_tenant_decoder, row)
+        if entry is None:
+            problems.append(f"tenant number {number} is malformed")
+        elif entry.name in found:
+            problems.append(f"{entry.name!r} is listed again")
+        else:
+            found[entry.name] = entry
+    weights = {name: _decode_weight(entry.weight) for name, entry in found.items()}
+    smallest = min((weight for weight in weights.values() if weight), default=1.0)
+    tenants: dict[str, Tenant] = {}
+    for name, entry in found.items():
+        if not weights[name]:
+            problems.append(f"weight of {name!r} is not positive")
+        cap = _decode_cap(entry.cap)
+        if cap is None:
+            problems.append(f"cap of {name!r} is unreadable")
+        tenants[name] = Tenant(
+            name, weights[name] or smallest, cap or SMALLEST_CAP, cap is None
+        )
+    keys = KeyTable(_tenant_keys(found, problems))
+    problems += [f"{name!r} shares a key with a tenant" for name in keys.ambiguous]
+    problems += [f"{name!r} has an unusable key" for name in keys.unusable]
+    return tenants, keys, tuple(problems)
+
+
+def _tenant_keys(
+    found: dict[str, _Tenant], problems: list[str]
+) -> t.Iterator[tuple[str, str]]:
+    """Yield the name and each key of all tenants; adds to the list of problems."""
+    for name, entry in found.items():
+        rows = _decode_or_none(_raw_list_decoder, entry.api_keys)
+        keys = [_decode_or_none(_text_decoder, row) for row in rows or ()]
+        if rows is None or None in keys:
+            problems.append(f"keys of {name!r} are malformed")
+        yield from ((name, key) for key in keys if key is not None)
+
+
+def _decode_weight(value: msgspec.Raw) -> float:
+    """Return the weight of a tenant, or 0 if it is not valid."""
+    weight = _decode_or_none(_weight_decoder, value)
+    return weight if weight and weight > 0 and math.isfinite(weight) else 0.0
+
+
+def _decode_cap(value: msgspec.Raw) -> Resources | None:
+    """Return the cap of a tenant, or None if it is negative or unreadable."""
+    if bytes(value) == b"null":
+        return Resources()
+    cap = _decode_or_none(_cap_decoder, value)
+    if cap is None:
+        return None
+    return Resources(
+        _cap_amount(cap.cpu), _cap_amount(cap.mem_mb), _cap_amount(cap.gpu)
+    )
+
+
+def _cap_amount(number: float) -> int:
+    """Return a whole amount; a fraction of 1 must not become 0, which is no limit."""
+    return max(1, int(min(number, MAX_NUMBER))) if number else 0
+
+
+def _decode_or_none(decoder: t.Any, value: msgspec.Raw) -> t.Any:
+    try:
+        return decoder.decode(value)
+    except (msgspec.DecodeError, RecursionError, ValueError):
+        # Not logged here: messages may contain a value, and the caller lists a problem.
+        return None
+
+
 def decode_worker(key: str, value: bytes) -> WorkerInfo:
     """Decode the entry that a worker wrote about itself; raises `DecodeFailed`."""
     entry = _decode(_worker_entry_decoder, value)
@@ -339,4 +461,5 @@
         slack_s=route.target_duration_ms / 1000,
         timeout_s=route.timeout_ms / 1000,
         advice=advice,
+        public=bytes(route.public) == b"true",
     )
