Require keys on routes of tenants, and keep tenants' jobs apart

Requests are checked after their headers and again after the body was read: 401 for an unknown key, 503 while the configuration may have changed. A job belongs to the tenant that submitted it: the record of its homes names the tenant, and to others it does not exist (410, or 409 for a POST with its id). A job of which one task or gang exceeds the cap gets 429 at once.

While the newest configuration is unreadable, the one in force does not count as confirmed, since the newest may have revoked keys. Where keys are required, the calls of peers are served on the address for peers only: they need no key, and reach all jobs and the store.

--- a/src/poplaryard/platform/entry.py
+++ b/src/poplaryard/platform/entry.py
@@ -77,6 +77,10 @@
         Not used.
     grace_s : float
         Time from SIGTERM until SIGKILL.
+    strict_revocation : bool
+        Whether no request is served with a key that was revoked `revoke_ms` before.
+    revoke_ms : float
+        Only used with `strict_revocation`.
     """
 
     process: str
@@ -91,6 +95,8 @@
     link_mbps: float = 1000.0
     early_ms: float = 0.0
     grace_s: float = 6.0
+    strict_revocation: bool = False
+    revoke_ms: t.Annotated[float, msgspec.Meta(gt=0)] = 5000.0
     log_level: str = "info"
 
 
@@ -143,6 +149,7 @@
                 retention_s=cfg.keep_s,
                 early_s=cfg.early_ms / 1000,
             ),
+            cfg.revoke_ms / 1000 if cfg.strict_revocation else None,
         ),
         store,
         WorkerClient(client, WORKER_CALL_TIMEOUT_S),
@@ -155,13 +162,15 @@
     )
 
     def update_gauges() -> None:
+        node.update_gauges()
         node.meters.set("poplaryard_log_lines_dropped", {}, stream.dropped)
         for call, count in store.calls.items():
             node.meters.set("poplaryard_store_calls", {"call": call}, count)
 
-    frontend = PlatformFrontend(node, update_gauges)
     servers = [
-        _http_server(frontend, address)
+        _http_server(
+            PlatformFrontend(node, update_gauges, address == cfg.listen.peers), address
+        )
         for address in dict.fromkeys(
             [
                 cfg.listen.ready,
--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -13,6 +13,7 @@
 from ..workload.model import JobState, Queue
 from ..workload.node import Node
 from ..workload.relay import RELAY_PATH, answer_relayed
+from ..workload.tenancy import KeyOutcome, Verdict
 from .codec import DecodeFailed, decode_submission
 
 __all__ = ["PlatformFrontend", "Response"]
@@ -28,6 +29,7 @@
 METRICS_PATH = "/metrics"
 # Limit of a peer's request: a transaction of 16 jobs of the largest size.
 MAX_PEER_BODY_BYTES = 8 * 1024 * 1024
+KEY_HEADER = b"x-api-key"
 # Clients name a job by 16 hexadecimal digits.
 _JOB_ID = re.compile(r"[0-9a-fA-F]{16}\Z")
 
@@ -48,6 +50,16 @@
     raw: bytes = b""
 
 
+class _Refused(Exception):
+    """Raised for a request that is not served for its key."""
+
+    def __init__(self, verdict: Verdict):
+        super().__init__(verdict.reason)
+        self.response = Response(401)
+        if verdict.outcome is KeyOutcome.UNCERTAIN:
+            self.response = Response(503, retry_after_s=RETRY_S)
+
+
 class _BodyTooLarge(Exception):
     """Raised for a request body that exceeds its limit."""
 
@@ -60,11 +72,20 @@
     node : Node
     update_gauges : callable
         Called to update the gauges before metrics are rendered.
+    for_peers : bool
+        Whether this is the address for peers. Their calls need no key and show jobs of
+        all tenants, so other addresses serve them only where no key is required.
     """
 
-    def __init__(self, node: Node, update_gauges: t.Callable[[], None]):
+    def __init__(
+        self,
+        node: Node,
+        update_gauges: t.Callable[[], None],
+        for_peers: bool = True,
+    ):
         self._node = node
         self._update_gauges = update_gauges
+        self._for_peers = for_peers
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request; ignores scopes other than HTTP."""
@@ -74,6 +95,8 @@
             response = await self._route(scope, receive)
         except _BodyTooLarge:
             response = Response(413)
+        except _Refused as exc:
+            response = exc.response
         except PoplaryardError as exc:
             logger.info("request not answered", extra={"reason": exc.detail})
             response = Response(503, retry_after_s=RETRY_S)
@@ -87,7 +110,7 @@
         if path == METRICS_PATH:
             self._update_gauges()
             return Response(200, raw=self._node.meters.text())
-        if path.startswith("/peer/v1/"):
+        if path.startswith("/peer/v1/") and self._serves_peers():
             return await self._handle_peer(path, receive)
         if not self._node.queues.version:
             # No configuration has been read yet.
@@ -95,9 +118,10 @@
         queue = self._node.queues.find(_host(scope), path)
         if queue is None:
             return Response(404)
+        tenant = self._check_key(scope, queue)
         job_id = path[len(queue.prefix) :]
         if not job_id:
-            return await self._get_pending(queue, method)
+            return await self._get_pending(queue, method, scope)
         if not _JOB_ID.match(job_id):
             return Response(404)
         if method == "POST":
@@ -106,14 +130,33 @@
                 min(_deadline_s(scope), queue.timeout_s) - RESPONSE_RESERVE_S
             )
             body = await _read_body(receive, limit)
-            return await self._post_job(queue, job_id, body, retry_window_s)
+            # The configuration may have changed while the body was received.
+            tenant = self._check_key(scope, queue)
+            return await self._post_job(queue, job_id, tenant, body, retry_window_s)
         if method == "GET":
-            return await self._get_state(queue, job_id)
+            response = await self._get_state(queue, job_id, tenant)
+            self._check_key(scope, queue)
+            return response
         if method == "DELETE":
-            cancelled = await self._node.cancel(queue, job_id)
+            cancelled = await self._node.cancel(queue, job_id, tenant)
             return Response(200, {}) if cancelled else Response(410)
         return Response(405)
 
+    def _serves_peers(self) -> bool:
+        queues = self._node.queues
+        return self._for_peers or (queues.version > 0 and queues.keys is None)
+
+    def _check_key(self, scope: Scope, queue: Queue) -> str | None:
+        """Return the tenant of a request; raise `_Refused` if it is not served.
+
+        See `Verdict.tenant`. The key never leaves this method and the policy.
+        """
+        keys = [value for name, value in scope["headers"] if name == KEY_HEADER]
+        verdict = self._node.check_key(queue, keys[0] if len(keys) == 1 else None)
+        if not verdict.accepted:
+            raise _Refused(verdict)
+        return verdict.tenant
+
     async def _handle_peer(self, path: str, receive: Receive) -> Response:
         if path == "/peer/v1/ping":
             return Response(200)
@@ -144,30 +187,43 @@
             return Response(400)
         return Response(503) if advice is None else Response(200, advice)
 
-    async def _get_pending(self, queue: Queue, method: str) -> Response:
+    async def _get_pending(self, queue: Queue, method: str, scope: Scope) -> Response:
         if method != "GET":
             return Response(405)
-        return Response(200, {"pending": await self._node.lookup.pending(queue)})
+        pending = await self._node.lookup.pending(queue)
+        self._check_key(scope, queue)
+        return Response(200, {"pending": pending})
 
     async def _post_job(
-        self, queue: Queue, job_id: str, body: bytes, retry_window_s: float
+        self,
+        queue: Queue,
+        job_id: str,
+        tenant: str | None,
+        body: bytes,
+        retry_window_s: float,
     ) -> Response:
         try:
-            spec = decode_submission(body, job_id, queue, time.time())
+            spec = decode_submission(body, job_id, queue, time.time(), tenant or "")
         except DecodeFailed as exc:
             extra = {"request": job_id, "reason": str(exc)}
             logger.info("job malformed", extra=extra)
             return Response(400)
+        if self._node.never_fits(spec):
+            return Response(429)
         outcome = await self._node.submit(spec, retry_window_s)
         if outcome is SubmitOutcome.STORED:
             return Response(200, {})
         if outcome is SubmitOutcome.REFUSED:
             return Response(503, retry_after_s=RETRY_S)
+        if outcome is SubmitOutcome.CONFLICT:
+            return Response(409)
         # The job may have been stored; the client has to send it again.
         return Response(504)
 
-    async def _get_state(self, queue: Queue, job_id: str) -> Response:
-        state: JobState | None = await self._node.lookup.state(queue, job_id)
+    async def _get_state(
+        self, queue: Queue, job_id: str, tenant: str | None
+    ) -> Response:
+        state: JobState | None = await self._node.lookup.state(queue, job_id, tenant)
         if state is None:
             return Response(410)
         return Response(200, {"state": str(state)})
--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -13,6 +13,7 @@
 from . import records
 from .model import JobSpec
 from .storage import MAX_TRANSACTION_ENTRIES, Item, Storage, Transaction
+from .tenancy import is_accessible
 
 __all__ = ["Acceptance", "SubmitOutcome"]
 
@@ -34,10 +35,14 @@
 
 
 class SubmitOutcome(enum.Enum):
-    """Outcome of the submission of a job."""
+    """Outcome of the submission of a job.
+
+    With `CONFLICT` the id is that of another tenant's job, and nothing was stored.
+    """
 
     STORED = "stored"
     REFUSED = "refused"
+    CONFLICT = "conflict"
     UNKNOWN = "unknown"
 
 
@@ -57,10 +62,15 @@
     def key(self) -> str:
         return records.home_key(self.parts[0].job_id)
 
+    @property
+    def tenant(self) -> str:
+        """Name of the job's tenant; empty for none."""
+        return self.parts[0].tenant
+
     @property
     def homes(self) -> bytes:
         """Value of the key of the job's homes."""
-        return records.encode_homes(part.group for part in self.parts)
+        return records.encode_homes((part.group for part in self.parts), self.tenant)
 
     @property
     def entry_count(self) -> int:
@@ -81,6 +91,10 @@
         """Return whether the stored job has the homes that were chosen here."""
         return item.value == self.homes
 
+    def conflicts_with(self, item: Item) -> bool:
+        """Return whether the stored job belongs to another tenant."""
+        return not is_accessible(records.decode_home_tenant(item.value), self.tenant)
+
 
 class Acceptance:
     """Writes submitted jobs to the store; a job is accepted once it is stored.
@@ -206,9 +220,16 @@
         """Write a batch of jobs in one transaction; return those still to be written.
 
         Nothing is written if some of the jobs are stored already; the others are then
-        returned.
+        returned. Submissions of one id by several tenants are written one by one.
         """
-        unique = {submission.key: submission for submission in batch}
+        unique: dict[str, _Submission] = {}
+        later = []
+        for submission in batch:
+            same = unique.get(submission.key, submission)
+            if same.tenant == submission.tenant:
+                unique[submission.key] = submission
+            else:
+                later.append(submission)
         transaction = Transaction(
             expected=dict.fromkeys(unique, 0),
             puts=[
@@ -219,15 +240,22 @@
         if isinstance(found, int):
             stored = [part for item in unique.values() for part in item.parts]
             self._on_stored(stored, found)
-            self._resolve(batch, SubmitOutcome.STORED, None)
-            return []
+            written = [submission for submission in batch if submission not in later]
+            self._resolve(written, SubmitOutcome.STORED, None)
+            return later
         present = {item.key: item for item in found if isinstance(item, Item)}
-        known = [submission for submission in batch if submission.key in present]
+        known: list[_Submission] = []
+        others: list[_Submission] = []
+        for submission in batch:
+            if submission.key in present:
+                conflict = submission.conflicts_with(present[submission.key])
+                (others if conflict else known).append(submission)
         for submission in known:
             item = present[submission.key]
             if submission.in_doubt and submission.stored_as(item):
                 self._on_stored(list(submission.parts), item.revision)
         self._resolve(known, SubmitOutcome.STORED, None)
+        self._resolve(others, SubmitOutcome.CONFLICT, None)
         return [submission for submission in batch if submission.key not in present]
 
     def _resolve(
--- a/src/poplaryard/workload/directory.py
+++ b/src/poplaryard/workload/directory.py
@@ -22,6 +22,7 @@
 from .layout import MIN_PARTITION_WORKERS, Layout
 from .model import JobSpec, WorkerInfo
 from .storage import Change, Storage
+from .tenancy import is_accessible
 
 __all__ = ["PEER_TIMEOUT_S", "Directory"]
 
@@ -66,7 +67,8 @@
         self._peers = peers
         self.claims: dict[str, tuple[records.Claim, int]] = {}
         self.layouts: dict[str, tuple[Layout, int]] = {}
-        self._homes: dict[str, tuple[str, ...]] = {}
+        # Partitions and tenant of a job.
+        self._homes: dict[str, tuple[tuple[str, ...], str]] = {}
 
     def layout(self, group: str) -> Layout:
         """Return the layout of a group, by default one partition without racks."""
@@ -186,27 +188,35 @@
             logger.warning("unreadable load", extra={"reason": str(exc)})
             return None
 
-    def remember_homes(self, job_id: str, partitions: tuple[str, ...]) -> None:
-        """Keep the homes of a stored job, which never change."""
-        self._homes[job_id] = partitions
+    def remember_homes(
+        self, job_id: str, partitions: tuple[str, ...], tenant: str
+    ) -> None:
+        """Keep the homes and the tenant of a stored job, which never change."""
+        self._homes[job_id] = partitions, tenant
         if len(self._homes) > MAX_KNOWN_HOMES:
             del self._homes[next(iter(self._homes))]
 
-    async def homes_of(self, job_id: str) -> tuple[str, ...]:
+    async def homes_of(self, job_id: str, tenant: str | None = None) -> tuple[str, ...]:
         """Return the partitions of a job; empty if there is no such job.
 
+        A job that is not accessible to a tenant does not exist for it; see
+        `is_accessible`.
+
         Raises `StoreDown` or `StoreReplyLost` if it must be read from the store and
         this does not answer.
         """
         known = self._homes.get(job_id)
-        if known is not None:
-            return known
-        item = await self._storage.get(records.home_key(job_id))
-        if item is None:
-            return ()
-        homes = records.decode_homes(item.value)
-        self.remember_homes(job_id, homes)
-        return homes
+        if known is None:
+            item = await self._storage.get(records.home_key(job_id))
+            if item is None:
+                return ()
+            known = (
+                records.decode_homes(item.value),
+                records.decode_home_tenant(item.value),
+            )
+            self.remember_homes(job_id, *known)
+        homes, job_tenant = known
+        return homes if is_accessible(job_tenant, tenant) else ()
 
     # Owners
 
--- a/src/poplaryard/workload/lookup.py
+++ b/src/poplaryard/workload/lookup.py
@@ -61,9 +61,18 @@
         self._local_owner = local_owner
         self._sole_owner = sole_owner
 
-    async def state(self, queue: Queue, job_id: str) -> JobState | None:
+    async def state(
+        self, queue: Queue, job_id: str, tenant: str | None = None
+    ) -> JobState | None:
         """Return the state of a job, or None if there is no such job.
 
+        Parameters
+        ----------
+        queue : Queue
+        job_id : str
+        tenant : str, optional
+            Tenant that asks; jobs of others do not exist for it. None: see any job.
+
         Raises
         ------
         Unavailable
@@ -71,14 +80,16 @@
         """
         partitions = self._directory.partitions(queue.group)
         if len(partitions) == 1:
-            state = await self._state_at_owner(partitions[0], job_id)
+            state = await self._state_at_owner(partitions[0], job_id, tenant)
             if state is not None:
                 return state
         try:
-            homes = await self._directory.homes_of(job_id)
+            homes = await self._directory.homes_of(job_id, tenant)
         except (StoreDown, StoreReplyLost) as exc:
-            return await self._state_at_any_owner(partitions, job_id, exc)
-        states = await asyncio.gather(*(self._state_in(name, job_id) for name in homes))
+            return await self._state_at_any_owner(partitions, job_id, tenant, exc)
+        states = await asyncio.gather(
+            *(self._state_in(name, job_id, tenant) for name in homes)
+        )
         return _combined(states)
 
     async def pending(self, queue: Queue) -> int:
@@ -95,31 +106,42 @@
         )
         return sum(counts)
 
-    async def _state_in(self, partition: str, job_id: str) -> JobState | None:
+    async def _state_in(
+        self, partition: str, job_id: str, tenant: str | None
+    ) -> JobState | None:
         """Return the state of the part of a job in a partition, or None."""
-        state = await self._state_at_owner(partition, job_id)
+        state = await self._state_at_owner(partition, job_id, tenant)
         if state is not None:
             return state
         return await self._stored_state(partition, job_id)
 
     async def _state_at_any_owner(
-        self, partitions: list[str], job_id: str, exc: PoplaryardError
+        self,
+        partitions: list[str],
+        job_id: str,
+        tenant: str | None,
+        exc: PoplaryardError,
     ) -> JobState:
         """Ask the owners of all partitions, while the store does not tell the home."""
         if len(partitions) > 1:
             found = await asyncio.gather(
-                *(self._state_at_owner(name, job_id) for name in partitions)
+                *(self._state_at_owner(name, job_id, tenant) for name in partitions)
             )
             for state in found:
                 if state is not None:
                     return state
         raise Unavailable(exc.code, exc.detail) from exc
 
-    async def _state_at_owner(self, partition: str, job_id: str) -> JobState | None:
+    async def _state_at_owner(
+        self, partition: str, job_id: str, tenant: str | None
+    ) -> JobState | None:
         owner = self._local_owner(partition)
         if owner is not None:
-            return owner.state(job_id)
-        result = await self._directory.ask_owner(partition, {"job": job_id})
+            return owner.state(job_id, tenant)
+        query = {"job": job_id}
+        if tenant is not None:
+            query["tenant"] = tenant
+        result = await self._directory.ask_owner(partition, query)
         state = result.get("state") if result else None
         return JobState(state) if state else None
 
--- a/src/poplaryard/workload/meters.py
+++ b/src/poplaryard/workload/meters.py
@@ -14,6 +14,7 @@
 _COUNTERS = {
     "poplaryard_jobs_total": "Jobs handed in, by outcome.",
     "poplaryard_jobs_finished_total": "Jobs that this owner finished, by state.",
+    "poplaryard_key_checks_total": "Checks of tenants' keys, by outcome.",
     "poplaryard_starts_total": "Orders to start a run, by outcome.",
     "poplaryard_runs_ended_total": "Runs that ended, by how.",
     "poplaryard_advice_total": "Calls for advice, by outcome.",
@@ -30,6 +31,7 @@
 }
 _GAUGES = {
     "poplaryard_store_calls": "Calls of the store so far, by call.",
+    "poplaryard_config_age_seconds": "Age of the confirmed configuration.",
     "poplaryard_group": "Figures of the groups that the process owns.",
     "poplaryard_log_lines_dropped": "Log lines that nobody read in time.",
     "process_resident_memory_bytes": "Resident memory.",
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -31,6 +31,7 @@
 from .relay import RelayedStorage
 from .storage import Change, Storage, Transaction
 from .supervision import run_restarting
+from .tenancy import KeyPolicy, RefusalLog, Verdict, cap_refusal
 from .watching import PrefixWatcher
 
 __all__ = ["Node", "NodeConfig", "StoreSchema", "Unavailable", "strength"]
@@ -65,6 +66,11 @@
 # Pause between two reads of the watch on workers, in seconds. Workers write heartbeats
 # under the watched keys, and those of one pause are read together.
 HEARTBEAT_BATCH_S = 0.25
+# Longest wait of a call of the watch on the configuration, in seconds, and as a share
+# of the time after which revoked keys must not be accepted: two calls, and the delays
+# of their answers, must be shorter than that.
+CONFIG_WAIT_S = 1.0
+CONFIG_WAIT_SHARE = 0.2
 # Pauses between two reads of the watches on members and on claims, in seconds. At a
 # start of all processes each would otherwise read every entry by itself, and the number
 # of calls to the store would grow with the square of the number of processes.
@@ -77,6 +83,8 @@
 # Timeout of the call that ends the lease of a stopping process, in seconds. Without an
 # answer the lease expires by itself.
 END_LEASE_TIMEOUT_S = 0.5
+# Number of problems of a configuration that are logged; the first ones tell the kind.
+MAX_LOGGED_PROBLEMS = 20
 # Time between two checks whether the data centre is isolated, in seconds, and number
 # of peers in other data centres that a check calls.
 ISOLATION_CHECK_S = 0.4
@@ -129,6 +137,9 @@
         Address at which peers reach the process, "HOST:PORT".
     strength : float
         See `strength`; stronger processes claim groups first.
+    revoke_s : float or None
+        Time after which a revoked key of a tenant must not be accepted, in seconds;
+        None if there is no such limit.
     """
 
     process: str
@@ -136,6 +147,7 @@
     peer_address: str
     strength: float
     limits: OwnerLimits
+    revoke_s: float | None = None
 
 
 class _PeerAdvisor:
@@ -241,7 +253,15 @@
             storage, clock, self._workers, self._claim_changed
         )
         config_prefix = schema.config_key.rpartition("/")[0] + "/"
-        self._config_watch = PrefixWatcher(storage, config_prefix, self._config_changed)
+        config_wait_s = CONFIG_WAIT_S
+        if cfg.revoke_s is not None:
+            config_wait_s = min(CONFIG_WAIT_S, CONFIG_WAIT_SHARE * cfg.revoke_s)
+        self._config_watch = PrefixWatcher(
+            storage, config_prefix, self._config_changed, config_wait_s, clock=clock
+        )
+        self._unreadable_since: float | None = None
+        self._key_policy = KeyPolicy(cfg.revoke_s)
+        self._refusal_log = RefusalLog()
         self._claim_watch = PrefixWatcher(
             storage,
             records.claim_prefix(),
@@ -369,6 +389,57 @@
 
     # Client calls
 
+    @property
+    def config_confirmed_at(self) -> float:
+        """Time after which the configuration in force was certainly the newest.
+
+        In seconds on the process's clock. It stands still while the newest
+        configuration is unreadable, since that one may have revoked keys.
+        """
+        if self._unreadable_since is not None:
+            return self._unreadable_since
+        return self._config_watch.confirmed_at
+
+    def update_gauges(self) -> None:
+        """Update the gauges before metrics are rendered."""
+        if self.queues.version:
+            age_s = self._clock.now() - self.config_confirmed_at
+            self.meters.set("poplaryard_config_age_seconds", {}, age_s)
+
+    def check_key(self, queue: Queue, key: bytes | None) -> Verdict:
+        """Return whether a request to a queue may be served, and for which tenant.
+
+        Parameters
+        ----------
+        queue : Queue
+        key : bytes or None
+            Key of the request; None if it has none, or several.
+        """
+        policy = self._key_policy
+        policy.confirmed_at = self.config_confirmed_at
+        verdict = policy.check(key, self._clock.now(), queue.public)
+        if verdict.checked:
+            self.meters.count("poplaryard_key_checks_total", verdict.outcome.value)
+        if not verdict.accepted:
+            self._log_refusal(queue.name, verdict.reason)
+        return verdict
+
+    def never_fits(self, spec: JobSpec) -> bool:
+        """Return whether a job could never run within its tenant's cap."""
+        reason = cap_refusal(spec, self.queues.tenants.get(spec.tenant))
+        if reason:
+            self.meters.count("poplaryard_jobs_total", "over_cap")
+            self._log_refusal(spec.queue, reason, spec.job_id)
+        return bool(reason)
+
+    def _log_refusal(self, queue: str, reason: str, job_id: str = "") -> None:
+        count = self._refusal_log.record(self._clock.now())
+        if count:
+            extra = {"queue": queue, "reason": reason, "refusals": count}
+            if job_id:
+                extra["request"] = job_id
+            logger.info("request refused", extra=extra)
+
     async def submit(self, spec: JobSpec, retry_window_s: float = 0.0) -> SubmitOutcome:
         """Store a job; see `Acceptance.submit`."""
         if self._relayed.store_unreachable:
@@ -384,8 +455,10 @@
         self.meters.observe("poplaryard_accept_seconds", self._clock.now() - began)
         return accepted
 
-    async def cancel(self, queue: Queue, job_id: str) -> bool:
-        """Cancel a job; return False if there is no such job.
+    async def cancel(
+        self, queue: Queue, job_id: str, tenant: str | None = None
+    ) -> bool:
+        """Cancel a job; return False if there is no such job for the tenant, if any.
 
         Raises
         ------
@@ -393,7 +466,7 @@
             If the store does not answer.
         """
         try:
-            homes = await self._directory.homes_of(job_id)
+            homes = await self._directory.homes_of(job_id, tenant)
             if not homes:
                 return False
             entries = [(records.cancel_key(home, job_id), b"1", 0) for home in homes]
@@ -409,10 +482,12 @@
     def _notify_owners(self, specs: list[JobSpec], revision: int) -> None:
         """Notify the groups' owners of stored jobs, without waiting for an answer."""
         homes: dict[str, tuple[str, ...]] = {}
+        tenants: dict[str, str] = {}
         for spec in specs:
             homes[spec.job_id] = (*homes.get(spec.job_id, ()), spec.group)
+            tenants[spec.job_id] = spec.tenant
         for job_id, partitions in homes.items():
-            self._directory.remember_homes(job_id, partitions)
+            self._directory.remember_homes(job_id, partitions, tenants[job_id])
         for group in {spec.group for spec in specs}:
             group_specs = [spec for spec in specs if spec.group == group]
             self._notify_owner(records.StoredJobs(group, revision, group_specs))
@@ -443,7 +518,8 @@
     def answer_peer(self, body: t.Any) -> dict[str, t.Any]:
         """Answer a peer's query about a queue or a job of a group owned here.
 
-        Returns ``{"owner": False}`` if this process cannot answer for the group.
+        Returns ``{"owner": False}`` if this process cannot answer for the group. A
+        query with "tenant" finds only jobs that are accessible to it.
         """
         partition = str(body.get("group"))
         may_be_stale = "queue" not in body
@@ -454,7 +530,8 @@
             return {"owner": True, "load": msgspec.to_builtins(owner.load())}
         if "queue" in body:
             return {"owner": True, "pending": owner.pending(str(body["queue"]))}
-        return {"owner": True, "state": owner.state(str(body.get("job")))}
+        tenant = str(body["tenant"]) if "tenant" in body else None
+        return {"owner": True, "state": owner.state(str(body.get("job")), tenant)}
 
     def _answering_owner(self, partition: str) -> GroupOwner | None:
         """Return the owner of a partition in this process if it may answer for it.
@@ -489,10 +566,13 @@
         except self._schema.decode_error as exc:
             extra = {"key": change.key, "reason": str(exc)}
             logger.error("unreadable configuration", extra=extra)
+            self._unreadable_since = self.config_confirmed_at
             return
+        self._unreadable_since = None
         if queues.version <= self.queues.version:
             return
         self.queues = queues
+        self._key_policy.table = queues.keys
         self._claims_changed.set()
         logger.info(
             "configuration applied",
@@ -502,6 +582,15 @@
                 "bytes": len(change.item.value),
             },
         )
+        if queues.problems:
+            logger.warning(
+                "invalid tenants in the configuration",
+                extra={
+                    "version": queues.version,
+                    "problems": queues.problems[:MAX_LOGGED_PROBLEMS],
+                    "count": len(queues.problems),
+                },
+            )
 
     def _claim_changed(self, change: Change) -> None:
         self._claims_changed.set()
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -30,6 +30,7 @@
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
 from .storage import MAX_TRANSACTION_ENTRIES, Change, Item, Storage, Transaction
+from .tenancy import is_accessible
 from .watching import PrefixWatcher
 
 __all__ = ["GroupOwner", "OwnerLimits", "WorkerCalls"]
@@ -408,11 +409,15 @@
             self._lease.generation == self._generation and self._lease.has_authority()
         )
 
-    def state(self, job_id: str) -> JobState | None:
-        """Return the state of a job, or None if it is not known here."""
-        if self.partition is None or job_id not in self.partition.jobs:
+    def state(self, job_id: str, tenant: str | None = None) -> JobState | None:
+        """Return the state of a job, or None if it is not known here.
+
+        A job that is not accessible to a tenant counts as not known.
+        """
+        job = None if self.partition is None else self.partition.jobs.get(job_id)
+        if job is None or not is_accessible(job.spec.tenant, tenant):
             return None
-        return self.partition.jobs[job_id].state
+        return job.state
 
     def load(self) -> PartitionLoad | None:
         """Return the load of the partition, or None if it is not loaded."""
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -19,6 +19,7 @@
     "claim_prefix",
     "decode_claim",
     "decode_give_up",
+    "decode_home_tenant",
     "decode_homes",
     "decode_identity",
     "decode_job",
@@ -142,14 +143,25 @@
     return f"home/{job_id}"
 
 
-def encode_homes(partitions: t.Iterable[str]) -> bytes:
-    """Encode the names of the partitions to which a job belongs."""
-    return "\n".join(partitions).encode()
+def encode_homes(partitions: t.Iterable[str], tenant: str = "") -> bytes:
+    """Encode the names of the partitions to which a job belongs, and of its tenant.
+
+    The name of the tenant, if any, follows after a NUL.
+    """
+    names = "\n".join(partitions)
+    return (f"{names}\0{tenant}" if tenant else names).encode()
 
 
 def decode_homes(value: bytes) -> tuple[str, ...]:
     """Decode the names of the partitions to which a job belongs."""
-    return tuple(value.decode("utf-8", "replace").split("\n"))
+    names, _, _ = value.partition(b"\0")
+    return tuple(names.decode("utf-8", "replace").split("\n"))
+
+
+def decode_home_tenant(value: bytes) -> str:
+    """Decode the name of the tenant to which a job belongs; empty for none."""
+    _, _, tenant = value.partition(b"\0")
+    return tenant.decode("utf-8", "replace")
 
 
 def claim_prefix() -> str:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -206,6 +206,20 @@
     return {"version": version, "routes": [route], "services": services}
 
 
+def tenant_config(version, **keys):
+    """Return a configuration with a keyed and a public route, and keys by tenant.
+
+    Each tenant has a cap of 3 cores.
+    """
+    table = config(version)
+    route = table["routes"][0] | {"name": "open", "prefix": "/open/", "public": True}
+    tenants = [
+        {"name": name, "api_keys": found, "weight": 1, "cap": {"cpu": 3000}}
+        for name, found in keys.items()
+    ]
+    return table | {"routes": [*table["routes"], route], "tenants": tenants}
+
+
 def encoded(item):
     value = base64.b64encode(item.value).decode()
     fields = {"rev": item.revision, "created": item.revision, "lease": item.lease}
--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -34,14 +34,16 @@
 class ProcessFixture:
     """Process under test, served on the loopback interface."""
 
-    def __init__(self, platform, name, strength=1.0):
+    def __init__(self, platform, name, strength=1.0, revoke_s=None):
         self.client = HttpClient(connections=64)
         self.store = PlatformStore(self.client, platform.store_address)
         self.server = HttpServer(self._app, "127.0.0.1", 0)
         address = f"127.0.0.1:{self.server.ports[0]}"
         self.url = f"http://{address}"
         self.node = Node(
-            NodeConfig(name, "dc1", address, strength, OwnerLimits(6.0, 120.0)),
+            NodeConfig(
+                name, "dc1", address, strength, OwnerLimits(6.0, 120.0), revoke_s
+            ),
             self.store,
             WorkerClient(self.client, 0.7),
             AdviceClient(self.client, platform.store_address),
@@ -63,23 +65,24 @@
         await self.server.stop()
         await self.node.stop()
 
-    async def call(self, method, path, body=None, host="desk.example"):
+    async def call(self, method, path, body=None, host="desk.example", key=None):
         data = body
         if body is not None and not isinstance(body, bytes):
             data = json.dumps(body).encode()
         url = f"{self.url}{path}"
-        reply = await self.client.request_raw(method, url, data, 3.0, {"host": host})
+        headers = {"host": host} if key is None else {"host": host, "x-api-key": key}
+        reply = await self.client.request_raw(method, url, data, 3.0, headers)
         return reply.status, json.loads(reply.content) if reply.content else None
 
 
-def run_with_processes(scenario, count=2, strength=1.0, workers=2):
+def run_with_processes(scenario, count=2, strength=1.0, workers=2, revoke_s=None):
     strengths = strength if isinstance(strength, tuple) else [strength] * count
 
     async def run():
         platform = PlatformStandIn(workers)
         await platform.start()
         processes = [
-            ProcessFixture(platform, f"p{number}", strengths[number])
+            ProcessFixture(platform, f"p{number}", strengths[number], revoke_s)
             for number in range(count)
         ]
         try:
