--- a/tests/platform/test_entry_settings.py
+++ b/tests/platform/test_entry_settings.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import pathlib
+import re
 import subprocess
 import sys
 
@@ -63,6 +64,26 @@
     logger.setLevel(logging.INFO)
 
 
+@pytest.mark.parametrize("bounds", [{}, {"strict_revocation": True, "revoke_ms": 5000}])
+def test_template_renders_with_and_without_tenants(tmp_path, bounds):
+    """Guards against settings that are no JSON where a bound is absent."""
+    template = pathlib.Path(__file__).parents[2] / "deploy/settings.json.in"
+    text = re.sub(
+        r"{{#bounds\.(\w+)}}(.*?){{/bounds\.\1}}",
+        lambda match: match[2] if bounds.get(match[1]) else "",
+        template.read_text(),
+    )
+    for name, value in bounds.items():
+        text = text.replace(f"{{{{bounds.{name}|json}}}}", json.dumps(value))
+    text = re.sub(r"{{(ip|port_range\.0)}}", "1", text)
+    text = re.sub(r"{{(bounds|limits)\.\w+\|json}}", "1", text)
+    path = tmp_path / "entry.json"
+    write(path, re.sub(r"{{.*?}}", '"127.0.0.1:1"', text))
+    cfg = entry_module.load_settings(str(path))
+    assert cfg.strict_revocation is bool(bounds)
+    assert cfg.revoke_ms == 5000
+
+
 IMPORT_WITH_DEPLOYED_PACKAGES = """
 import importlib.abc
 import sys
