Account for tenants' usage, and order waiting steps by fair shares

Tenants share a partition's room by weight; a pass follows each tenant's share while it starts tasks. Starts, copies, trials, reservations and calls for advice respect the cap of the step's tenant. Without jobs of tenants the order of a pass is unchanged.

--- a/src/poplaryard/cli.py
+++ b/src/poplaryard/cli.py
@@ -20,6 +20,7 @@
     "serve": "serve:serve",
     "standin": "standin:standin",
     "status": "ticket_cli:status",
+    "tenants": "tenants_cli:tenants",
     "ticket": "ticket_cli:ticket",
     "trace": "trace:trace",
 }
--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -12,6 +12,7 @@
 from .model import AdviceCost
 from .orders import AdviceRequest
 from .runtime import Permit, StepRun, Worker
+from .tenancy import ShareOrder, Shares
 
 __all__ = ["AdvicePlanner"]
 
@@ -65,6 +66,9 @@
         super().__init__(*args, **fields)
         self._ending_rooms: dict[tuple[Worker, float], Resources] = {}
         self._ending_rooms_at = 0.0
+        # What tenants are expected to start, and their shares with it.
+        self._expected: dict[str, Resources] = {}
+        self._expected_shares: Shares | None = None
 
     def advice_answered(
         self,
@@ -117,7 +121,7 @@
             room_left = room_left + self._ending_room(worker, RELEASE_HORIZON_S, now)
         too_large: list[tuple[Resources, float]] = []
         gangs = 0
-        for step in [*self._waiting, *self._steps_ahead(now)]:
+        for step in self._steps_to_ask(now):
             advice = step.job.spec.advice
             if advice is None:
                 continue
@@ -134,12 +138,14 @@
                     continue
                 claimed = self._claim_known(step, rooms, now)
                 room_left = room_left - claimed
+                self._expect_start(step, claimed)
                 if step.asking or claimed is not ZERO:
                     continue
                 if self._exceeds(step, too_large):
                     continue
             request, claimed = self._advice_for(step, rooms, may_ask_early, now)
             room_left = room_left - claimed
+            self._expect_start(step, claimed)
             if claimed is ZERO and not step.may_run and not step.spec.label:
                 too_large.append((step.need, self._advice_ahead_s(step)))
             if request is None or step.asking or not can_call(request.cost_s):
@@ -148,6 +154,40 @@
             step.asked = request.workers
             yield request
 
+    def _steps_to_ask(self, now: float) -> t.Iterator[StepRun]:
+        """Yield the steps that may need advice, in the order in which they start.
+
+        What the steps before are expected to start counts in the tenants' shares and
+        usage. Steps that would exceed the cap of their tenant are left out.
+        """
+        self._expected.clear()
+        self._expected_shares = None
+        steps: t.Iterable[StepRun] = self._waiting
+        if self._shares is not None:
+            self._expected_shares = self._shares.copy()
+            steps = ShareOrder(self._waiting, self._expected_shares)
+        for step in steps:
+            if self._may_start_expected(step, now):
+                yield step
+        for step in self._steps_ahead(now):
+            if self._may_start_expected(step, now):
+                yield step
+
+    def _may_start_expected(self, step: StepRun, now: float) -> bool:
+        """Return whether a step may start beside what is expected to start."""
+        if not step.tenant:
+            return True
+        count = step.spec.count if step.spec.gang else 1
+        expected = self._expected.get(step.tenant, ZERO)
+        return self._may_start(step, now, count, expected)
+
+    def _expect_start(self, step: StepRun, claimed: Resources) -> None:
+        """Count the room that a step is expected to take."""
+        if self._expected_shares is not None and step.tenant and claimed is not ZERO:
+            self._expected_shares.charge(step.tenant, claimed)
+            expected = self._expected.get(step.tenant, ZERO)
+            self._expected[step.tenant] = expected + claimed
+
     def _exceeds(self, step: StepRun, too_large: list[tuple[Resources, float]]) -> bool:
         """Return whether a smaller need was found to have no room on any worker.
 
--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -29,7 +29,7 @@
                 logger.warning("end of an unknown task", extra=extra)
             return
         if run is not None:
-            worker.release(run)
+            self._release_run(run)
             task.remove_run(run, now)
         task.last_run_number = max(task.last_run_number, ended.run)
         job = task.step.job
@@ -153,7 +153,7 @@
 
     def _run_lost(self, run: Run, now: float, reason: str) -> None:
         """Drop a run that has certainly ended without being reported as ended."""
-        if not run.worker.release(run):
+        if not self._release_run(run):
             return
         run.task.remove_run(run, now)
         run.task.step.job.active_at = now
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -3,14 +3,14 @@
 import typing as t
 
 from ..logs import logger
-from ..resources import Resources
+from ..resources import ZERO, Resources
 from .meters import Meters
 from .model import JobSpec, JobState, Progress, Suspect, Tenant
 from .orders import ProgressBatch, StartOrder, StopOrder
 from .records import encode
 from .room import Plan, Reservations
 from .runtime import JobRun, Run, RunPhase, StepRun, Task, Worker
-from .tenancy import CapLimits, Unlimited
+from .tenancy import CapLimits, Shares, TenantAccounts, Unlimited
 
 __all__ = ["JobTable"]
 
@@ -31,6 +31,9 @@
 # Maximum number of cancellations kept for jobs that this owner does not know yet: a job
 # and its cancellation can be announced by different processes, in any order.
 MAX_CANCELLED_EARLY = 1000
+# Time between two log lines on the cap or the share of a tenant, in seconds: a tenant
+# can stay there for hours, and 950 tenants may do so at once.
+TENANT_LOG_PERIOD_S = 5.0
 # Weight of a GPU in thousandths of a core, from the users' prices.
 GPU_CPU_M = 8000
 
@@ -39,6 +42,11 @@
     return amount.cpu_m + GPU_CPU_M * amount.gpus
 
 
+def _amount(resources: Resources) -> str:
+    """Return an amount for a log line."""
+    return f"{resources.cpu_m}m/{resources.mem_mb}MB/{resources.gpus}"
+
+
 def _has_starved_lasting_task(step: StepRun, now: float) -> bool:
     return step.spec.lasting and any(
         now > task.idle_since + STARVED_AFTER_S for task in step.waiting(now)
@@ -104,6 +112,16 @@
         self.sole_owner = True
         self.caps: CapLimits = Unlimited()
         self._tenants: t.Mapping[str, Tenant] = {}
+        self._weights: dict[str, float] = {}
+        self._accounts = TenantAccounts()
+        # Shares in the last pass; None without jobs of tenants.
+        self._shares: Shares | None = None
+        # Bounds, for this pass, on what runs that are not accounted for may use.
+        self._unaccounted: t.Mapping[str, Resources] = {}
+        # Needs that exceeded the cap of their tenant in this pass.
+        self._refused: dict[str, list[Resources]] = {}
+        self._tenant_logged_at: dict[str, float] = {}
+        self._quarantine_until = quarantine_until
         self._startable_workers: set[str] = set()
         self._wall_offset = wall_offset
         self._loaded_at = loaded_at
@@ -131,6 +149,7 @@
     def configure_tenants(self, tenants: t.Mapping[str, Tenant]) -> None:
         """Set the configured tenants by name."""
         self._tenants = tenants
+        self._weights = {name: tenant.weight for name, tenant in tenants.items()}
 
     def add_job(
         self, spec: JobSpec, now: float, fresh: bool, progress: Progress | None = None
@@ -149,6 +168,7 @@
                 job.stored_state = progress.state
             job.started = bool(progress.done or progress.failures or progress.run)
         self.jobs[spec.job_id] = job
+        self._accounts.add_job(spec.tenant, fresh)
         if job.progress.state.final:
             return job
         job.occurrences_left = max(1, spec.times)
@@ -198,7 +218,8 @@
             and job.progress.finished_at < before_wall
         ]
         for job_id in old:
-            del self.jobs[job_id]
+            job = self.jobs.pop(job_id)
+            self._accounts.remove_job(job.spec.tenant, job.fresh)
         return old
 
     def _open_due_occurrences(self, job: JobRun, now: float) -> None:
@@ -298,6 +319,87 @@
             run.phase = RunPhase.STOPPING
         self.orders.append(StopOrder(run.worker, run.task.name, run.number, run))
 
+    def _add_run(self, run: Run) -> None:
+        """Charge a run to its worker and its tenant."""
+        run.worker.add(run)
+        self._accounts.add_run(run.task.step.tenant, run.task.step.spec.need)
+
+    def _release_run(self, run: Run) -> bool:
+        """Take a run back from its worker; return False if it is not there."""
+        if not run.worker.release(run):
+            return False
+        self._accounts.remove_run(run.task.step.tenant, run.task.step.spec.need)
+        return True
+
+    def _may_start(
+        self, step: StepRun, now: float, count: int = 1, expected: Resources = ZERO
+    ) -> bool:
+        """Return whether the tenant's cap admits the start of tasks of a step.
+
+        Usage only grows during a pass, so a need that was refused stays refused.
+
+        Parameters
+        ----------
+        count : int
+            Number of tasks that start together.
+        expected : Resources
+            What else the tenant is expected to start first.
+        """
+        tenant = step.tenant
+        if not tenant:
+            return True
+        need = step.spec.need if count == 1 else step.spec.need.times(count)
+        refused = self._refused.get(tenant)
+        if refused and any(earlier.fits_in(need) for earlier in refused):
+            return False
+        used = self._accounts.used(tenant)
+        if tenant in self._unaccounted:
+            used = used + self._unaccounted[tenant]
+        if self.caps.may_start(tenant, used + expected, need):
+            return True
+        if expected is not ZERO:
+            return False
+        self._refused.setdefault(tenant, []).append(need)
+        if step.waiting(now):
+            extra = {"used": _amount(used), "need": _amount(need)}
+            available = self.caps.available(tenant)
+            if available is not None:
+                extra["available"] = _amount(available)
+            self._log_tenant("tenant at its cap", tenant, extra, now)
+        return False
+
+    def _log_tenant(
+        self, text: str, tenant: str, extra: dict[str, t.Any], now: float
+    ) -> None:
+        """Log why a tenant waits, once in `TENANT_LOG_PERIOD_S` for each tenant."""
+        logged_at = self._tenant_logged_at.get(tenant)
+        if logged_at is not None and now < logged_at + TENANT_LOG_PERIOD_S:
+            return
+        self._tenant_logged_at[tenant] = now
+        logger.info(text, extra={"tenant": tenant, "group": self.group, **extra})
+
+    def _shares_of(self, steps: t.Iterable[StepRun]) -> Shares | None:
+        """Return the shares of the tenants; None without jobs of tenants."""
+        if not self._accounts.has_jobs:
+            return None
+        return Shares(
+            self._weights,
+            self._total_capacity(),
+            self._accounts.all_used(),
+            {step.tenant for step in steps},
+        )
+
+    def _total_capacity(self) -> Resources:
+        """Return the capacity of all workers that are not gone."""
+        cpu_m = mem_mb = gpus = 0
+        for worker in self.workers.values():
+            if not worker.gone:
+                capacity = worker.info.capacity
+                cpu_m += capacity.cpu_m
+                mem_mb += capacity.mem_mb
+                gpus += capacity.gpus
+        return Resources(cpu_m, mem_mb, gpus)
+
     def _current_suspects(self, now: float) -> dict[str, Suspect]:
         """Return the workers that may still hold runs of an earlier owner."""
         for name in list(self._suspects):
@@ -331,6 +433,7 @@
         lapsed_at : float
             Time by which the last leases that it gave have lapsed.
         """
+        self._quarantine_until = min(lapsed_at, self._quarantine_until)
         for name, suspect in self._suspects.items():
             until = self._lapses_at(suspect, lapsed_at)
             self._suspected_until[name] = min(until, self._suspected_until[name])
@@ -371,8 +474,10 @@
             if not self._blocked(step.job, runs_unknown) and self._ready(step)
         ]
         busy = self._busy_share() if steps else 1.0
+        self._shares = shares = self._shares_of(steps)
         for step in steps:
-            step.rank = step.job.rank(step.critical_path_s, now)
+            level = shares.level(step.tenant) if shares is not None else 0
+            step.rank = step.job.rank(step.critical_path_s, now, level)
             step.starved = _has_starved_lasting_task(step, now) or (
                 busy < STARVED_BUSY_SHARE
                 and now > step.job.active_at + STARVED_AFTER_S
--- a/src/poplaryard/workload/meters.py
+++ b/src/poplaryard/workload/meters.py
@@ -31,6 +31,7 @@
 _GAUGES = {
     "poplaryard_store_calls": "Calls of the store so far, by call.",
     "poplaryard_group": "Figures of the groups that the process owns.",
+    "poplaryard_tenant": "Figures of tenants in the groups that the process owns.",
     "poplaryard_log_lines_dropped": "Log lines that nobody read in time.",
     "process_resident_memory_bytes": "Resident memory.",
     "process_cpu_seconds": "Processor time used.",
@@ -57,6 +58,7 @@
             name: Gauge(name, doc, registry=self._registry)
             for name, doc in _GAUGES.items()
         }
+        self._replaceable: dict[tuple[str, str], list[dict[str, str]]] = {}
 
     def count(self, name: str, outcome: str = "") -> None:
         """Increment a counter."""
@@ -70,6 +72,25 @@
         """Set a gauge."""
         self._gauges[name].set(labels, value)
 
+    def replace(
+        self, name: str, scope: str, samples: t.Iterable[tuple[dict[str, str], float]]
+    ) -> None:
+        """Set the samples of a gauge, and remove those of the last call.
+
+        Parameters
+        ----------
+        scope : str
+            Only samples of earlier calls with the same scope are removed.
+        samples : iterable of tuple of (dict, float)
+            Labels and values. Samples of different scopes differ in their labels.
+        """
+        gauge = self._gauges[name]
+        for labels in self._replaceable.pop((name, scope), ()):
+            del gauge.values[labels]
+        for labels, value in samples:
+            gauge.set(labels, value)
+            self._replaceable.setdefault((name, scope), []).append(labels)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -391,6 +391,7 @@
         if not self.closed.is_set():
             self._meters.count("poplaryard_owner_changes_total", "given up")
             logger.info("group given up", extra={"group": self.group})
+            self._meters.replace("poplaryard_tenant", self.group, ())
         self.closed.set()
         for task in [*self._tasks, *self._renewals.values()]:
             task.cancel()
@@ -797,6 +798,7 @@
                 for name, value in figures.items():
                     labels = {"group": self.group, "figure": name}
                     self._meters.set("poplaryard_group", labels, value)
+                self._write_tenant_figures(partition, now)
             if now >= self._next_prune_at:
                 self._next_prune_at = now + WORKERS_UPDATE_PERIOD_S
                 await self._update_workers()
@@ -804,6 +806,15 @@
                 self._next_removal_at = now + REMOVAL_PERIOD_S
                 await self._remove_finished()
 
+    def _write_tenant_figures(self, partition: Partition, now: float) -> None:
+        """Write the figures of the tenants that use or wait for most."""
+        samples = [
+            ({"group": self.group, "tenant": tenant, "figure": name}, value)
+            for tenant, figures in partition.tenant_figures(now).items()
+            for name, value in figures.items()
+        ]
+        self._meters.replace("poplaryard_tenant", self.group, samples)
+
     async def _wait_for_urgent_progress(self) -> None:
         """Wait for urgent progress, for at most `PROGRESS_WRITE_DELAY_S` seconds."""
         self._write_wake.clear()
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -20,6 +20,8 @@
 from .reports import WorkerReportHandler
 from .room import plan_room
 from .runtime import Run, RunPhase, StepRun, Task, Worker
+from .tenancy import ShareOrder
+from .usage import UsageReporter
 
 __all__ = ["AdviceRequest", "Partition", "ProgressBatch", "StartOrder", "StopOrder"]
 
@@ -87,7 +89,7 @@
     )
 
 
-class Partition(WorkerReportHandler, AdvicePlanner):
+class Partition(WorkerReportHandler, AdvicePlanner, UsageReporter):
     """Starts tasks, reserves room and detects lost runs for one group of workers.
 
     See `JobTable` for the parameters.
@@ -97,6 +99,7 @@
         super().__init__(*args, **fields)
         self._next_copy_check_at = 0.0
         self._usable_workers: dict[str, Worker] = {}
+        self._order: ShareOrder[StepRun] | None = None
 
     def advance(self, now: float) -> None:
         """Make the decisions that are due: start tasks, and drop runs that are lost."""
@@ -115,14 +118,20 @@
         }
         self._reservations.clear()
         self._plans.clear()
+        self._begin_tenants(now)
         self._waiting = self._waiting_steps(now)
+        shares = self._shares
+        order = ShareOrder(self._waiting, shares) if shares is not None else None
+        self._order = order
         largest_free = _most_free(self._usable_workers.values())
         orders_counted = len(self.orders)
         searches_left = MAX_PLAN_SEARCHES
         capacities = {worker.info.capacity for worker in self.workers.values()}
         # Room that a preempted run releases goes to the most urgent step that fits.
         may_preempt = True
-        for step in self._waiting:
+        for step in self._waiting if order is None else order:
+            if not self._may_start(step, now, step.spec.count if step.spec.gang else 1):
+                continue
             orders_before = len(self.orders)
             fits = step.need.fits_in(largest_free)
             if fits and not self._start_step(step, usable, now):
@@ -140,8 +149,13 @@
             ):
                 searches_left -= 1
                 self._plan_room(step, now, may_preempt)
+            if not fits and step.rank[1]:
+                self._log_held(step, now)
             may_preempt = may_preempt and (fits or step.name in self._plans)
             self._log_starts(step, orders_before, now)
+        self._order = None
+        if shares is not None:
+            self._sort_by_share(self._waiting, shares)
         if now >= self._next_copy_check_at:
             self._next_copy_check_at = now + STRAGGLER_SEARCH_PERIOD_S
             self._copy_stragglers(usable, now)
@@ -164,6 +178,11 @@
                 self._start(task, worker, number, now)
             return True
         for task in waiting:
+            if not self._may_start(step, now):
+                return True
+            if self._order is not None and self._has_risen(step):
+                self._order.postpone(step)
+                return True
             if self._needs_trial(task):
                 self._start_trial(task, usable, now)
                 if task.finished:
@@ -220,7 +239,9 @@
             step.job.first_start_at = now
             waited_s = now - step.job.arrived_at
             self._meters.observe("poplaryard_first_start_seconds", waited_s)
-        worker.add(run)
+        self._add_run(run)
+        if self._shares is not None:
+            self._shares.charge(step.tenant, step.spec.need)
         permit = step.permits.get(worker.worker_id)
         ticket = permit.ticket if permit is not None else ""
         self.orders.append(StartOrder(run, task.checkpoint, ticket))
@@ -257,7 +278,7 @@
 
     def _start_refused(self, run: Run, outcome: StartOutcome, now: float) -> None:
         worker, task = run.worker, run.task
-        worker.release(run)
+        self._release_run(run)
         task.remove_run(run, now)
         if outcome is StartOutcome.FENCED:
             self.fenced = True
@@ -310,6 +331,8 @@
                 run = task.runs[0]
                 if not self._is_straggler(run, now) or not self._may_be_copied(task):
                     continue
+                if not self._may_start(step, now):
+                    continue
                 if self._needs_trial(task):
                     self._start_trial(task, usable, now, beside=run.worker)
                     continue
@@ -360,7 +383,12 @@
         """
         may_preempt = may_preempt and now >= step.preempts_after
         plan = plan_room(
-            step, self.workers.values(), self._reservations, now, may_preempt
+            step,
+            self.workers.values(),
+            self._reservations,
+            now,
+            may_preempt,
+            self._shares,
         )
         if plan is None:
             return
@@ -393,6 +421,7 @@
                     self._expire_runs(worker, now)
             elif not worker.runs and not self.is_watched(worker, now):
                 del self.workers[worker.worker_id]
+                self._worker_dropped(worker)
             for run in list(worker.runs.values()):
                 self._check_run(run, now)
 
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -283,7 +283,7 @@
         task.runs.append(run)
         task.step.job.started = True
         task.step.job.active_at = now
-        worker.add(run)
+        self._add_run(run)
         return run
 
     def _run_not_reported(self, run: Run, sent_at: float, now: float) -> None:
--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -12,6 +12,7 @@
 from ..resources import ZERO, Resources
 from . import placing
 from .runtime import Run, RunPhase, StepRun, Worker
+from .tenancy import Shares
 
 __all__ = ["Plan", "Reservations", "plan_room"]
 
@@ -88,6 +89,7 @@
     reservations: Reservations,
     now: float,
     may_preempt: bool = True,
+    shares: Shares | None = None,
 ) -> Plan | None:
     """Return the plan under which a step's waiting tasks have room soonest, or None.
 
@@ -97,6 +99,8 @@
     ----------
     may_preempt : bool
         Whether runs of less urgent jobs may be preempted.
+    shares : Shares, optional
+        Shares of the tenants, which limit whose runs may be preempted.
     """
     waiting = len(step.waiting(now))
     options = []
@@ -106,7 +110,12 @@
         if placing.admits(step, worker) and step.may_run.get(
             worker.worker_id, step.job.spec.advice is None
         ):
-            options += _options(step, worker, reservations, waiting, now, may_preempt)
+            preemptable = {
+                run
+                for run in worker.runs.values()
+                if may_preempt and _can_preempt(step, run, now, shares)
+            }
+            options += _options(step, worker, reservations, waiting, now, preemptable)
     options.sort(key=lambda option: (option.ready_at, len(option.victims)))
     plan = Plan()
     for option in options[:waiting]:
@@ -124,16 +133,11 @@
     reservations: Reservations,
     waiting: int,
     now: float,
-    may_preempt: bool,
+    preemptable: set[Run],
 ) -> list[Plan]:
     """Return a plan for each task of the step that fits on a worker, soonest first."""
     limit = step.spec.max_per_worker or waiting
     free = reservations.free(step, worker)
-    preemptable = {
-        run
-        for run in worker.runs.values()
-        if may_preempt and _can_preempt(step, run, now)
-    }
 
     def ends_at(run: Run) -> float:
         return now if run in preemptable else run.ends_at(now)
@@ -161,7 +165,7 @@
     return options
 
 
-def _can_preempt(step: StepRun, run: Run, now: float) -> bool:
+def _can_preempt(step: StepRun, run: Run, now: float, shares: Shares | None) -> bool:
     """Return whether a run can be preempted for a step without loss of progress."""
     other = run.task.step
     return (
@@ -171,4 +175,5 @@
         and not other.spec.gang
         and not other.spec.lasting
         and other.job.spec.priority > step.job.spec.priority
+        and (shares is None or shares.may_preempt(step.tenant, other.tenant))
     )
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -376,6 +376,8 @@
         Number of times that runs were preempted for it.
     preempts_after : float
         Time before which no runs are preempted for it again.
+    tenant : str
+        Tenant of its job; empty without one.
     name : str
         Job id, occurrence and step number, joined by dots.
     need : Resources
@@ -394,17 +396,19 @@
     asked: tuple[str, ...] = ()
     ask_after: float = 0.0
     critical_path_s: float = 0.0
-    rank: tuple[int, int, float] = (0, 0, 0.0)
+    rank: tuple[int, int, int, float] = (0, 0, 0, 0.0)
     starved: bool = False
     run_times: RunTimeMean = field(default_factory=RunTimeMean)
     reserved_since: float = float("-inf")
     reserved_until: float = float("-inf")
     preemptions: int = 0
     preempts_after: float = float("-inf")
+    tenant: str = field(init=False)
     name: str = field(init=False)
     need: Resources = field(init=False)
 
     def __post_init__(self) -> None:
+        self.tenant = self.job.spec.tenant
         self.name = f"{self.job.spec.job_id}.{self.occurrence}.{self.number}"
         need = self.spec.need
         self.need = Resources(0, need.mem_mb, need.gpus) if self.spec.fills else need
@@ -481,7 +485,9 @@
             return self.stored_state
         return JobState.RUNNING if self.started else JobState.QUEUED
 
-    def rank(self, remaining_s: float, now: float) -> tuple[int, int, float]:
+    def rank(
+        self, remaining_s: float, now: float, level: int = 0
+    ) -> tuple[int, int, int, float]:
         """Return the sort key of a step among the waiting ones; the lowest comes first.
 
         Jobs that can still meet their objective come before those that can't: under
@@ -492,6 +498,8 @@
         ----------
         remaining_s : float
             Estimated remaining run time of the job, in seconds.
+        level : int
+            How far its tenant is above its fair share; see `tenancy.Shares.level`.
         """
         if now + remaining_s <= self.due_at:
             lateness = 0
@@ -502,7 +510,7 @@
             lateness = 1
         else:
             lateness = 2
-        return self.spec.priority, lateness, self.due_at
+        return self.spec.priority, level, lateness, self.due_at
 
     def idle(self) -> bool:
         """Return whether none of the job's tasks has a run."""
