--- a/src/poplaryard/workload/meters.py
+++ b/src/poplaryard/workload/meters.py
@@ -38,6 +38,12 @@
 }
 
 
+def _escape(value: str) -> str:
+    """Return a label value for the text format; aioprometheus writes it unchanged."""
+    value = value.replace("\\", r"\\").replace('"', r"\"")
+    return value.replace("\n", r"\n")
+
+
 class Meters:
     """Registry of the process's metrics.
 
@@ -88,6 +94,7 @@
         for labels in self._replaceable.pop((name, scope), ()):
             del gauge.values[labels]
         for labels, value in samples:
+            labels = {key: _escape(label) for key, label in labels.items()}
             gauge.set(labels, value)
             self._replaceable.setdefault((name, scope), []).append(labels)
 
