--- a/src/poplaryard/tenants_cli.py
+++ b/src/poplaryard/tenants_cli.py
@@ -56,7 +56,7 @@
 
 def parse(text: str) -> t.Iterator[Sample]:
     """Yield the figures of tenants in metrics in the Prometheus text format."""
-    for line in text.splitlines():
+    for line in text.split("\n"):
         match = _SAMPLE.fullmatch(line)
         if match is None:
             continue
--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -165,7 +165,8 @@
         steps: t.Iterable[StepRun] = self._waiting
         if self._shares is not None:
             self._expected_shares = self._shares.copy()
-            steps = ShareOrder(self._waiting, self._expected_shares)
+            asking = [step for step in steps if step.job.spec.advice is not None]
+            steps = ShareOrder(asking, self._expected_shares)
         for step in steps:
             if self._may_start_expected(step, now):
                 yield step
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -372,11 +372,14 @@
         self, text: str, tenant: str, extra: dict[str, t.Any], now: float
     ) -> None:
         """Log why a tenant waits, once in `TENANT_LOG_PERIOD_S` for each tenant."""
-        logged_at = self._tenant_logged_at.get(tenant)
-        if logged_at is not None and now < logged_at + TENANT_LOG_PERIOD_S:
-            return
-        self._tenant_logged_at[tenant] = now
-        logger.info(text, extra={"tenant": tenant, "group": self.group, **extra})
+        if self._tenant_log_due(tenant, now):
+            self._tenant_logged_at[tenant] = now
+            extra = {"tenant": tenant, "group": self.group, **extra}
+            logger.info(text, extra=extra)
+
+    def _tenant_log_due(self, tenant: str, now: float) -> bool:
+        logged_at = self._tenant_logged_at.get(tenant, float("-inf"))
+        return now >= logged_at + TENANT_LOG_PERIOD_S
 
     def _shares_of(self, steps: t.Iterable[StepRun]) -> Shares | None:
         """Return the shares of the tenants; None without jobs of tenants."""
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -154,7 +154,7 @@
             may_preempt = may_preempt and (fits or step.name in self._plans)
             self._log_starts(step, orders_before, now)
         self._order = None
-        if shares is not None:
+        if shares is not None and shares.changes:
             self._sort_by_share(self._waiting, shares)
         if now >= self._next_copy_check_at:
             self._next_copy_check_at = now + STRAGGLER_SEARCH_PERIOD_S
--- a/src/poplaryard/workload/tenancy/shares.py
+++ b/src/poplaryard/workload/tenancy/shares.py
@@ -9,7 +9,7 @@
 """
 
 import typing as t
-from heapq import heapify, heappop, heappush
+from heapq import heapify, heappop, heapreplace
 
 from ...resources import ZERO, Resources
 
@@ -54,6 +54,11 @@
         Needs of the runs of each tenant.
     waiting : iterable of str
         Tenants with waiting tasks.
+
+    Attributes
+    ----------
+    changes : int
+        Number of times that the level of a tenant has changed.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         self._weights = {tenant: weights.get(tenant, lowest) for tenant in active}
         self._sum = sum(self._weights.values())
         self._levels: dict[str, int] = {}
+        self.changes = 0
 
     def copy(self) -> "Shares":
         """Return shares that are charged independently of these."""
@@ -81,8 +87,10 @@
     def charge(self, tenant: str, need: Resources) -> None:
         """Count resources that a tenant has got."""
         if tenant:
+            level = self.level(tenant)
             self._used[tenant] = self._used.get(tenant, ZERO) + need
-            self._levels.pop(tenant, None)
+            del self._levels[tenant]
+            self.changes += self.level(tenant) != level
 
     def share(self, tenant: str) -> float:
         """Return the largest fraction of any resource that a tenant uses."""
@@ -134,8 +142,8 @@
     """Iterates over waiting steps in the order of their ranks.
 
     The level of a step's tenant is determined anew when the step is due, since steps
-    before it may have been given resources. Iterating over n steps of k tenants takes
-    time of order n log k.
+    before it may have been given resources. Until a level changes, this is the given
+    order. From then on, a step costs time of order log k with k tenants.
 
     Parameters
     ----------
@@ -146,36 +154,67 @@
     """
 
     def __init__(self, steps: t.Sequence[_S], shares: Shares):
+        self._steps = steps
+        self._next = 0
         self._shares = shares
-        self._queues: dict[str, list[_S]] = {}
-        for step in reversed(steps):
-            self._queues.setdefault(step.tenant, []).append(step)
-        self._heap = [(self._rank(queue), name) for name, queue in self._queues.items()]
-        heapify(self._heap)
-        self._tenant: str | None = None
-
-    def _rank(self, queue: list[_S]) -> Rank:
-        step = queue[-1]
-        priority, _, lateness, due_at = step.rank
-        step.rank = priority, self._shares.level(step.tenant), lateness, due_at
-        return step.rank
+        self._changes = shares.changes
+        self._queues: dict[str, list[_S]] | None = None
+        self._heap: list[tuple[Rank, str]] = []
+        self._tenant = ""
 
     def __iter__(self) -> t.Iterator[_S]:
         return self
 
     def __next__(self) -> _S:
         """Return the next step; its rank has the present level of its tenant."""
-        queue = self._queues[self._tenant] if self._tenant is not None else None
-        if queue and self._tenant is not None:
-            entry = self._rank(queue), self._tenant
-            if not self._heap or entry < self._heap[0]:
-                return queue.pop()
-            heappush(self._heap, entry)
-        if not self._heap:
+        if self._queues is not None:
+            return self._pop(self._queues)
+        if self._changes != self._shares.changes:
+            return self._pop(self._divide())
+        if self._next == len(self._steps):
             raise StopIteration
-        _, self._tenant = heappop(self._heap)
-        return self._queues[self._tenant].pop()
+        self._next += 1
+        return self._steps[self._next - 1]
 
     def postpone(self, step: _S) -> None:
         """Return the last step to the queue, since its tenant's level has risen."""
-        self._queues[step.tenant].append(step)
+        queues = self._divide() if self._queues is None else self._queues
+        queues.setdefault(step.tenant, []).append(step)
+
+    def _divide(self) -> dict[str, list[_S]]:
+        """Divide the steps that are left by tenant."""
+        queues: dict[str, list[_S]] = {}
+        for step in reversed(self._steps[self._next :]):
+            queues.setdefault(step.tenant, []).append(step)
+        self._queues = queues
+        self._tenant = self._steps[self._next - 1].tenant if self._next else ""
+        # The queue of the last tenant enters the heap with the next step.
+        self._heap = [
+            (self._rank(queue), tenant)
+            for tenant, queue in queues.items()
+            if tenant != self._tenant
+        ]
+        heapify(self._heap)
+        return queues
+
+    def _pop(self, queues: dict[str, list[_S]]) -> _S:
+        """Return the step with the lowest rank among the heads of the queues."""
+        queue = queues.get(self._tenant)
+        if queue:
+            entry = self._rank(queue), self._tenant
+            if self._heap and self._heap[0] < entry:
+                self._tenant = heapreplace(self._heap, entry)[1]
+        elif self._heap:
+            self._tenant = heappop(self._heap)[1]
+        else:
+            raise StopIteration
+        return queues[self._tenant].pop()
+
+    def _rank(self, queue: list[_S]) -> Rank:
+        """Return the rank of the first step of a queue, with its present level."""
+        step = queue[-1]
+        level = self._shares.level(step.tenant)
+        if level != step.rank[1]:
+            priority, _, lateness, due_at = step.rank
+            step.rank = priority, level, lateness, due_at
+        return step.rank
--- a/src/poplaryard/workload/usage.py
+++ b/src/poplaryard/workload/usage.py
@@ -14,6 +14,11 @@
 MAX_TENANTS_SHOWN = 100
 
 
+# What a task is charged for at its worker, and at its tenant, and the number of tasks
+# that start together. A named tuple would take three times as long to create.
+_Unit: t.TypeAlias = tuple[Resources, Resources, int]
+
+
 class UsageReporter(JobTable):
     """Reports the usage of tenants, also of runs that are not accounted for.
 
@@ -193,25 +198,24 @@
             if worker.usable(now):
                 free = free + worker.free()
                 largest = largest.maximum(worker.info.capacity)
-        free = free.maximum(ZERO)
-        found: dict[str, Resources] = {}
-        rooms: dict[str, Resources] = {}
+        # Number of tasks and gangs that wait, by tenant and what they need.
+        counts: dict[str, dict[_Unit, int]] = {}
         for step in self._waiting:
-            tenant = step.tenant
-            if not tenant or step.job.progress.state.final:
+            if not step.tenant:
                 continue
-            room = rooms.get(tenant)
-            if room is None:
-                room = rooms[tenant] = free + shares.missing(tenant)
-            if tenant in found and not step.need.fits_in(room):
+            waiting = len(step.waiting(now))
+            size = step.spec.count if step.spec.gang else 1
+            if waiting < size or step.job.progress.state.final:
                 continue
-            if not step.need.fits_in(largest):
-                continue
-            count = _startable(step, room, tenant not in found, now)
-            if count:
-                found[tenant] = found.get(tenant, ZERO) + step.spec.need.times(count)
-                rooms[tenant] = room - step.need.times(count)
-        return found
+            units = counts.get(step.tenant)
+            if units is None:
+                units = counts[step.tenant] = {}
+            unit = step.need, step.spec.need, size
+            units[unit] = units.get(unit, 0) + waiting // size
+        return {
+            tenant: _startable(units, free + shares.missing(tenant), largest)
+            for tenant, units in counts.items()
+        }
 
     def _has_risen(self, step: StepRun) -> bool:
         """Return whether the tenant's level has risen since the step was due."""
@@ -228,7 +232,9 @@
     def _log_held(self, step: StepRun, now: float) -> None:
         """Log that a tenant waits for room because it is above its fair share."""
         shares, tenant = self._shares, step.tenant
-        if shares is None or shares.fair_share(tenant) >= 1.0:
+        if shares is None or not self._tenant_log_due(tenant, now):
+            return
+        if shares.fair_share(tenant) >= 1.0 or not step.waiting(now):
             return
         extra = {
             "share": round(shares.share(tenant), 3),
@@ -237,17 +243,32 @@
         self._log_tenant("tenant held at its share", tenant, extra, now)
 
 
-def _startable(step: StepRun, room: Resources, first: bool, now: float) -> int:
-    """Return how many waiting tasks fit in a room; at least one task or gang if first.
+def _startable(
+    units: t.Mapping[_Unit, int], room: Resources, largest: Resources
+) -> Resources:
+    """Return what of a tenant's waiting tasks and gangs fits in a room.
+
+    Of the first that an empty worker could run, one always counts.
 
-    The tasks of a gang count together or not at all.
+    Parameters
+    ----------
+    units : mapping of _Unit to int
+        Numbers of tasks and gangs, the most urgent first.
+    largest : Resources
+        Largest capacity of a worker.
     """
-    waiting = len(step.waiting(now))
-    fitting = step.need.fit_count(room) if step.need.fits_in(room) else 0
-    if step.spec.gang:
-        starts = waiting >= step.spec.count and (first or fitting >= waiting)
-        return waiting if starts else 0
-    return min(waiting, max(fitting, int(first)))
+    found = ZERO
+    for (task_charged, need, size), waiting in units.items():
+        if not task_charged.fits_in(largest):
+            continue
+        charged = task_charged.times(size)
+        count = min(waiting, charged.fit_count(room) if charged.fits_in(room) else 0)
+        if found == ZERO:
+            count = max(count, 1)
+        if count:
+            found = found + need.times(size * count)
+            room = room - charged.times(count)
+    return found
 
 
 def _by_resource(name: str, amount: Resources) -> dict[str, float]:
--- a/tests/workload/builders.py
+++ b/tests/workload/builders.py
@@ -9,6 +9,7 @@
     RunningRun,
     RunOutcome,
     StepSpec,
+    Tenant,
     WorkerInfo,
 )
 
@@ -49,3 +50,7 @@
 
 def end(seq, task, run=1, outcome=RunOutcome.DONE, checkpoint=""):
     return EndedRun(seq, task, run, outcome, checkpoint)
+
+
+def tenants(**weights):
+    return {name: Tenant(name, weight) for name, weight in weights.items()}
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -105,6 +105,20 @@
         )
 
 
+class FixedCaps:
+    """Caps of tenants that don't change; tenants without an entry have none."""
+
+    def __init__(self, **caps):
+        self.caps = caps
+
+    def available(self, tenant):
+        return self.caps.get(tenant)
+
+    def may_start(self, tenant, used, need):
+        cap = self.caps.get(tenant)
+        return cap is None or (used + need).fits_in(cap)
+
+
 def wanted_advice(partition, now):
     """Return the most urgent call for advice, or None."""
     partition.advance(now)
