--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -489,8 +489,32 @@
             if step.starved:
                 step.rank = STARVED_PRIORITY, *step.rank[1:]
         steps.sort(key=lambda step: step.rank)
+        if shares is not None and self._limit_starved(steps, shares.copy(), now):
+            steps.sort(key=lambda step: step.rank)
         return steps
 
+    def _limit_starved(self, steps: list[StepRun], shares: Shares, now: float) -> bool:
+        """Let starved steps come first only up to their tenant's fair share.
+
+        One step of each tenant still comes first in each pass. When many runs end at
+        once, most of a group is idle for a moment; the jobs of a long queue, which are
+        all starved then, would take all of it. Returns whether ranks have changed.
+        """
+        first: set[str] = set()
+        changed = False
+        for step in steps:
+            if not step.starved:
+                break
+            tenant = step.tenant
+            if tenant in first and shares.is_above(tenant):
+                step.starved = False
+                step.rank = step.job.spec.priority, *step.rank[1:]
+                changed = True
+            elif tenant:
+                first.add(tenant)
+                shares.charge(tenant, step.spec.need.times(len(step.waiting(now))))
+        return changed
+
     def _busy_share(self) -> float:
         """Return the share of the group's capacity in use; 1 if it has no capacity."""
         total = used = 0
