--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -5,7 +5,7 @@
 clock and performs no I/O.
 
 Its base classes in `jobtable`, `ends`, `reports` and `advising` each handle one kind of
-event.
+event; `usage` reports what tenants use.
 """
 
 import typing as t
@@ -18,7 +18,7 @@
 from .model import StartOutcome
 from .orders import AdviceRequest, ProgressBatch, StartOrder, StopOrder
 from .reports import WorkerReportHandler
-from .room import plan_room
+from .room import Plan, plan_room
 from .runtime import Run, RunPhase, StepRun, Task, Worker
 from .tenancy import ShareOrder
 from .usage import UsageReporter
@@ -382,14 +382,9 @@
         and the step would preempt further runs again and again.
         """
         may_preempt = may_preempt and now >= step.preempts_after
-        plan = plan_room(
-            step,
-            self.workers.values(),
-            self._reservations,
-            now,
-            may_preempt,
-            self._shares,
-        )
+        plan = self._plan_of(step, now, may_preempt)
+        if plan is not None and not self._take_shares(step, plan.victims):
+            plan = self._plan_of(step, now, may_preempt=False)
         if plan is None:
             return
         self._plans[step.name] = plan
@@ -409,6 +404,16 @@
             )
             self._stop(run, now)
 
+    def _plan_of(self, step: StepRun, now: float, may_preempt: bool) -> Plan | None:
+        return plan_room(
+            step,
+            self.workers.values(),
+            self._reservations,
+            now,
+            may_preempt,
+            self._shares,
+        )
+
     def _check_workers(self, now: float) -> None:
         """Drop runs with expired leases, repeat stops and find stalled runs.
 
--- a/src/poplaryard/workload/usage.py
+++ b/src/poplaryard/workload/usage.py
@@ -4,7 +4,7 @@
 
 from ..resources import ZERO, Resources
 from .jobtable import JobTable
-from .runtime import StepRun, Worker
+from .runtime import Run, StepRun, Worker
 from .tenancy import Shares, Usage
 from .tenancy.accounts import unreported_bound
 
@@ -222,6 +222,25 @@
         shares = self._shares
         return shares is not None and shares.level(step.tenant) > step.rank[1]
 
+    def _take_shares(self, step: StepRun, victims: t.Sequence[Run]) -> bool:
+        """Take what runs use from the shares of their tenants, as they are preempted.
+
+        Returns False, and changes nothing, if one of the tenants would come below its
+        fair share by the others, and the step's tenant is above.
+        """
+        if self._shares is None:
+            return True
+        shares = self._shares.copy()
+        for run in victims:
+            other = run.task.step
+            if not shares.may_preempt(step.tenant, other.tenant):
+                return False
+            shares.charge(other.tenant, ZERO - other.spec.need)
+        for run in victims:
+            other = run.task.step
+            self._shares.charge(other.tenant, ZERO - other.spec.need)
+        return True
+
     def _sort_by_share(self, steps: list[StepRun], shares: Shares) -> None:
         """Sort waiting steps by the shares that the tenants have now."""
         for step in steps:
--- a/tests/load_patterns/test_preemption_between_tenants.py
+++ b/tests/load_patterns/test_preemption_between_tenants.py
@@ -1,7 +1,7 @@
 """Pattern: urgent jobs of several tenants on a group full of preemptable runs."""
 
 from poplaryard.resources import Resources
-from tests.workload.builders import job, step, tenants
+from tests.workload.builders import job, step, tenants, worker_info
 from tests.workload.fakes import FixedCaps, SimulatedGroup
 
 SLOTS = 16
@@ -75,3 +75,28 @@
     group.partition.caps = FixedCaps(b=Resources(3000, 10_000, 0))
     assert stopped_tenants(group, tenant="b") == set()
     assert f"{URGENT}.0.0" not in group.partition._plans
+
+
+def test_one_job_does_not_preempt_a_tenant_far_below_its_share():
+    """Guards against a gang whose victims are judged one by one.
+
+    Tenant b, just above its share of the cores, would lose all of its runs; a is far
+    above its share of the GPUs.
+    """
+    group = SimulatedGroup(workers=0)
+    for number in range(4):
+        group.add_worker(worker_info(number, gpus=2))
+    group.partition.configure_tenants(tenants(a=1, b=1))
+    group.run(0.2)
+    for number in range(4):
+        long = step(1, cpu=0, gpus=2, estimate_s=60.0)
+        group.submit(job(f"a{number:015x}", long, tenant="a", priority=2))
+    for number in range(10):
+        long = step(1, estimate_s=60.0, checkpointable=True)
+        group.submit(job(f"b{number:015x}", long, tenant="b", priority=2))
+    group.run(1.5)
+    gang = step(4, cpu=4000, gang=True, estimate_s=1.0)
+    group.submit(job(URGENT, gang, tenant="a", priority=1))
+    group.run(1.0)
+    assert sum(len(sim.runs) for sim in group.sims.values()) == 14
+    assert len(group.starts()) == 14
--- a/tests/workload/test_tenant_metrics.py
+++ b/tests/workload/test_tenant_metrics.py
@@ -14,6 +14,8 @@
 
     async def run():
         fixture = OwnerFixture()
+        for sim in fixture.sims.values():
+            sim.stalled = True
         owner = await fixture.claim()
         await owner.start(fixture.infos())
         owner.partition.configure_tenants(tenants(a=3.0))
