--- a/tests/workload/test_backlog_cost.py
+++ b/tests/workload/test_backlog_cost.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from poplaryard.resources import ZERO
 from poplaryard.workload import placing
 from poplaryard.workload.model import AdviceCost
 from tests.workload.builders import job, step, worker_info
-from tests.workload.fakes import SimulatedGroup
+from tests.workload.fakes import FixedCaps, SimulatedGroup
 
 WORKERS = 60
 BACKLOG = 300
@@ -111,3 +112,24 @@
     checks.clear()
     assert not list(group.partition.advice_wanted(group.now, lambda cost_s: True))
     assert len(checks) <= 2 * WORKERS
+
+
+def test_steps_of_a_tenant_at_its_cap_need_no_check_of_workers(checks):
+    """Guards against a search per step, and per pass, that cannot lead to a start.
+
+    Pattern: a long queue of a tenant at its cap, on a group with room left.
+    """
+    group = SimulatedGroup(workers=0)
+    group.partition.caps = FixedCaps(a=ZERO)
+    for number in range(WORKERS):
+        address = f"10.0.1.{number}:80"
+        group.add_worker(worker_info(number, cpu=4000, address=address))
+    group.run(0.1)
+    for number in range(BACKLOG):
+        advice = QUICK if number % 2 else None
+        large = step(4, cpu=4000, gang=number % 3 == 0)
+        group.submit(job(f"{number:016x}", large, tenant="a", advice=advice))
+    group.partition.advance(group.now)
+    assert not list(group.partition.advice_wanted(group.now, lambda cost_s: True))
+    assert not checks
+    assert not group.partition.orders
--- a/tests/workload/test_tenant_shares.py
+++ b/tests/workload/test_tenant_shares.py
@@ -1,3 +1,4 @@
+import random
 from dataclasses import dataclass, field
 
 import pytest
@@ -169,3 +170,20 @@
     group.partition.advance(group.now)
     started = [order.run.task.step.tenant for order in group.partition.orders]
     assert [started.count(tenant) for tenant in "ab"] == [8, 8]
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_jobs_without_a_tenant_are_scheduled_as_without_tenants(seed):
+    """Guards against an effect on deployments, and routes, without tenants."""
+    schedules = []
+    for configured in ({}, tenants(a=1, b=2)):
+        rng = random.Random(seed)
+        group = SimulatedGroup(workers=6)
+        group.partition.configure_tenants(configured)
+        for number in range(60):
+            spec = step(rng.randint(1, 4), cpu=rng.choice([500, 2000, 3500]))
+            priority = rng.randint(0, 2)
+            group.submit(job(f"{number:016x}", spec, priority=priority))
+            group.run(rng.uniform(0.05, 0.2))
+        schedules.append(group.starts())
+    assert schedules[0] == schedules[1]
