--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -498,14 +498,23 @@
 
         One step of each tenant still comes first in each pass. When many runs end at
         once, most of a group is idle for a moment; the jobs of a long queue, which are
-        all starved then, would take all of it. Returns whether ranks have changed.
+        all starved then, would take all of it. Steps that fit nowhere don't count.
+        Returns whether ranks have changed.
         """
+        if not steps or not steps[0].starved:
+            return False
+        largest_free = ZERO
+        for worker in self.workers.values():
+            if worker.usable(now):
+                largest_free = largest_free.maximum(worker.free())
         first: set[str] = set()
         changed = False
         for step in steps:
             if not step.starved:
                 break
             tenant = step.tenant
+            if not step.need.fits_in(largest_free):
+                continue
             if tenant in first and shares.is_above(tenant):
                 step.starved = False
                 step.rank = step.job.spec.priority, *step.rank[1:]
--- a/src/poplaryard/workload/usage.py
+++ b/src/poplaryard/workload/usage.py
@@ -198,10 +198,13 @@
             if worker.usable(now):
                 free = free + worker.free()
                 largest = largest.maximum(worker.info.capacity)
+        labels = {
+            label for worker in self.workers.values() for label in worker.info.labels
+        }
         # Number of tasks and gangs that wait, by tenant and what they need.
         counts: dict[str, dict[_Unit, int]] = {}
         for step in self._waiting:
-            if not step.tenant:
+            if not step.tenant or (step.spec.label and step.spec.label not in labels):
                 continue
             waiting = len(step.waiting(now))
             size = step.spec.count if step.spec.gang else 1
--- a/tests/load_patterns/test_usage_after_take_over.py
+++ b/tests/load_patterns/test_usage_after_take_over.py
@@ -128,3 +128,25 @@
     later.sims[worker_id].runs.clear()
     later.run(0.5)
     assert used(later) == Resources(1000, 100, 0)
+
+
+def test_run_to_be_stopped_counts_after_its_worker_has_left():
+    """Guards against a cap exceeded by runs on a worker that left and was forgotten.
+
+    The earlier owner's run is not adopted, as its job was cancelled.
+    """
+    group = loaded_group(tasks=1)
+    later = successor(group)
+    later.submit(job(JOB, step(1, estimate_s=60.0), tenant="a"), fresh=False)
+    later.partition.cancel(JOB, later.now)
+    busy = next(sim for sim in group.sims.values() if sim.runs)
+    busy.stop = lambda run, fence: False
+    later.run(0.3)
+    busy.unreachable = True
+    later.partition.worker_unlisted(busy.info.worker_id, later.now)
+    while later.now < 110.0 and busy.runs:
+        assert used(later) == Resources(1000, 100, 0)
+        later.run(0.2)
+    assert busy.info.worker_id not in later.partition.workers
+    later.run(2.0)
+    assert used(later) == Resources()
--- a/tests/workload/test_tenant_accounts.py
+++ b/tests/workload/test_tenant_accounts.py
@@ -179,6 +179,15 @@
     assert waiting == Resources(1000, 100, 0).times(4)
 
 
+def test_task_for_which_there_is_no_worker_does_not_wait_for_the_cap():
+    """Guards against a part of the cap that is kept where it can't be used."""
+    group = SimulatedGroup(workers=2)
+    group.partition.caps = FixedCaps(a=ZERO)
+    group.submit(job(JOB, step(2, label="other"), tenant="a"))
+    group.run(0.3)
+    assert group.partition.tenant_usage(group.now).get("a", Usage()) == Usage()
+
+
 def test_tenant_without_any_room_waits_for_one_task():
     """Guards against a large task that never asks for the part of the cap it needs."""
     group = SimulatedGroup(workers=2)
