--- a/src/poplaryard/workload/tenancy/__init__.py
+++ b/src/poplaryard/workload/tenancy/__init__.py
@@ -1,7 +1,9 @@
 """Tenants: their keys, their caps over all partitions, and their fair shares."""
 
+from .accounts import TenantAccounts
 from .caps import cap_refusal
 from .keys import KeyOutcome, KeyPolicy, KeyTable, RefusalLog, Verdict, is_accessible
+from .shares import ShareOrder, Shares
 from .usage import CapLimits, Unlimited, Usage
 
 __all__ = [
@@ -10,6 +12,9 @@
     "KeyPolicy",
     "KeyTable",
     "RefusalLog",
+    "ShareOrder",
+    "Shares",
+    "TenantAccounts",
     "Unlimited",
     "Usage",
     "Verdict",
