Read the claim of a partition if no owner known here answers for it

GET of a queue was answered 503 though all partitions had owners: a process knows owners by its watch on claims, which pauses for 30 ms after each read, and the count was asked for within that pause. A trace of a failed run of test_parts_of_a_wide_lasting_job_are_one_job_to_callers shows the count 14 ms after the claim and 4 ms before the watch reported it.

Without an answer of the owner known here, the lookup of counts and of states reads the claim from the store and asks a later owner, if there is one. Reads are shared, at least 0.05 s apart and limited to 0.3 s.

--- a/src/poplaryard/workload/directory.py
+++ b/src/poplaryard/workload/directory.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ..client import HttpClient
-from ..exceptions import PoplaryardError
+from ..exceptions import PoplaryardError, StoreDown, StoreReplyLost
 from ..logs import logger
 from . import records
 from .homes import (
@@ -31,6 +31,13 @@
 # Timeout of a question for the load of a partition, in seconds. The submission of a job
 # waits for it, and short jobs are due within 0.25 s; an owner answers within 5 ms.
 LOAD_TIMEOUT_S = 0.06
+# Shortest time between two reads of the claim of a partition, in seconds. The watch on
+# claims reports a change about 0.03 s late, and callers keep asking while a partition
+# has no owner.
+CLAIM_READ_PERIOD_S = 0.05
+# Timeout of a read of a claim, in seconds. A call to the store takes about 0.01 s, and
+# callers are refused soon while the store is away.
+CLAIM_READ_TIMEOUT_S = 0.3
 # Longest wait for the layout of a group before a wide job is stored, and time between
 # two looks, in seconds. A new cell writes its layouts within a few seconds.
 LAYOUT_WAIT_S = 2.0
@@ -39,6 +46,7 @@
 # a cell at a time.
 MAX_KNOWN_HOMES = 2000
 
+StoredClaim: t.TypeAlias = tuple[records.Claim, int]
 LocalLoad: t.TypeAlias = t.Callable[[str], PartitionLoad | None]
 
 
@@ -55,7 +63,7 @@
     Attributes
     ----------
     claims : dict of str to tuple of (records.Claim, int)
-        Claim and its revision by partition.
+        Claim and its revision by partition, as the watch has reported them.
     layouts : dict of str to tuple of (Layout, int)
         Layout and its revision by group.
     """
@@ -64,7 +72,10 @@
         self._process = process
         self._storage = storage
         self._peers = peers
-        self.claims: dict[str, tuple[records.Claim, int]] = {}
+        self.claims: dict[str, StoredClaim] = {}
+        # Claims read from the store, with the time of the read.
+        self._claims_read: dict[str, tuple[float, StoredClaim | None]] = {}
+        self._claim_locks: dict[str, asyncio.Lock] = {}
         self.layouts: dict[str, tuple[Layout, int]] = {}
         self._homes: dict[str, tuple[str, ...]] = {}
 
@@ -221,20 +232,77 @@
         query: dict[str, t.Any],
         timeout_s: float = PEER_TIMEOUT_S,
     ) -> dict[str, t.Any] | None:
-        """Return the answer of the owner of a partition, or None without a valid one.
+        """Return the answer of the owner known here, or None without a valid one.
 
         See `Node.answer_peer` for the queries.
         """
         claim = self.claims.get(partition)
-        if claim is None or claim[0].process == self._process:
+        if claim is None:
+            return None
+        return await self._ask(claim[0], partition, query, timeout_s)
+
+    async def ask_present_owner(
+        self, partition: str, query: dict[str, t.Any]
+    ) -> dict[str, t.Any] | None:
+        """Return the answer of the owner of a partition, or None without a valid one.
+
+        The watch on claims reports a new owner a little late. Without an answer of the
+        owner known here, the claim is therefore read, and a later owner is asked.
+        """
+        known = self.claims.get(partition)
+        if known is not None:
+            answer = await self._ask(known[0], partition, query, PEER_TIMEOUT_S)
+            if answer is not None:
+                return answer
+        found = await self._read_claim(partition)
+        if found is None or (known is not None and found[1] <= known[1]):
+            return None
+        return await self._ask(found[0], partition, query, PEER_TIMEOUT_S)
+
+    async def _read_claim(self, partition: str) -> StoredClaim | None:
+        """Read the claim of a partition from the store; None if there is none.
+
+        Calls that wait together share a read.
+        """
+        loop = asyncio.get_running_loop()
+        called_at = loop.time()
+        async with self._claim_locks.setdefault(partition, asyncio.Lock()):
+            read_at, claim = self._claims_read.get(partition, (float("-inf"), None))
+            if read_at < called_at:
+                await asyncio.sleep(read_at + CLAIM_READ_PERIOD_S - loop.time())
+                read_at = loop.time()
+                claim = await self._stored_claim(partition)
+                self._claims_read[partition] = read_at, claim
+            return claim
+
+    async def _stored_claim(self, partition: str) -> StoredClaim | None:
+        try:
+            async with asyncio.timeout(CLAIM_READ_TIMEOUT_S):
+                item = await self._storage.get(records.claim_key(partition))
+            if item is None:
+                return None
+            return records.decode_claim(item.value), item.revision
+        except (StoreDown, StoreReplyLost, TimeoutError, msgspec.DecodeError) as exc:
+            extra = {"group": partition, "reason": str(exc) or type(exc).__name__}
+            logger.info("claim not read", extra=extra)
+            return None
+
+    async def _ask(
+        self,
+        claim: records.Claim,
+        partition: str,
+        query: dict[str, t.Any],
+        timeout_s: float,
+    ) -> dict[str, t.Any] | None:
+        if claim.process == self._process:
             return None
-        url = f"http://{claim[0].address}/peer/v1/ask"
+        url = f"http://{claim.address}/peer/v1/ask"
         try:
             reply = await self._peers.post(
                 url, {"group": partition, **query}, timeout_s
             )
         except PoplaryardError as exc:
-            extra = {"peer": claim[0].process, "reason": exc.detail}
+            extra = {"peer": claim.process, "reason": exc.detail}
             logger.info("owner did not answer", extra=extra)
             return None
         answer = reply.body
--- a/src/poplaryard/workload/lookup.py
+++ b/src/poplaryard/workload/lookup.py
@@ -119,7 +119,7 @@
         owner = self._local_owner(partition)
         if owner is not None:
             return owner.state(job_id)
-        result = await self._directory.ask_owner(partition, {"job": job_id})
+        result = await self._directory.ask_present_owner(partition, {"job": job_id})
         state = result.get("state") if result else None
         return JobState(state) if state else None
 
@@ -140,7 +140,7 @@
         owner = self._sole_owner(partition)
         if owner is not None:
             return owner.pending(queue) or 0
-        result = await self._directory.ask_owner(partition, {"queue": queue})
+        result = await self._directory.ask_present_owner(partition, {"queue": queue})
         if result is None or not isinstance(result.get("pending"), int):
             detail = "the owner of a partition does not answer"
             raise Unavailable(Code.PEER_TIMEOUT, detail)
