Count a job as started once a run of it is known to have begun

It is now set by the worker's answer, its report of the run or of its end. The same holds for first_start_at, poplaryard_first_start_seconds, the state that callers are told, and the figure "runs" of a group; runs without an answer are "unconfirmed".

--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -31,6 +31,8 @@
         if run is not None:
             worker.release(run)
             task.remove_run(run, now)
+            if run.confirmed_at > now:
+                self._note_start(run, now)
         task.last_run_number = max(task.last_run_number, ended.run)
         job = task.step.job
         job.started = True
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -175,7 +175,7 @@
             self._finish(job, JobState.CANCELLED, now)
 
     def pending(self, queue: str) -> int:
-        """Return the number of a queue's jobs that have not started.
+        """Return the number of a queue's jobs of which no task is known to have run.
 
         Of a job with parts in several partitions the first part counts.
         """
@@ -292,6 +292,15 @@
             },
         )
 
+    def _note_start(self, run: Run, now: float) -> None:
+        """Note that a run that this owner has ordered is known to have begun."""
+        job = run.task.step.job
+        job.started = True
+        if not job.first_start_at:
+            job.first_start_at = now
+            waited_s = now - job.arrived_at
+            self._meters.observe("poplaryard_first_start_seconds", waited_s)
+
     def _stop(self, run: Run, now: float) -> None:
         run.stop_sent_at = now
         if run.phase is not RunPhase.IN_DOUBT:
@@ -342,11 +351,12 @@
         """Return whether starting tasks of the job could repeat another owner's runs.
 
         A later owner starts jobs that are new to it immediately. An owner whose lease
-        may have expired therefore only continues jobs that were started before. A job
-        that an earlier owner may have started waits while the runs of any suspect are
+        may have expired therefore only continues jobs of which it, or an earlier owner,
+        has ordered a start before: they were stored before any later claim. A job that
+        an earlier owner may have started waits while the runs of any suspect are
         not known (`runs_unknown`).
         """
-        if not self.sole_owner and not job.started:
+        if not self.sole_owner and not (job.ordered or job.started):
             return True
         return not job.fresh and runs_unknown
 
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -214,12 +214,8 @@
         run.from_start = not task.checkpoint
         task.last_run_number = number
         task.runs.append(run)
-        step.job.started = True
+        step.job.ordered = True
         step.job.active_at = now
-        if not step.job.first_start_at:
-            step.job.first_start_at = now
-            waited_s = now - step.job.arrived_at
-            self._meters.observe("poplaryard_first_start_seconds", waited_s)
         worker.add(run)
         permit = step.permits.get(worker.worker_id)
         ticket = permit.ticket if permit is not None else ""
@@ -231,6 +227,7 @@
         if run.key not in run.worker.runs:
             return
         if outcome is StartOutcome.STARTED:
+            self._note_start(run, now)
             if run.phase is RunPhase.SENDING:
                 run.phase = RunPhase.RUNNING
             if run.confirmed_at > now:
@@ -455,10 +452,13 @@
         total = sum((worker.info.capacity for worker in workers), ZERO)
         used = sum((worker.used for worker in workers), ZERO)
         steps = self._waiting
+        runs = [run for worker in workers for run in worker.runs.values()]
+        confirmed = sum(run.confirmed_at <= now for run in runs)
         return {
             "workers": len(workers),
             "usable": sum(worker.usable(now) for worker in workers),
-            "runs": sum(len(worker.runs) for worker in workers),
+            "runs": confirmed,
+            "unconfirmed": len(runs) - confirmed,
             "waiting_steps": len([step for step in steps if step.waiting(now)]),
             "waiting_tasks": sum(len(step.waiting(now)) for step in steps),
             "cpu_share": round(used.cpu_m / max(1, total.cpu_m), 3),
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -256,6 +256,8 @@
                 stop = StopOrder(worker, running.task, running.run, None)
                 self.orders.append(stop)
                 return
+        elif run.confirmed_at > now:
+            self._note_start(run, now)
         if run.phase in (RunPhase.SENDING, RunPhase.IN_DOUBT):
             run.phase = RunPhase.RUNNING
             run.confirmed_at = now
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -445,14 +445,18 @@
     occurrences_left, next_occurrence : int
         Number of occurrences that are not done, and index of the next one to become
         due.
+    ordered : bool
+        Whether this owner has ever ordered a task of it to start.
     started : bool
-        Whether a task of it was ever started.
+        Whether a task of it is known to have run. An order that was refused or has not
+        been answered is no start.
     due_at : float
         Time by which it should be done, on the owner's clock.
     stored_state : JobState or None
         Final state, once it is stored. It is shown to callers only then.
     first_start_at : float
-        Time at which this owner first started a task of it; 0 until then.
+        Time at which a task that this owner started was first known to run; 0 until
+        then.
     lost_runs : int
         Number of runs that ended other than as done.
     active_at : float
@@ -467,6 +471,7 @@
     occurrences_left: int = 0
     next_occurrence: int = 0
     cancelled: bool = False
+    ordered: bool = False
     started: bool = False
     due_at: float = 0.0
     stored_state: JobState | None = None
--- a/tests/workload/test_partition.py
+++ b/tests/workload/test_partition.py
@@ -3,7 +3,14 @@
 import pytest
 
 from poplaryard.resources import Resources
-from poplaryard.workload.model import JobState, Progress, RunOutcome, Suspect
+from poplaryard.workload.model import (
+    JobState,
+    Progress,
+    RunOutcome,
+    StartOutcome,
+    Suspect,
+)
+from poplaryard.workload.partition import StartOrder
 from tests.workload.builders import ADVICE, job, step, worker_info
 from tests.workload.fakes import LISTED_ENDS, SimulatedGroup
 
@@ -400,6 +407,127 @@
     assert state(group) is JobState.DONE
 
 
+def ordered_run(group, spec=None):
+    """Submit a job whose first order is not carried out; return the run ordered."""
+    group.run(0.2)
+    group.submit(spec or job(JOB))
+    group.partition.advance(group.now)
+    orders, group.partition.orders = group.partition.orders, []
+    [run] = [order.run for order in orders if isinstance(order, StartOrder)]
+    return run
+
+
+def told(group):
+    """Return the state of the job, and the number of waiting jobs."""
+    return state(group), group.partition.pending("checks")
+
+
+def test_job_whose_orders_get_no_answer_counts_as_waiting():
+    """Guards against a count of 0 while jobs wait behind a worker that is cut off.
+
+    Pattern: a worker loses power just before several jobs are placed on it.
+    """
+    group = SimulatedGroup(workers=1)
+    group.run(0.2)
+    group.sims["w0"].unreachable = True
+    for number in range(4):
+        group.submit(job(f"{number:016x}"))
+    group.partition.advance(group.now)
+    assert len(group.partition.orders) == 4
+    for _ in range(4):
+        group.run(1.0)
+        assert group.partition.pending("checks") == 4
+
+
+REFUSALS = [
+    outcome
+    for outcome in StartOutcome
+    if outcome not in (StartOutcome.STARTED, StartOutcome.FENCED)
+]
+
+
+@pytest.mark.parametrize("outcome", REFUSALS)
+def test_job_counts_as_waiting_until_an_order_of_it_is_confirmed(outcome):
+    """Guards against refused and unanswered orders that count as starts."""
+    group = SimulatedGroup(workers=1)
+    run = ordered_run(group)
+    assert told(group) == (JobState.QUEUED, 1)
+    group.partition.start_answered(run, outcome, group.now)
+    assert told(group) == (JobState.QUEUED, 1)
+    assert not group.partition.jobs[JOB].first_start_at
+
+
+def test_job_whose_order_was_taken_back_counts_as_waiting():
+    """Guards against a count without a job whose run was stopped before it began."""
+    group = SimulatedGroup(workers=1)
+    run = ordered_run(group)
+    group.partition.start_answered(run, StartOutcome.IN_DOUBT, group.now)
+    group.partition.stop_answered(run, True, group.now)
+    group.now += 0.1
+    [sim], [worker] = group.sims.values(), group.partition.workers.values()
+    group.renew_leases(worker, sim)
+    assert not worker.runs
+    assert told(group) == (JobState.QUEUED, 1)
+    group.run(0.5)
+    assert told(group) == (JobState.RUNNING, 0)
+
+
+@pytest.mark.parametrize(
+    "answered", [StartOutcome.STARTED, StartOutcome.IN_DOUBT, None]
+)
+def test_run_that_its_worker_reports_counts_as_started(answered):
+    """Guards against a job that counts as waiting while it runs.
+
+    The answer to the order may be lost, or arrive after the report.
+    """
+    group = SimulatedGroup(workers=1)
+    run = ordered_run(group)
+    [sim] = group.sims.values()
+    sim.start(run.key, 5.0, group.now, group.fence, sim.clock(group.now) + 6.0)
+    if answered is not None:
+        group.partition.start_answered(run, answered, group.now)
+    group.now += 0.1
+    group.renew_leases(run.worker, sim)
+    assert told(group) == (JobState.RUNNING, 0)
+    assert group.partition.jobs[JOB].first_start_at
+
+
+def test_run_that_ended_before_its_start_was_answered_counts_as_started():
+    """Guards against a finished first task of a job that counts as waiting."""
+    group = SimulatedGroup(workers=1)
+    run = ordered_run(group, job(JOB, step(1), step(1, after=(0,))))
+    [sim] = group.sims.values()
+    sim.start(run.key, 0.05, group.now, group.fence, sim.clock(group.now) + 6.0)
+    group.now += 0.1
+    sim.advance(group.now)
+    group.renew_leases(run.worker, sim)
+    assert told(group) == (JobState.RUNNING, 0)
+
+
+def test_owner_without_a_certain_lease_goes_on_with_a_job_that_it_has_ordered():
+    """Guards against a job that waits for the lease because its order was refused.
+
+    The order was given under a certain lease, so no later owner takes the job for new.
+    """
+    group = SimulatedGroup(workers=1)
+    run = ordered_run(group)
+    group.partition.sole_owner = False
+    group.partition.start_answered(run, StartOutcome.NO_ROOM, group.now)
+    group.run(4)
+    assert state(group) is JobState.DONE
+
+
+def test_runs_in_the_figures_of_a_group_are_known_to_run():
+    """Guards against metrics that count orders without an answer as runs."""
+    group = SimulatedGroup(workers=1)
+    run = ordered_run(group)
+    figures = group.partition.summary(group.now)
+    assert (figures["runs"], figures["unconfirmed"]) == (0, 1)
+    group.partition.start_answered(run, StartOutcome.STARTED, group.now)
+    figures = group.partition.summary(group.now)
+    assert (figures["runs"], figures["unconfirmed"]) == (1, 0)
+
+
 def test_slow_task_is_copied_if_speculative():
     """Guards against a job delayed by one worker that is six times slower."""
     group = SimulatedGroup(workers=2)
