--- a/src/poplaryard/workload/lookup.py
+++ b/src/poplaryard/workload/lookup.py
@@ -141,7 +141,7 @@
         query = {"job": job_id}
         if tenant is not None:
             query["tenant"] = tenant
-        result = await self._directory.ask_owner(partition, query)
+        result = await self._directory.ask_present_owner(partition, query)
         state = result.get("state") if result else None
         return JobState(state) if state else None
 
@@ -162,7 +162,7 @@
         owner = self._sole_owner(partition)
         if owner is not None:
             return owner.pending(queue) or 0
-        result = await self._directory.ask_owner(partition, {"queue": queue})
+        result = await self._directory.ask_present_owner(partition, {"queue": queue})
         if result is None or not isinstance(result.get("pending"), int):
             detail = "the owner of a partition does not answer"
             raise Unavailable(Code.PEER_TIMEOUT, detail)
