Divide tenants' caps among partitions by records in the store

A tenant's cap holds for all workers, but each partition has an owner of its own. Each owner now starts tasks only within the part that the store certainly grants to its partition, and moves parts by transactions on the record and its claim.

--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -826,6 +826,7 @@
             self._identity,
             self._has_ended,
             generation,
+            lambda: self.queues.tenants,
         )
         self.owners[group] = owner
         self._update_channels()
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -25,11 +25,13 @@
     JobState,
     StartOutcome,
     Suspect,
+    Tenant,
     WorkerInfo,
 )
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
 from .storage import MAX_TRANSACTION_ENTRIES, Change, Item, Storage, Transaction
+from .tenancy.ledger import AllotmentLedger
 from .watching import PrefixWatcher
 
 __all__ = ["GroupOwner", "OwnerLimits", "WorkerCalls"]
@@ -187,6 +189,10 @@
     return False
 
 
+def _no_tenants() -> t.Mapping[str, Tenant]:
+    return {}
+
+
 def _release_channel(channel: Channel, slow: bool, _: "asyncio.Task[t.Any]") -> None:
     channel.release(slow)
 
@@ -212,6 +218,8 @@
         Returns whether a process that wrote at a revision can write no more.
     generation : int, optional
         Generation of the lease to which the claim is bound; by default the present one.
+    tenants : callable, optional
+        Returns the configured tenants by name.
 
     Attributes
     ----------
@@ -235,6 +243,7 @@
         identity: records.Identity | None = None,
         has_ended: t.Callable[[records.Identity, int], bool] = _never_ended,
         generation: int | None = None,
+        tenants: t.Callable[[], t.Mapping[str, Tenant]] = _no_tenants,
     ):
         self.group = group
         self._identity = records.encode(identity or records.Identity())
@@ -267,6 +276,16 @@
         self._next_removal_at = clock.now() + REMOVAL_PERIOD_S
         self.partition: Partition | None = None
         self.loaded = False
+        self._ledger = AllotmentLedger(
+            group,
+            claim_revision,
+            storage,
+            clock,
+            self._meters,
+            tenants,
+            self._wake.set,
+            self.abandon,
+        )
 
     async def start(self, workers: dict[str, WorkerInfo]) -> None:
         """Load the group's jobs and begin to schedule them, unless it was closed.
@@ -603,9 +622,12 @@
         partition = t.cast(Partition, self.partition)
         while True:
             now = self._clock.now()
+            if self._ledger.tenants_changed(partition):
+                self._spawn(self._ledger.run()).add_done_callback(self._on_loop_done)
             if self.has_authority():
                 partition.sole_owner = self.has_lease()
                 partition.advance(now)
+                self._ledger.pass_ended()
                 self._send_orders()
                 self._ask_advice(now)
             if partition.fenced:
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -4,19 +4,24 @@
 
 import msgspec
 
+from ..resources import ZERO, Resources
 from .layout import Layout
 from .model import JobSpec, Progress, Suspect
 
 __all__ = [
+    "Allotment",
     "CANCEL_SUFFIX",
     "Claim",
     "GiveUp",
     "Identity",
     "Member",
     "StoredJobs",
+    "allotment_key",
+    "allotment_prefix",
     "cancel_key",
     "claim_key",
     "claim_prefix",
+    "decode_allotment",
     "decode_claim",
     "decode_give_up",
     "decode_homes",
@@ -28,6 +33,7 @@
     "decode_stored_jobs",
     "decode_workers",
     "encode",
+    "encode_allotment",
     "encode_homes",
     "home_key",
     "job_key",
@@ -98,12 +104,27 @@
     cancelled: list[str] = []
 
 
+class Allotment(msgspec.Struct, frozen=True):
+    """Division of a tenant's cap among partitions; amounts by partition.
+
+    `cap` is at least the sum of `granted`; components that are 0 have no limit.
+    `wanted` is what partitions need beyond `granted`. `readable` is False if a part of
+    the record could not be decoded and was left out.
+    """
+
+    cap: Resources = ZERO
+    granted: dict[str, Resources] = {}
+    wanted: dict[str, Resources] = {}
+    readable: bool = True
+
+
 _stored = msgspec.json.Decoder(StoredJobs)
 _claims = msgspec.json.Decoder(Claim)
 _identities = msgspec.json.Decoder(Identity)
 _give_ups = msgspec.json.Decoder(GiveUp)
 _members = msgspec.json.Decoder(Member)
 _workers = msgspec.json.Decoder(dict[str, Suspect])
+_allotments = msgspec.json.Decoder(dict[str, t.Any])
 _layouts = msgspec.json.Decoder(Layout)
 encode: t.Callable[[t.Any], bytes] = _encoder.encode
 
@@ -181,6 +202,63 @@
     return f"sequence/{group}"
 
 
+def allotment_prefix() -> str:
+    """Return the key prefix of the divisions of tenants' caps."""
+    return "allotment/"
+
+
+def allotment_key(tenant: str) -> str:
+    """Return the key of a tenant's `Allotment`."""
+    return f"allotment/{tenant}"
+
+
+def encode_allotment(allotment: Allotment) -> bytes:
+    """Encode the division of a tenant's cap; amounts are lists of three integers."""
+    return encode(
+        {
+            "cap": _amounts(allotment.cap),
+            "granted": {name: _amounts(x) for name, x in allotment.granted.items()},
+            "wanted": {name: _amounts(x) for name, x in allotment.wanted.items()},
+        }
+    )
+
+
+def decode_allotment(value: bytes) -> Allotment:
+    """Decode the division of a tenant's cap, without the parts that are unreadable."""
+    try:
+        found = _allotments.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        # Callers log it, since they know whether it is already known.
+        return Allotment(readable=False)
+    cap = _parse_amounts(found.get("cap"))
+    granted, granted_ok = _parse_parts(found.get("granted"))
+    wanted, wanted_ok = _parse_parts(found.get("wanted"))
+    readable = cap is not None and granted_ok and wanted_ok
+    return Allotment(cap or ZERO, granted, wanted, readable)
+
+
+def _amounts(resources: Resources) -> tuple[int, int, int]:
+    return resources.cpu_m, resources.mem_mb, resources.gpus
+
+
+def _parse_amounts(found: t.Any) -> Resources | None:
+    """Return the resources of a list of three integers, or None if it is none."""
+    if not isinstance(found, list) or len(found) != 3:
+        return None
+    if not all(type(amount) is int and amount >= 0 for amount in found):
+        return None
+    return Resources(*found)
+
+
+def _parse_parts(found: t.Any) -> tuple[dict[str, Resources], bool]:
+    """Return the readable amounts by partition, and whether all are readable."""
+    if not isinstance(found, dict):
+        return {}, False
+    parsed = {name: _parse_amounts(amounts) for name, amounts in found.items()}
+    parts = {name: amounts for name, amounts in parsed.items() if amounts is not None}
+    return parts, len(parts) == len(parsed)
+
+
 def workers_key(group: str) -> str:
     """Return the key of the workers that may hold runs of a group."""
     return f"workers/{group}"
