--- a/src/poplaryard/workload/tenancy/allotments.py
+++ b/src/poplaryard/workload/tenancy/allotments.py
@@ -37,10 +37,10 @@
 # One of both configurations is outdated; a newer one arrives within 2 s, the platform's
 # limit being 3 s.
 RAISE_PAUSE_S = 2.0
-# Time for which an owner keeps more than an even part if that part is too small for one
-# task, in seconds; a change of hands takes two round trips of about 0.2 s. It then takes
-# nothing for as many turns as others wait for, at most `MAX_TURNS_AWAY`: an owner that
-# has crashed may be among them.
+# Time for which an owner keeps more than an even part if that part is too small for
+# one task, in seconds; a change of hands takes two round trips of about 0.2 s. It then
+# takes nothing for one such time for each other owner that wants room, but at most
+# `MAX_TURNS_AWAY` times: one of them may have crashed.
 TURN_S = 2.0
 MAX_TURNS_AWAY = 3
 # Time for which an owner without runs of the tenant does not repair an unreadable
--- a/tests/workload/allotment_sim.py
+++ b/tests/workload/allotment_sim.py
@@ -1,5 +1,6 @@
 """Simulation of owners that share tenants' caps through a store, in virtual time."""
 
+import collections
 import heapq
 import itertools
 import random
@@ -24,8 +25,8 @@
     def __init__(self, sim, partition, claim, caps):
         self.sim, self.partition, self.claim = sim, partition, claim
         self.allotments = Allotments(partition, random.Random(claim))
-        self.caps = dict(caps)
-        self.allotments.configure(self.caps)
+        self.caps = caps
+        self.allotments.configure(caps)
         self.version = 0
         self.paused_until = 0.0
         self.cut_off = False
@@ -42,28 +43,30 @@
             self.allotments.record_changed(tenant, record, revision)
         self.allotments.loaded = True
 
+    def used(self, tenant):
+        used = self.sim.used[tenant, self.partition]
+        return used + self.charged.get(tenant, ZERO)
+
     def usage(self):
-        found = {}
-        for tenant in self.sim.caps:
-            used = self.sim.used(tenant, self.partition)
-            waiting = ZERO
-            for need, _ in self.sim.waiting[self.partition, tenant]:
-                waiting = waiting + need
-            found[tenant] = Usage(used + self.charged.get(tenant, ZERO), waiting)
-        return found
+        queues = self.sim.waiting[self.partition]
+        names = {name for name, part in self.sim.used if part == self.partition}
+        return {
+            tenant: Usage(
+                self.used(tenant),
+                sum((need for need, _ in queues.get(tenant, ())), ZERO),
+            )
+            for tenant in names | set(queues) | set(self.charged)
+        }
 
     def act(self):
         """Start tasks and send the writes that are due."""
         sim = self.sim
         if not self.current or sim.now < self.paused_until:
             return
-        for tenant in sim.caps:
-            queue = sim.waiting[self.partition, tenant]
+        for tenant, queue in sim.waiting[self.partition].items():
             while queue:
                 need, length_s = queue[0]
-                used = sim.used(tenant, self.partition)
-                used = used + self.charged.get(tenant, ZERO)
-                if not self.allotments.may_start(tenant, used, need):
+                if not self.allotments.may_start(tenant, self.used(tenant), need):
                     break
                 queue.pop(0)
                 sim.start(self, tenant, need, length_s)
@@ -86,10 +89,13 @@
         self.revision = 1
         self.claims = dict.fromkeys(partitions, 1)
         self.runs = []
-        self.waiting = {(name, tenant): [] for name in partitions for tenant in caps}
+        # Amounts that run, by tenant and partition, and by tenant.
+        self.used = collections.defaultdict(lambda: ZERO)
+        self.totals = collections.defaultdict(lambda: ZERO)
+        self.waiting = {name: {} for name in partitions}
         self.faults = []
-        self.calls = 0
-        self.bytes = 0
+        self.starts = self.calls = 0
+        self.bytes = self.largest = 0
         self._events = []
         self._ids = itertools.count()
         self.owners = {}
@@ -105,31 +111,38 @@
             self.now += STEP_S
             while self._events and self._events[0][0] <= self.now:
                 heapq.heappop(self._events)[2]()
-            self.runs = [run for run in self.runs if run[3] > self.now]
+            while self.runs and self.runs[0][0] <= self.now:
+                _, _, tenant, partition, need = heapq.heappop(self.runs)
+                self._count(tenant, partition, need.times(-1))
             for owner in self.owners.values():
                 owner.act()
 
     # Tasks
 
-    def used(self, tenant, partition=None):
-        total = ZERO
-        for name, owner, need, _ in self.runs:
-            if name == tenant and partition in (None, owner):
-                total = total + need
-        return total
+    def _count(self, tenant, partition, need):
+        self.used[tenant, partition] += need
+        self.totals[tenant] += need
 
     def submit(self, partition, tenant, need=None, count=1, length_s=2.0):
-        self.waiting[partition, tenant] += [(need or task(), length_s)] * count
+        queue = self.waiting[partition].setdefault(tenant, [])
+        queue += [(need or task(), length_s)] * count
+
+    def drop_waiting(self):
+        self.waiting = {name: {} for name in self.waiting}
 
     def start(self, owner, tenant, need, length_s):
-        self.runs.append((tenant, owner.partition, need, self.now + length_s))
+        run = self.now + length_s, next(self._ids), tenant, owner.partition, need
+        heapq.heappush(self.runs, run)
+        self._count(tenant, owner.partition, need)
+        self.starts += 1
         self.check_total(tenant, need)
 
     def check_total(self, tenant, need):
         """Check that a start leaves the total within the highest cap in force."""
         caps = [self.caps[tenant]]
-        caps += [owner.caps[tenant] for owner in self.owners.values()]
-        total = self.used(tenant)
+        if len(self.caps_sent) > 1:
+            caps += [owner.caps[tenant] for owner in self.owners.values()]
+        total = self.totals[tenant]
         for name in ("cpu_m", "mem_mb"):
             limits = [getattr(cap, name) for cap in caps]
             if getattr(need, name) and all(limits):
@@ -152,6 +165,7 @@
             for write in writes:
                 value = records.encode_allotment(write.record)
                 self.bytes += len(value)
+                self.largest = max(self.largest, len(value))
                 self.store(write.tenant, value)
             return self.revision
 
--- a/tests/workload/test_allotments.py
+++ b/tests/workload/test_allotments.py
@@ -87,12 +87,12 @@
         """Check that a task starts within 1.5 s if nothing is broken."""
         self.sim.heal()
         self.sim.trip_s = 0.05
-        self.sim.waiting = {key: [] for key in self.sim.waiting}
+        self.sim.drop_waiting()
         self.sim.run(13.0)
-        if (self.sim.used(tenant) + task(2000)).fits_in(task(3000)):
+        if (self.sim.totals[tenant] + task(2000)).fits_in(task(3000)):
             self.sim.submit(partition, tenant, task(1000), 2, length_s=20.0)
             self.sim.run(1.5)
-            assert not self.sim.waiting[partition, tenant]
+            assert not self.sim.waiting[partition][tenant]
 
     @invariant()
     def records_stay_within_their_caps(self):
@@ -112,7 +112,7 @@
 
     def teardown(self):
         self.sim.heal()
-        self.sim.waiting = {key: [] for key in self.sim.waiting}
+        self.sim.drop_waiting()
         self.sim.run(75.0)
         for tenant in TENANTS:
             assert self.sim.granted(tenant) == ZERO
@@ -247,5 +247,5 @@
     seen = set()
     for _ in range(150):
         sim.run(0.2)
-        seen |= {run[1] for run in sim.runs}
+        seen |= {run[3] for run in sim.runs}
     assert seen == set(PARTITIONS)
