--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -63,7 +63,12 @@
         self.sims = sims or {info.worker_id: SimWorker(info) for info in infos}
         self.calls = SimWorkerCalls(self.sims)
 
-    async def claim(self, process="p1", has_ended=lambda identity, revision: False):
+    async def claim(
+        self,
+        process="p1",
+        has_ended=lambda identity, revision: False,
+        tenants=dict,
+    ):
         member = records.Member(process, "10.0.0.9:1")
         self.lease = ProcessLease(self.storage, CLOCK, member)
         self.lease_task = asyncio.create_task(self.lease.run())
@@ -83,6 +88,7 @@
             OwnerLimits(run_lease_s=self.run_lease_s, retention_s=120.0),
             identity=records.Identity(process, "1"),
             has_ended=has_ended,
+            tenants=tenants,
         )
         return self.owner
 
