--- a/src/poplaryard/workload/tenancy/allotments.py
+++ b/src/poplaryard/workload/tenancy/allotments.py
@@ -292,7 +292,7 @@
         account = self._accounts.get(tenant)
         limits = account.limits() if account is not None else _NONE
         if not any(limits):
-            return None if self.loaded else ZERO
+            return None if self._is_unlimited(account) else ZERO
         account = t.cast(_Account, account)
         if not self.loaded:
             return ZERO
@@ -319,7 +319,7 @@
         account = self._accounts.get(tenant)
         limits = account.limits() if account is not None else _NONE
         if not any(limits):
-            return self.loaded
+            return self._is_unlimited(account)
         account = t.cast(_Account, account)
         needs, uses = _amounts(need), _amounts(used)
         account.last_need = needs
@@ -337,6 +337,13 @@
             self._note_denied(account, needs)
         return fits
 
+    def _is_unlimited(self, account: _Account | None) -> bool:
+        """Return whether a tenant without a known limit certainly has none.
+
+        One that is no longer configured may have a recorded cap.
+        """
+        return self.loaded or (account is not None and account.cap is not None)
+
     def _note_denied(self, account: _Account, needs: Amounts) -> None:
         if not account.denied or needs < account.unit:
             account.unit = needs
--- a/tests/workload/test_allotments.py
+++ b/tests/workload/test_allotments.py
@@ -178,6 +178,8 @@
     found.configure({"t1": task(10_000)})
     assert not found.may_start("t1", ZERO, task(1))
     assert not found.may_start("removed", ZERO, task(1))
+    found.configure({"t2": ZERO})
+    assert found.may_start("t2", ZERO, task(1))
     assert found.may_start("", ZERO, task(1))
 
 
