--- a/tests/workload/test_allotments.py
+++ b/tests/workload/test_allotments.py
@@ -251,3 +251,42 @@
         sim.run(0.2)
         seen |= {run[3] for run in sim.runs}
     assert seen == set(PARTITIONS)
+
+
+def test_return_in_doubt_is_not_used_until_it_is_settled():
+    """Guards against use of room that the store may have given to another owner."""
+    record = Allotment(CAP, {"a": task(6000), "b": task(4000)}, {"b": task(3000)})
+    found = allotments(record)
+    write = only(found.plan(0.0, {"t1": Usage(used=task(1000))}))
+    assert write.after == task(3000)
+    found.in_doubt([write])
+    assert not found.may_start("t1", task(1000), task(3000))
+    retry = only(found.plan(1.0, {}) or found.plan(2.0, {"t1": Usage(task(1000))}))
+    assert retry.expected == write.expected
+    found.refused([retry], {})
+    assert not found.may_start("t1", task(1000), task(3000))
+    # Neither write was carried out, and none can be any more.
+    found.record_changed("t1", record, 9)
+    assert found.may_start("t1", task(1000), task(3000))
+
+
+def test_older_records_are_ignored():
+    """Guards against the late report of a record that has been replaced."""
+    found = allotments(Allotment(CAP, {"a": task(1000)}))
+    found.record_changed("t1", Allotment(CAP, {"a": task(9000)}), 4)
+    assert not found.may_start("t1", ZERO, task(2000))
+
+
+def test_parts_in_which_no_task_fits_are_not_taken():
+    record = Allotment(CAP, {"b": task(6000)})
+    found = allotments(record)
+    assert not found.may_start("t1", ZERO, task(8000))
+    write = only(found.plan(0.0, {"t1": Usage(waiting=task(16_000))}))
+    assert write.after == ZERO
+    assert write.record.wanted["a"].cpu_m == 10_000
+
+
+def test_no_room_is_taken_for_workers_that_have_not_reported():
+    """Guards against caps that are held for runs that no worker has, after a crash."""
+    found = allotments(Allotment(CAP, {"a": task(1000)}))
+    assert not found.plan(0.0, {"t1": Usage(used=task(8000))})
--- a/tests/workload/test_ledger.py
+++ b/tests/workload/test_ledger.py
@@ -258,3 +258,19 @@
         fixture.close()
 
     asyncio.run(check())
+
+
+def test_room_whose_return_has_no_reply_is_not_used():
+    async def check(fixture, storage):
+        await until(fixture.ask)
+        fixture.partition.usage = {}
+        record = records.Allotment(
+            task(10_000), stored(storage).granted, {"other": task(10_000)}
+        )
+        entry = (KEY, records.encode_allotment(record), 0)
+        storage.faults["commit"] = [None, "late", "down", "down", "down", "down"]
+        await storage.commit(Transaction(puts=[entry]))
+        await until(lambda: len(storage.faults["commit"]) < 4)
+        assert not fixture.partition.caps.may_start("t1", ZERO, task(1000))
+
+    run(check)
