--- a/src/poplaryard/workload/tenancy/allotments.py
+++ b/src/poplaryard/workload/tenancy/allotments.py
@@ -150,6 +150,81 @@
         return amounts
 
 
+@dataclass(frozen=True, slots=True)
+class _Part:
+    """One resource of a tenant in this partition at a check.
+
+    Attributes
+    ----------
+    held : int
+        Granted to this partition.
+    limit, room : int
+        The cap, and what it leaves to this partition.
+    even : int
+        Part of each partition that uses or wants the resource.
+    used, waiting : int
+        Use here, and need of waiting tasks.
+    wanted : int
+        What other partitions want.
+    unit, task : int
+        Need of a task that lacked room, if any, and of a usual task.
+    """
+
+    held: int
+    limit: int
+    room: int
+    even: int
+    used: int
+    waiting: int
+    wanted: int
+    unit: int
+    task: int
+
+    @property
+    def need(self) -> int:
+        """Use and need of waiting tasks, within the cap."""
+        return min(self.used + self.waiting, max(self.limit, self.used))
+
+    @property
+    def lack(self) -> int:
+        """What others want beyond what is not granted."""
+        return max(0, self.wanted - max(0, self.room - self.held))
+
+    def grown(self) -> int:
+        """Return what to hold if more is needed, else what is held."""
+        # Use above `held` stands for workers that have not reported.
+        grows = self.waiting or self.used <= self.held
+        if not grows or self.need <= REFILL_SHARE * self.held:
+            return self.held
+        if self.used >= self.limit:
+            return self.held
+        # Leaves others what they want, but an even part or one task is always due.
+        due = self.even if self.used else max(self.even, self.unit)
+        allowed = min(self.room, max(due, self.room - self.wanted))
+        spare = 0
+        if not self.wanted:
+            # Leaves others half of what is not granted.
+            spare = min(self.need, max(0, self.room - self.need) // 2)
+        new = min(self.need + spare, allowed)
+        if new - self.held >= MIN_REFILL_SHARE * self.held or self.need > self.held:
+            return max(self.held, new)
+        return self.held
+
+    def shrunk(self, turn_ends: bool) -> tuple[int, int]:
+        """Return what to hold, and the use up to which tasks may start.
+
+        Room of ended runs above an even part is returned in steps.
+        """
+        part = 0 if turn_ends else max(self.even, self.task)
+        if self.held > part and not turn_ends:
+            step = max(int(RETURN_SHARE * self.held), self.task)
+            others_take = self.room - self.held > step
+            part = max(part, self.held if others_take else self.held - step)
+        ceiling = max(part, self.held - self.lack) if self.held > part else NO_LIMIT
+        keep = max(self.used, min(self.need, part))
+        return min(self.held, max(keep, self.held - self.lack)), ceiling
+
+
 class Allotments:
     """Parts of the tenants' caps that the owner of one partition may use.
 
@@ -481,52 +556,37 @@
         )
         task = unit if any(unit) else account.last_need
         turn_ends = self._turn_ends(account, most, task, sharers, others_want, now)
-        is_away = others_want and now < account.away_until
+        is_away = bool(others_want) and now < account.away_until
         targets, ceiling, contended = [], [NO_LIMIT, NO_LIMIT, NO_LIMIT], False
         for index in range(3):
             if not limits[index]:
                 targets.append(0)
                 continue
-            held, limit = account.granted[index], most[index]
-            room = limit - account.others[index]
-            need = min(used[index] + waiting[index], max(limit, used[index]))
-            lack = max(0, wanted_by_others[index] - max(0, room - held))
-            contended = contended or lack > 0
-            even = limit // sharers
-            if held > room:
+            part = _Part(
+                held=account.granted[index],
+                limit=most[index],
+                room=most[index] - account.others[index],
+                even=most[index] // sharers,
+                used=used[index],
+                waiting=waiting[index],
+                wanted=wanted_by_others[index],
+                unit=unit[index],
+                task=task[index],
+            )
+            contended = contended or part.lack > 0
+            if part.held > part.room:
                 # More is granted than the cap.
-                target = min(held, used[index])
+                target = min(part.held, part.used)
                 if account.unaccounted:
-                    target = max(target, min(used[index], limit))
-            elif account.unaccounted and used[index] > held:
-                target = min(used[index], limit)
+                    target = max(target, min(part.used, part.limit))
+            elif account.unaccounted and part.used > part.held:
+                target = min(part.used, part.limit)
             elif may_return_all:
                 target = 0
             else:
-                target = held
-                enough = even if used[index] else max(even, unit[index])
-                allowed = min(room, max(enough, room - wanted_by_others[index]))
-                grows = (waiting[index] or used[index] <= held) and not is_away
-                if grows and need > REFILL_SHARE * held and used[index] < limit:
-                    spare = 0
-                    if not wanted_by_others[index]:
-                        # Leaves others half of what is not granted.
-                        spare = min(need, max(0, room - need) // 2)
-                    new = min(need + spare, allowed)
-                    if new > held and (
-                        need > held or new - held >= MIN_REFILL_SHARE * held
-                    ):
-                        target = new
-                if lack and target <= held:
-                    # Room of ended runs is returned, not used again, in steps.
-                    part = 0 if turn_ends else max(even, task[index])
-                    if held > part and not turn_ends:
-                        step = max(int(RETURN_SHARE * held), task[index])
-                        part = max(part, held - step if room - held <= step else held)
-                    if held > part:
-                        ceiling[index] = max(part, held - lack)
-                    keep = max(used[index], min(need, part))
-                    target = min(held, max(keep, held - lack))
+                target = part.held if is_away else part.grown()
+                if part.lack and target <= part.held:
+                    target, ceiling[index] = part.shrunk(turn_ends)
             targets.append(target)
         if any(targets[i] > account.granted[i] for i in range(3)) and any(
             limits[i] and unit[i] and used[i] + unit[i] > targets[i] for i in range(3)
