--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -915,6 +915,7 @@
             self._identity,
             self._has_ended,
             generation,
+            lambda: self.queues.tenants,
         )
         self.owners[group] = owner
         self._update_channels()
