Learn run times from finished runs, and use them for decisions

Declared times are off by a factor that differs by queue. Each use has a flag in OwnerLimits; all are off unless learn_run_times is set.

--- a/src/poplaryard/platform/entry.py
+++ b/src/poplaryard/platform/entry.py
@@ -20,6 +20,7 @@
 from ..server import HttpServer
 from ..workload.node import Node, NodeConfig, StoreSchema, strength
 from ..workload.owner import OwnerLimits
+from ..workload.run_times import RunTimeUses
 from .codec import (
     CONFIG_KEY,
     WORKER_PREFIX,
@@ -77,6 +78,9 @@
         Not used.
     grace_s : float
         Time from SIGTERM until SIGKILL.
+    learn_run_times : bool
+        Whether run times are learned from finished runs and used for all decisions
+        that `RunTimeUses` lists.
     """
 
     process: str
@@ -92,6 +96,7 @@
     early_ms: float = 0.0
     grace_s: float = 6.0
     log_level: str = "info"
+    learn_run_times: bool = False
 
 
 def load_settings(path: str) -> EntrySettings:
@@ -142,6 +147,9 @@
                 run_lease_s=min(MAX_RUN_LEASE_S, cfg.max_hold_ms / 1000),
                 retention_s=cfg.keep_s,
                 early_s=cfg.early_ms / 1000,
+                run_time_uses=(
+                    RunTimeUses.all() if cfg.learn_run_times else RunTimeUses()
+                ),
             ),
         ),
         store,
--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -41,8 +41,11 @@
         if ended.checkpoint and not task.done:
             self._keep_checkpoint(task, ended.checkpoint)
         if ended.outcome is RunOutcome.DONE and not task.step.spec.lasting:
-            if run is not None and run.from_start and not task.step.spec.gang:
-                task.step.run_times.add(worker, now - run.sent_at)
+            if run is not None and run.from_start:
+                if not task.step.spec.gang:
+                    task.step.run_times.add(worker, now - run.sent_at)
+                if self.expectations is not None:
+                    self.expectations.run_done(run, now)
             self._task_done(worker, task, now)
         elif ended.outcome is RunOutcome.FAILED:
             self._task_failed(worker, task, ended.run, now)
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -4,11 +4,13 @@
 
 from ..logs import logger
 from ..resources import Resources
+from .expectations import StepExpectations
 from .meters import Meters
 from .model import JobSpec, JobState, Progress, Suspect, Tenant
 from .orders import ProgressBatch, StartOrder, StopOrder
 from .records import encode
 from .room import Plan, Reservations
+from .run_times import NO_RUN_TIME_USES, RunTimeUses
 from .runtime import JobRun, Run, RunPhase, StepRun, Task, Worker
 from .tenancy import CapLimits, Unlimited
 
@@ -31,6 +33,9 @@
 # Maximum number of cancellations kept for jobs that this owner does not know yet: a job
 # and its cancellation can be announced by different processes, in any order.
 MAX_CANCELLED_EARLY = 1000
+# Run time on the slowest workers relative to the usual one: by the users' requirements
+# they run at 0.55 of the usual speed.
+SLOWEST_FACTOR = 1.8
 # Weight of a GPU in thousandths of a core, from the users' prices.
 GPU_CPU_M = 8000
 
@@ -65,6 +70,8 @@
         Metrics of the process.
     loaded_at : float
         Time at which `suspects` was read.
+    run_time_uses : RunTimeUses
+        Decisions that use learned run times; without any, none are learned.
 
     Attributes
     ----------
@@ -80,6 +87,8 @@
         Whether the owner's lease is certainly valid, so that no other owner can exist.
     caps : CapLimits
         Limits on what tenants may run here.
+    expectations : StepExpectations or None
+        Learned run times, if they are used.
     """
 
     def __init__(
@@ -92,6 +101,7 @@
         early_s: float = 0.0,
         meters: Meters | None = None,
         loaded_at: float = 0.0,
+        run_time_uses: RunTimeUses = NO_RUN_TIME_USES,
     ):
         self.group = group
         self.fencing_token = claim_revision
@@ -103,6 +113,9 @@
         self.accepts_starts = True
         self.sole_owner = True
         self.caps: CapLimits = Unlimited()
+        self.expectations: StepExpectations | None = None
+        if run_time_uses:
+            self.expectations = StepExpectations(run_time_uses)
         self._tenants: t.Mapping[str, Tenant] = {}
         self._startable_workers: set[str] = set()
         self._wall_offset = wall_offset
@@ -141,7 +154,7 @@
             return known
         age_s = now + self._wall_offset - spec.accepted_at if not fresh else 0.0
         job = JobRun(spec, fresh, now - max(0.0, age_s))
-        job.due_at = job.arrived_at + spec.objective_s()
+        job.due_at = job.arrived_at + job.objective_s
         job.active_at = now
         if progress is not None:
             job.progress = progress
@@ -209,7 +222,7 @@
                 due = spec.first_at + job.next_occurrence * spec.interval_s
                 if due - self._wall_offset > now:
                     return
-                job.due_at = due - self._wall_offset + spec.objective_s()
+                job.due_at = due - self._wall_offset + job.objective_s
             self._open_occurrence(job, job.next_occurrence, now)
             job.next_occurrence += 1
 
@@ -246,6 +259,8 @@
                 (other.critical_path_s for other in successors), default=0.0
             )
             step.critical_path_s = step.spec.estimate_s + remaining_s
+        if self.expectations is not None:
+            self.expectations.steps_opened(steps)
         for step in steps:
             if step.remaining:
                 self._open_steps[step.name] = step
@@ -283,7 +298,7 @@
                 "request": job.spec.job_id,
                 "state": str(state),
                 "age_s": round(now - job.arrived_at, 3),
-                "objective_s": round(job.spec.objective_s(), 3),
+                "objective_s": round(job.objective_s, 3),
                 "waited_s": round(max(0.0, job.first_start_at - job.arrived_at), 3),
                 "chain_s": round(job.spec.critical_path_s(), 3),
                 "steps": len(job.spec.steps),
@@ -378,6 +393,9 @@
                 and now > step.job.active_at + STARVED_AFTER_S
                 and step.job.idle()
             )
+            if step.uses.placement:
+                slowest_s = step.expected_path_s * SLOWEST_FACTOR
+                step.short_of_time = now + slowest_s > step.job.due_at
             if step.starved:
                 step.rank = STARVED_PRIORITY, *step.rank[1:]
         steps.sort(key=lambda step: step.rank)
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -16,6 +16,7 @@
 from ..waiting import wait_until_set
 from . import records
 from .advice import SLOW_CALL_S, Channel, ChannelPool
+from .expectations import StepExpectations
 from .homes import PartitionLoad
 from .membership import GRACE_S, LEASE_TTL_S, ProcessLease
 from .meters import Meters
@@ -28,6 +29,7 @@
     WorkerInfo,
 )
 from .partition import AdviceRequest, Partition, StartOrder, StopOrder
+from .run_times import NO_RUN_TIME_USES, RunTimes, RunTimeUses
 from .runtime import CLOCK_DRIFT, LAPSE_SLACK_S, Worker
 from .storage import MAX_TRANSACTION_ENTRIES, Change, Item, Storage, Transaction
 from .watching import PrefixWatcher
@@ -71,6 +73,12 @@
 JOBS_READ_PERIOD_S = 0.1
 # Time between two log lines on the state of a group, in seconds.
 SUMMARY_EVERY_S = 2.0
+# Shortest time between two writes of the learned run times, in seconds. They are part
+# of a transaction that is made anyway; a new owner lacks at most the runs since.
+RUN_TIMES_PERIOD_S = 5.0
+# Time that a new owner waits for them once all else is read, in seconds: they only
+# improve estimates, and reads take a few milliseconds.
+RUN_TIMES_WAIT_S = 0.25
 # Time between two updates of the stored list of workers, in seconds.
 WORKERS_UPDATE_PERIOD_S = 1.0
 # Keys of a job, and jobs removed in one transaction.
@@ -150,11 +158,14 @@
         Time for which callers may ask for a finished job.
     early_s : float
         Passed to `Partition`, which does not use it.
+    run_time_uses : RunTimeUses
+        Decisions that use learned run times; without any, none are learned or stored.
     """
 
     run_lease_s: float
     retention_s: float
     early_s: float = 0.0
+    run_time_uses: RunTimeUses = NO_RUN_TIME_USES
 
     def longest_lease_s(self) -> float:
         """Return how long a lease may last that an owner has just given."""
@@ -265,6 +276,7 @@
         self._next_summary_at = clock.now() + SUMMARY_EVERY_S
         self._next_prune_at = clock.now() + WORKERS_UPDATE_PERIOD_S
         self._next_removal_at = clock.now() + REMOVAL_PERIOD_S
+        self._next_run_times_at = clock.now() + RUN_TIMES_PERIOD_S
         self.partition: Partition | None = None
         self.loaded = False
 
@@ -277,6 +289,9 @@
             Workers listed in the store, by id.
         """
         began = self._clock.now()
+        run_times: asyncio.Task[bytes] | None = None
+        if self._limits.run_time_uses:
+            run_times = self._spawn(self._load_run_times())
         sequence = await self._storage.get(records.sequence_key(self.group))
         self._sequence = sequence.revision if sequence is not None else 0
         ended = self._earlier_owner_ended(sequence)
@@ -296,7 +311,10 @@
             self._limits.early_s,
             self._meters,
             loaded_at,
+            self._limits.run_time_uses,
         )
+        if run_times is not None:
+            await self._use_run_times(run_times)
         self._stored_workers = suspects
         self._unrenewed = _unrenewed(suspects)
         self._stored_progress = {item.key: item.value for item in progress}
@@ -336,6 +354,27 @@
         for loop in (watch.run(), self._scheduling_loop(), self._write_loop()):
             self._spawn(loop).add_done_callback(self._on_loop_done)
 
+    async def _load_run_times(self) -> bytes:
+        """Return the stored run times; empty if there are none, or on a failed read."""
+        try:
+            item = await self._storage.get(records.run_times_key(self.group))
+        except (StoreDown, StoreReplyLost) as exc:
+            extra = {"group": self.group, "reason": exc.detail}
+            logger.warning("run times not read", extra=extra)
+            return b""
+        return item.value if item is not None else b""
+
+    async def _use_run_times(self, reading: "asyncio.Task[bytes]") -> None:
+        """Wait for the stored run times for a short time, and add them."""
+        await asyncio.wait({reading}, timeout=RUN_TIMES_WAIT_S)
+        partition = t.cast(Partition, self.partition)
+        expectations = t.cast(StepExpectations, partition.expectations)
+        if not reading.done():
+            reading.cancel()
+            logger.warning("run times not read in time", extra={"group": self.group})
+        elif not reading.cancelled() and not reading.exception() and reading.result():
+            expectations.add_summary(reading.result())
+
     def _earlier_owner_ended(self, sequence: Item | None) -> bool:
         """Note who wrote last for the group; return whether that process has ended."""
         if sequence is None:
@@ -824,11 +863,18 @@
             for job_id, value in batch.progress.items()
         ]
         size = MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES
+        run_times = self._run_times_due(began)
+        if run_times is not None and len(entries) % size:
+            entries.append((records.run_times_key(self.group), run_times.encoded(), 0))
+            run_times.changed = False
+            self._next_run_times_at = began + RUN_TIMES_PERIOD_S
         for begin in range(0, len(entries), size):
             transaction = self._new_transaction()
             transaction.puts = entries[begin : begin + size]
             if not await self._commit(transaction):
                 partition.progress_not_written(batch)
+                if run_times is not None:
+                    run_times.changed = True
                 return False
         partition.progress_written(batch)
         self._meters.observe("poplaryard_note_seconds", self._clock.now() - began)
@@ -836,6 +882,13 @@
         self._progress_written.clear()
         return True
 
+    def _run_times_due(self, now: float) -> RunTimes | None:
+        """Return the learned run times if they are due to be stored."""
+        expectations = t.cast(Partition, self.partition).expectations
+        if expectations is None or now < self._next_run_times_at:
+            return None
+        return expectations.run_times if expectations.run_times.changed else None
+
     async def _remove_finished(self) -> None:
         """Remove jobs whose retention time has passed from the store."""
         partition = t.cast(Partition, self.partition)
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -40,6 +40,9 @@
 # estimate from now on.
 STRAGGLER_ELAPSED_FACTOR = 0.6
 STRAGGLER_REMAINING_FACTOR = 1.3
+# With learned run times, a run that is expected to take no longer than this quantile of
+# its kind is not a straggler: a copy would often take as long.
+STRAGGLER_QUANTILE = 0.9
 # A speculative task is copied if its worker has not reported for this long, in seconds;
 # other tasks wait until their leases have expired. Workers report every second.
 COPY_SILENT_S = 1.8
@@ -115,6 +118,8 @@
         }
         self._reservations.clear()
         self._plans.clear()
+        if self.expectations is not None:
+            self.expectations.refresh(self._open_steps)
         self._waiting = self._waiting_steps(now)
         largest_free = _most_free(self._usable_workers.values())
         orders_counted = len(self.orders)
@@ -336,7 +341,11 @@
 
     def _is_straggler(self, run: Run, now: float) -> bool:
         """Return whether a new run is expected to end well before this one."""
-        estimate_s = run.task.step.spec.estimate_s
+        step = run.task.step
+        estimate_s = step.spec.estimate_s
+        expectation = step.expectation if step.uses.copies else None
+        if expectation is not None:
+            estimate_s = expectation.median_s
         # Ends at the last report, not now, since the percentage dates from then.
         # Workers report when a run ends and about every second, but their reports are
         # late if this process is busy.
@@ -347,10 +356,15 @@
             return now - run.worker.clock_at > COPY_SILENT_S
         if elapsed_s < STRAGGLER_ELAPSED_FACTOR * estimate_s:
             return False
+        # Total run time up to which a run is not slow for its kind, in seconds.
+        usual_s = expectation.quantile_s(STRAGGLER_QUANTILE) if expectation else 0.0
         if run.percent < 1:
-            return elapsed_s > 2 * STRAGGLER_ELAPSED_FACTOR * estimate_s
+            return elapsed_s > max(2 * STRAGGLER_ELAPSED_FACTOR * estimate_s, usual_s)
         left_s = elapsed_s * (100 - run.percent) / run.percent
-        return left_s > STRAGGLER_REMAINING_FACTOR * estimate_s
+        return (
+            left_s > STRAGGLER_REMAINING_FACTOR * estimate_s
+            and elapsed_s + left_s > usual_s
+        )
 
     def _plan_room(self, step: StepRun, now: float, may_preempt: bool) -> None:
         """Reserve room for a step that does not fit, and preempt less urgent runs.
--- a/src/poplaryard/workload/placing.py
+++ b/src/poplaryard/workload/placing.py
@@ -27,8 +27,9 @@
 
     Workers on the rack with the data come first, then those of the preferred speed,
     then the one with the least room left: filling workers up keeps others empty for
-    large tasks and gangs. Jobs with a tight objective prefer fast workers, others slow
-    ones. Steps that only use idle processor time prefer the worker with the most of it.
+    large tasks and gangs. Jobs with a tight objective, or with little time left,
+    prefer fast workers, others slow ones. Steps that only use idle processor time
+    prefer the worker with the most of it.
     Steps with lasting tasks or a limit per worker are spread over the workers.
     """
     other_rack = bool(step.spec.rack) and worker.info.rack != step.spec.rack
@@ -42,7 +43,7 @@
             -free.cpu_m / max(1, capacity.cpu_m),
         )
     speed = round(worker.slowness / SPEED_CLASS_WIDTH)
-    if step.job.spec.stretch >= LOOSE_STRETCH:
+    if step.job.spec.stretch >= LOOSE_STRETCH and not step.short_of_time:
         speed = -speed
     left_share = (free - step.need).dominant_share(capacity)
     return (other_rack, speed, left_share, worker.worker_id)
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -37,6 +37,7 @@
     "member_key",
     "progress_key",
     "progress_prefix",
+    "run_times_key",
     "sequence_key",
     "workers_key",
 ]
@@ -172,6 +173,11 @@
     return f"member/{process}"
 
 
+def run_times_key(group: str) -> str:
+    """Return the key of the summary of a partition's learned run times."""
+    return f"runtimes/{group}"
+
+
 def sequence_key(group: str) -> str:
     """Return the key that every write of a group's owner expects and changes.
 
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -6,6 +6,7 @@
 
 from ..resources import ZERO, Resources
 from .model import JobSpec, JobState, Progress, StepSpec, WorkerInfo
+from .run_times import NO_RUN_TIME_USES, Expectation, RunTimeUses
 
 __all__ = ["JobRun", "Permit", "Run", "RunPhase", "StepRun", "Task", "Worker"]
 
@@ -251,6 +252,10 @@
         if progress >= MIN_PROGRESS_PERCENT:
             elapsed_s = self.seen_at - self.confirmed_at
             return self.seen_at + elapsed_s * (100 - self.percent) / progress
+        expectation = self.task.step.expectation
+        if expectation is not None and self.task.step.uses.ends:
+            scale = math.exp(self.worker.slowness)
+            return now + scale * expectation.remaining_s((now - self.sent_at) / scale)
         return now + max(0.0, self.sent_at + spec.estimate_s - now)
 
 
@@ -362,6 +367,14 @@
         Time before which the advice service is not asked again.
     critical_path_s : float
         Estimated run time from the start of this step to the job's end, in seconds.
+    uses : RunTimeUses
+        Decisions that use `expectation` in place of the declared run time.
+    expectation : Expectation or None
+        Expected run time of its tasks; None if the declared one is used.
+    expected_path_s : float
+        Like `critical_path_s`, but always from the expected run times, in seconds.
+    short_of_time : bool
+        Whether its job would miss its objective on a slow worker.
     rank : tuple
         Sort key among the waiting steps when they were last sorted; the lowest comes
         first.
@@ -394,6 +407,10 @@
     asked: tuple[str, ...] = ()
     ask_after: float = 0.0
     critical_path_s: float = 0.0
+    uses: RunTimeUses = NO_RUN_TIME_USES
+    expectation: Expectation | None = None
+    expected_path_s: float = 0.0
+    short_of_time: bool = False
     rank: tuple[int, int, float] = (0, 0, 0.0)
     starved: bool = False
     run_times: RunTimeMean = field(default_factory=RunTimeMean)
@@ -414,6 +431,13 @@
         """Occurrence and step number, the key of the step in the job's progress."""
         return f"{self.occurrence}.{self.number}"
 
+    @property
+    def expected_s(self) -> float:
+        """Expected run time of a task on a worker of usual speed, in seconds."""
+        if self.expectation is None:
+            return self.spec.estimate_s
+        return self.expectation.median_s
+
     def waiting(self, now: float) -> list[Task]:
         """Return the tasks that may be started now."""
         return [
@@ -457,6 +481,8 @@
         Number of runs that ended other than as done.
     active_at : float
         Time at which one of its tasks last started or ended.
+    objective_s : float
+        Time within which it should be done, in seconds.
     """
 
     spec: JobSpec
@@ -473,6 +499,15 @@
     first_start_at: float = 0.0
     lost_runs: int = 0
     active_at: float = 0.0
+    objective_s: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.objective_s = self.spec.objective_s()
+
+    def set_objective(self, objective_s: float) -> None:
+        """Change the objective, and the due time with it."""
+        self.due_at += objective_s - self.objective_s
+        self.objective_s = objective_s
 
     @property
     def state(self) -> JobState:
@@ -495,10 +530,7 @@
         """
         if now + remaining_s <= self.due_at:
             lateness = 0
-        elif (
-            now + remaining_s
-            <= self.due_at + MAX_LATENESS_FACTOR * self.spec.objective_s()
-        ):
+        elif now + remaining_s <= self.due_at + MAX_LATENESS_FACTOR * self.objective_s:
             lateness = 1
         else:
             lateness = 2
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -204,10 +204,14 @@
         outcome = StartOutcome.IN_DOUBT
         if not sim.unreachable:
             deadline = sim.clock(self.now) + 1.6
-            estimate_s = run.task.step.spec.estimate_s
-            outcome = sim.start(run.key, estimate_s, self.now, self.fence, deadline)
+            run_s = self.run_time_s(run)
+            outcome = sim.start(run.key, run_s, self.now, self.fence, deadline)
         self.partition.start_answered(run, outcome, self.now)
 
+    def run_time_s(self, run):
+        """Return the run time on a worker of usual speed; by default as declared."""
+        return run.task.step.spec.estimate_s
+
     def starts(self, task=None):
         """Return worker, task and run number of all starts, or of those of one task."""
         return [
