--- a/src/poplaryard/bench.py
+++ b/src/poplaryard/bench.py
@@ -11,6 +11,7 @@
     "ownership": "bench_ownership:ownership",
     "placement": "bench_placement:placement",
     "policy": "bench_policy:policy",
+    "run-times": "bench_run_times:run_times",
     "scale": "bench_scale:scale",
     "tickets": "bench_tickets:tickets_bench",
 }
