--- a/src/poplaryard/platform/entry.py
+++ b/src/poplaryard/platform/entry.py
@@ -20,6 +20,7 @@
 from ..server import HttpServer
 from ..workload.node import Node, NodeConfig, StoreSchema, strength
 from ..workload.owner import OwnerLimits
+from ..workload.run_times import RunTimeUses
 from .codec import (
     CONFIG_KEY,
     WORKER_PREFIX,
@@ -81,6 +82,9 @@
         Whether no request is served with a key that was revoked `revoke_ms` before.
     revoke_ms : float
         Only used with `strict_revocation`.
+    learn_run_times : bool
+        Whether run times are learned from finished runs and used for all decisions
+        that `RunTimeUses` lists.
     """
 
     process: str
@@ -98,6 +102,7 @@
     strict_revocation: bool = False
     revoke_ms: t.Annotated[float, msgspec.Meta(gt=0)] = 5000.0
     log_level: str = "info"
+    learn_run_times: bool = False
 
 
 def load_settings(path: str) -> EntrySettings:
@@ -133,6 +138,15 @@
         runner.run(_serve(cfg, path))
 
 
+def _owner_limits(cfg: EntrySettings) -> OwnerLimits:
+    return OwnerLimits(
+        run_lease_s=min(MAX_RUN_LEASE_S, cfg.max_hold_ms / 1000),
+        retention_s=cfg.keep_s,
+        early_s=cfg.early_ms / 1000,
+        run_time_uses=RunTimeUses.all() if cfg.learn_run_times else RunTimeUses(),
+    )
+
+
 async def _serve(cfg: EntrySettings, path: str) -> None:
     stream = logs.BackgroundStream(sys.stdout)
     logs.configure(cfg.process, cfg.log_level, stream=stream)
@@ -144,11 +158,7 @@
             cfg.data_centre,
             cfg.listen.peers,
             strength(cfg.cpu_share * cfg.core_speed, cfg.link_mbps),
-            OwnerLimits(
-                run_lease_s=min(MAX_RUN_LEASE_S, cfg.max_hold_ms / 1000),
-                retention_s=cfg.keep_s,
-                early_s=cfg.early_ms / 1000,
-            ),
+            _owner_limits(cfg),
             cfg.revoke_ms / 1000 if cfg.strict_revocation else None,
         ),
         store,
