--- a/tests/workload/test_allotments.py
+++ b/tests/workload/test_allotments.py
@@ -120,7 +120,7 @@
 
 TestAllotments = AllotmentsMachine.TestCase
 TestAllotments.settings = settings(
-    max_examples=60, stateful_step_count=25, deadline=None
+    max_examples=150, stateful_step_count=30, deadline=None
 )
 
 
@@ -181,6 +181,9 @@
     found.configure({"t2": ZERO})
     assert found.may_start("t2", ZERO, task(1))
     assert found.may_start("", ZERO, task(1))
+    found.record_changed("t1", Allotment(CAP, {"a": CAP}), 5)
+    assert not found.may_start("t1", ZERO, task(1))
+    assert found.available("t1") == ZERO
 
 
 def test_negative_cap_permits_nothing():
--- a/tests/workload/test_ledger.py
+++ b/tests/workload/test_ledger.py
@@ -30,6 +30,13 @@
         super().__init__()
         self.transactions = []
         self.prefixes = set()
+        self.forgets_history = False
+
+    async def watch(self, prefix, after, wait_s):
+        if self.forgets_history:
+            self.forgets_history = False
+            return None
+        return await super().watch(prefix, after, min(wait_s, 0.1))
 
     async def commit(self, transaction):
         self.transactions.append(transaction)
@@ -274,3 +281,31 @@
         assert not fixture.partition.caps.may_start("t1", ZERO, task(1000))
 
     run(check)
+
+
+def test_records_are_read_again_after_the_store_has_lost_its_history():
+    async def check(fixture, storage):
+        await until(fixture.ask)
+        storage.forgets_history = True
+        record = records.Allotment(task(10_000), {"other": task(10_000)})
+        entry = (KEY, records.encode_allotment(record), 0)
+        await storage.commit(Transaction(puts=[entry]))
+        await until(lambda: not storage.forgets_history)
+        caps = fixture.partition.caps
+        await until(lambda: not caps.may_start("t1", ZERO, task(1000)))
+
+    run(check)
+
+
+def test_moves_of_a_tenant_are_logged_rarely(caplog):
+    """Guards against a log line for each of many moves."""
+
+    async def check(fixture, storage):
+        await until(fixture.ask)
+        for cpu in (4000, 6000, 8000, 10_000):
+            await until(lambda cpu=cpu: fixture.ask(cpu))
+        assert len(commits(storage)) >= 3
+
+    with caplog.at_level(logging.INFO, "poplaryard"):
+        run(check)
+    assert caplog.messages.count("allotment taken") == 1
