--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -189,10 +189,6 @@
     return False
 
 
-def _no_tenants() -> t.Mapping[str, Tenant]:
-    return {}
-
-
 def _release_channel(channel: Channel, slow: bool, _: "asyncio.Task[t.Any]") -> None:
     channel.release(slow)
 
@@ -243,7 +239,7 @@
         identity: records.Identity | None = None,
         has_ended: t.Callable[[records.Identity, int], bool] = _never_ended,
         generation: int | None = None,
-        tenants: t.Callable[[], t.Mapping[str, Tenant]] = _no_tenants,
+        tenants: t.Callable[[], t.Mapping[str, Tenant]] = dict,
     ):
         self.group = group
         self._identity = records.encode(identity or records.Identity())
--- a/src/poplaryard/workload/tenancy/allotments.py
+++ b/src/poplaryard/workload/tenancy/allotments.py
@@ -44,9 +44,9 @@
 # Time for which an owner keeps more than an even part if that part is too small for
 # one task, in seconds; a change of hands takes two round trips of about 0.2 s. It then
 # takes nothing for one such time for each other owner that wants room, but at most
-# `MAX_TURNS_AWAY` times: one of them may have crashed.
+# `MAX_SKIPPED_TURNS` times: one of them may have crashed.
 TURN_S = 2.0
-MAX_TURNS_AWAY = 3
+MAX_SKIPPED_TURNS = 3
 # Time for which an owner without runs of the tenant does not repair an unreadable
 # record, in seconds, so that owners with runs enter these first. They notice the record
 # within one round trip, at most about 1 s.
@@ -129,7 +129,7 @@
     cap_fell: bool = False
     raise_at: float = -math.inf
     turn_began: float | None = None
-    away_until: float = -math.inf
+    grows_from: float = -math.inf
     unreadable_since: float | None = None
     unaccounted: bool = False
     failures: int = 0
@@ -568,7 +568,7 @@
         )
         task = unit if any(unit) else account.last_need
         turn_ends = self._turn_ends(account, most, task, sharers, others_want, now)
-        is_away = bool(others_want) and now < account.away_until
+        may_not_grow = bool(others_want) and now < account.grows_from
         targets, ceiling, contended = [], [NO_LIMIT, NO_LIMIT, NO_LIMIT], False
         for index in range(3):
             if not limits[index]:
@@ -596,7 +596,7 @@
             elif may_return_all:
                 target = 0
             else:
-                target = part.held if is_away else part.grown()
+                target = part.held if may_not_grow else part.grown()
                 if part.lack and target <= part.held:
                     target, ceiling[index] = part.shrunk(turn_ends)
             targets.append(target)
@@ -611,8 +611,8 @@
         account.ceiling = (ceiling[0], ceiling[1], ceiling[2])
         if turn_ends and any(targets[i] < account.granted[i] for i in range(3)):
             account.turn_began = None
-            turns = min(len(others_want), MAX_TURNS_AWAY)
-            account.away_until = now + TURN_S * turns
+            turns = min(len(others_want), MAX_SKIPPED_TURNS)
+            account.grows_from = now + TURN_S * turns
         wanted = [0, 0, 0]
         if usage.waiting != ZERO and any(account.others):
             for index in range(3):
--- a/tests/workload/allotment_sim.py
+++ b/tests/workload/allotment_sim.py
@@ -72,7 +72,7 @@
 
 
 class Simulation:
-    """Store, owners and tasks; ``faults`` holds the fates of the next writes."""
+    """Store, owners and tasks; ``faults`` holds what becomes of the next writes."""
 
     def __init__(self, caps, partitions=("a", "b", "c"), trip_s=0.05, seed=0):
         self.rng = random.Random(seed)
@@ -157,7 +157,7 @@
 
     def send(self, owner, writes):
         self.calls += 1
-        fate = self.faults.pop(0) if self.faults else "done"
+        fault = self.faults.pop(0) if self.faults else "done"
         claim = owner.claim
 
         def commit():
@@ -195,18 +195,18 @@
             if owner.current:
                 owner.allotments.in_doubt(writes)
 
-        if owner.cut_off or fate == "down":
+        if owner.cut_off or fault == "down":
             self.at(self.trip_s, lambda: owner.allotments.refused(writes, {}))
             return
-        if fate in ("done", "repeated"):
+        if fault in ("done", "repeated"):
             self.at(self.trip_s / 2, done)
-        if fate == "repeated":
+        if fault == "repeated":
             self.at(self.rng.uniform(0.0, 12.0), commit)
-        if fate == "lost":
+        if fault == "lost":
             self.at(self.trip_s / 2, commit)
-        if fate == "late":
+        if fault == "late":
             self.at(self.rng.uniform(0.7, 12.0), commit)
-        if fate in ("lost", "late", "dropped"):
+        if fault in ("lost", "late", "dropped"):
             self.at(0.7, lost)
 
     def store(self, tenant, value):
@@ -257,7 +257,7 @@
 
             self.at(self.rng.uniform(0.0, CONFIG_DELAY_S), apply)
 
-    def heal(self):
+    def end_faults(self):
         """End all faults; cut-off owners read the records again."""
         self.faults = []
         for owner in self.owners.values():
--- a/tests/workload/test_allotments.py
+++ b/tests/workload/test_allotments.py
@@ -16,7 +16,7 @@
 
 PARTITIONS = ("a", "b", "c")
 TENANTS = {"t1": task(10_000), "t2": Resources(20_000)}
-FATES = ("done", "lost", "dropped", "late", "repeated", "down")
+FAULTS = ("done", "lost", "dropped", "late", "repeated", "down")
 CAP = task(10_000)
 CAPS = (3000, 6000, 10_000, 16_000, 30_000)
 partitions = st.sampled_from(PARTITIONS)
@@ -51,9 +51,9 @@
     def wait(self, seconds):
         self.sim.run(seconds)
 
-    @rule(fates=st.lists(st.sampled_from(FATES), min_size=1, max_size=4))
-    def break_writes(self, fates):
-        self.sim.faults = list(fates)
+    @rule(faults=st.lists(st.sampled_from(FAULTS), min_size=1, max_size=4))
+    def break_writes(self, faults):
+        self.sim.faults = list(faults)
 
     @rule(trip_s=st.sampled_from((0.004, 0.1, 1.0)))
     def change_round_trip(self, trip_s):
@@ -85,7 +85,7 @@
     @rule(partition=partitions, tenant=tenants)
     def free_cap_is_had_soon(self, partition, tenant):
         """Check that a task starts within 1.5 s if nothing is broken."""
-        self.sim.heal()
+        self.sim.end_faults()
         self.sim.trip_s = 0.05
         self.sim.drop_waiting()
         self.sim.run(13.0)
@@ -111,7 +111,7 @@
                 assert usable.cpu_m <= entry.cpu_m
 
     def teardown(self):
-        self.sim.heal()
+        self.sim.end_faults()
         self.sim.drop_waiting()
         self.sim.run(75.0)
         for tenant in TENANTS:
--- a/tests/workload/test_ledger.py
+++ b/tests/workload/test_ledger.py
@@ -143,14 +143,14 @@
     run(check)
 
 
-@pytest.mark.parametrize("fate", ["lost", "dropped", "late"])
-def test_lost_reply_is_settled_by_a_retry(fate):
+@pytest.mark.parametrize("fault", ["lost", "dropped", "late"])
+def test_lost_reply_is_settled_by_a_retry(fault):
     async def check(fixture, storage):
         await until(lambda: fixture.ledger.allotments.loaded)
-        storage.faults["commit"] = [fate]
+        storage.faults["commit"] = [fault]
         await until(fixture.ask)
         written = commits(storage)
-        if fate == "lost":
+        if fault == "lost":
             # The watch has reported the write.
             assert len(written) == 1
         else:
