Test learned run times against removal of each part

Also compute the share of ended runs from a difference of logarithms: the quotient of a tiny age and the median underflowed to 0, which hypothesis found.

--- a/src/poplaryard/workload/run_times.py
+++ b/src/poplaryard/workload/run_times.py
@@ -190,7 +190,9 @@
         if age_s <= 0:
             return self.median_s
         center = _residual(self.cdf, 0.5)
-        share = _share_below(self.cdf, math.log(age_s / self.median_s) + center)
+        # The difference of logarithms, as the quotient may be too small for a float.
+        residual = math.log(age_s) - math.log(self.median_s) + center
+        share = _share_below(self.cdf, residual)
         quantile = min(share + (1 - share) / 2, MAX_QUANTILE)
         return max(0.0, self.quantile_s(quantile) - age_s)
 
--- a/tests/workload/test_run_times.py
+++ b/tests/workload/test_run_times.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from poplaryard.workload.expectations import StepExpectations
@@ -39,6 +39,7 @@
 
 
 @given(SAMPLES, NUMBERS, st.integers(0, 9), NUMBERS, NUMBERS)
+@example([], 0.0, 1, 3.0, 5e-324)
 def test_expectations_are_finite_and_monotonic(samples, declared_s, ended, mean, age_s):
     """Guards against estimates that break the order of steps, such as not a number."""
     found = learned(samples)
@@ -330,3 +331,92 @@
         group.submit_timed(f"{number:016x}", 6.0, 1.0)
     group.run(26.0)
     assert group.expectation(f"{39:016x}").median_s == pytest.approx(6.0, rel=0.3)
+
+
+def warm(group, log_spread=0.2, count=70, run_s=1.0):
+    """Let a group learn so much that one more step changes little."""
+    rng = random.Random(3)
+    found = group.partition.expectations.run_times
+    for _ in range(count):
+        found.add("checks", 0, 1.0, run_s * rng.lognormvariate(0, log_spread))
+
+
+def test_ended_tasks_correct_a_step_of_a_well_known_queue():
+    """Guards against a step whose tasks say nothing about each other."""
+    group = TimedGroup(workers=1)
+    warm(group)
+    group.submit_timed(LONG, 6.0, 1.0, count=8, cpu=2000)
+    group.run(7.0)
+    assert group.expectation(LONG).median_s == pytest.approx(6.0, rel=0.5)
+    before = group.expectation(LONG).median_s
+    group.run(7.0)
+    assert before < group.expectation(LONG).median_s < 6.3
+
+
+def test_tail_within_a_step_is_learned():
+    """Guards against copies by a fixed spread, whatever the tail of the queue is."""
+    found = RunTimes()
+    for number in range(100):
+        found.add_within("checks", 7.0 if number % 10 == 0 else 1.0)
+    expected = found.expected("checks", 0, 1.0, 4, 0.0)
+    assert expected.quantile_s(0.97) > 4 * expected.median_s
+    group = TimedGroup(workers=1)
+    for number in range(12):
+        group.slow_tasks[f"{number:016x}.0.0.0"] = 3.0
+        group.submit_timed(f"{number:016x}", 0.5, 0.5, count=4)
+    group.run(20.0)
+    learned_here = group.partition.expectations.run_times
+    expected = learned_here.expected("checks", 0, 0.5, 4, 0.0)
+    assert expected.quantile_s(0.9) > 3 * expected.median_s
+
+
+def test_old_samples_lose_their_weight():
+    """Guards against a prediction that a long past outweighs."""
+    found = RunTimes()
+    for run_s in [1.0] * 400 + [4.0] * 100:
+        found.add("checks", 0, 1.0, run_s)
+    assert found.expected("checks", 0, 1.0).median_s == pytest.approx(4.0, rel=0.3)
+    assert found._queues["checks"].all.weight < 60
+
+
+def test_tail_does_not_shift_the_median():
+    """Guards against the mean of the logarithms in place of the median."""
+    found = RunTimes()
+    for number in range(300):
+        found.add("checks", 0, 3.0, 7.0 if number % 10 == 0 else 1.0)
+    assert found.expected("checks", 0, 3.0).median_s == pytest.approx(1.0, rel=0.1)
+
+
+def test_wide_step_counts_like_one_job():
+    """Guards against one wrong declaration that many tasks repeat."""
+    group = TimedGroup(workers=4)
+    group.submit_timed(LONG, 1.0, 1.0, count=16)
+    group.run(2.0)
+    assert samples(group) == 16
+    all_steps = group.partition.expectations.run_times._queues["checks"].all
+    assert all_steps.weight == pytest.approx(1.0, rel=0.05)
+
+
+def test_run_that_is_usual_for_its_kind_is_not_copied():
+    """Guards against copies in queues whose run times differ widely."""
+    group = TimedGroup(workers=2)
+    warm(group, log_spread=1.0, count=150)
+    group.submit_timed(LONG, 3.0, 1.0, speculative=True)
+    group.run(4.0)
+    assert len(group.starts(f"{LONG}.0.0.0")) == 1
+
+
+def test_median_worker_keeps_the_usual_speed():
+    """Guards against learned times that drift together with all workers' slowness."""
+    group = TimedGroup(workers=3)
+    opened = group.submit_timed(LONG, 1.0, 1.0, count=13).occurrences[0][0]
+    group.run(1.5)
+    workers = group.partition.workers.values()
+    before = {worker.worker_id: worker.slowness for worker in workers}
+    mean = opened.run_times.mean
+    for worker in workers:
+        worker.slowness += 0.5
+    group.partition.advance(group.now)
+    after = {worker.worker_id: worker.slowness for worker in workers}
+    assert after == pytest.approx(before, abs=0.06)
+    assert opened.run_times.mean == pytest.approx(mean + 0.5, abs=0.06)
--- a/tests/workload/test_run_times_stored.py
+++ b/tests/workload/test_run_times_stored.py
@@ -7,6 +7,7 @@
 from poplaryard.workload import owner as owner_module
 from poplaryard.workload import records
 from poplaryard.workload.model import JobState
+from poplaryard.workload.partition import ProgressBatch
 from poplaryard.workload.run_times import NO_RUN_TIME_USES, RunTimes
 from poplaryard.workload.storage import Item
 from tests.workload.builders import job, step
@@ -129,3 +130,29 @@
         fixture.close()
 
     asyncio.run(run())
+
+
+def test_run_times_make_no_transaction_of_their_own(monkeypatch):
+    """Guards against one more transaction where the others are full."""
+    monkeypatch.setattr(owner_module, "RUN_TIMES_PERIOD_S", 0.0)
+    full = owner_module.MAX_TRANSACTION_ENTRIES - owner_module.OVERHEAD_ENTRIES
+
+    async def run():
+        fixture = LearningOwner()
+        owner = await fixture.claim()
+        await owner.start({})
+        owner.partition.expectations.run_times.add("checks", 0, 1.0, 2.0)
+        for count, commits, stored in ((0, 0, False), (full, 1, False), (2, 1, True)):
+            batch = ProgressBatch(
+                {f"{number:016x}": b"{}" for number in range(count)}, {}, {}, ()
+            )
+            monkeypatch.setattr(
+                owner.partition, "take_progress", lambda batch=batch: batch
+            )
+            fixture.storage.calls.clear()
+            assert await owner._write_progress()
+            assert fixture.storage.calls.count("commit") == commits
+            assert (KEY in fixture.storage.items) == stored
+        fixture.close()
+
+    asyncio.run(run())
