--- a/src/poplaryard/workload/expectations.py
+++ b/src/poplaryard/workload/expectations.py
@@ -12,12 +12,11 @@
 
 __all__ = ["StepExpectations"]
 
-# Jobs that get new expectations in one scheduling pass; measured: about 15 us each.
+# Jobs that get new expectations in one scheduling pass, at about 15 us each.
 REFRESH_JOBS = 50
-# Quantile of the run times from which a job's objective is computed. Under the median,
-# a short job of a queue with inaccurate times got the due time of a usual one and ended
-# late: in `bench run-times`, case "cold start", mean of seeds 1 to 5, 75 % of the jobs
-# were in time with the median, 81 % with this, and 81 % with a tenth.
+# Quantile of the run times from which a job's objective is computed. With the median, a
+# short job of a queue with inaccurate times gets the due time of a usual one, waits
+# behind others and ends late.
 OBJECTIVE_QUANTILE = 0.25
 # Slowness (a logarithm) of the median worker from which all workers' is corrected: half
 # of the width of a speed class in `placing`.
