--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import enum
 import functools
 import typing as t
 from dataclasses import dataclass, replace
@@ -35,6 +36,7 @@
 from .run_times import NO_RUN_TIME_USES, RunTimes, RunTimeUses
 from .runtime import Worker
 from .storage import MAX_TRANSACTION_ENTRIES, Change, Item, Storage, Transaction
+from .stored_workers import StoredWorkers, unrestricted
 from .tenancy import is_accessible
 from .tenancy.ledger import AllotmentLedger
 from .watching import PrefixWatcher
@@ -96,6 +98,14 @@
 REMOVAL_BATCH_JOBS = (MAX_TRANSACTION_ENTRIES - OVERHEAD_ENTRIES) // KEYS_PER_JOB
 
 
+class CommitOutcome(enum.Enum):
+    """What is known of a write of an owner."""
+
+    WRITTEN = "written"
+    NOT_WRITTEN = "not written"
+    IN_DOUBT = "in doubt"
+
+
 class WorkerCalls(t.Protocol):
     """Calls to workers; see `poplaryard.platform.WorkerClient`."""
 
@@ -193,15 +203,6 @@
         return LEASE_TTL_S + GRACE_S + self.given_lease_s()
 
 
-def _unrestricted(workers: dict[str, Suspect]) -> set[str]:
-    """Return the workers on which any task may be started by their records."""
-    return {name for name, suspect in workers.items() if _is_unrestricted(suspect)}
-
-
-def _is_unrestricted(suspect: Suspect) -> bool:
-    return suspect.tasks is None and suspect.renewed
-
-
 def with_start_times(
     suspects: dict[str, Suspect], workers: t.Mapping[str, WorkerInfo]
 ) -> dict[str, Suspect]:
@@ -218,11 +219,6 @@
     }
 
 
-def _unrenewed(workers: dict[str, Suspect]) -> set[str]:
-    """Return the workers whose leases are not renewed by their records."""
-    return {name for name, suspect in workers.items() if not suspect.renewed}
-
-
 def _never_ended(identity: records.Identity, revision: int) -> bool:
     return False
 
@@ -302,8 +298,7 @@
         self._workers_lock = asyncio.Lock()
         self._sequence = 0
         self._progress_written = asyncio.Event()
-        self._stored_workers: dict[str, Suspect] = {}
-        self._unrenewed: set[str] = set()
+        self._stored_workers = StoredWorkers({})
         self._has_written = False
         self._starts_in_flight = 0
         self._next_summary_at = clock.now() + SUMMARY_EVERY_S
@@ -342,7 +337,7 @@
         leases_s = limits.given_lease_s() if ended else limits.quarantine_s()
         suspects = with_start_times(await self._load_suspects(), workers)
         loaded_at = self._clock.now()
-        restricted = set(suspects) - _unrestricted(suspects)
+        restricted = set(suspects) - unrestricted(suspects)
         progress, _ = await self._storage.scan(records.progress_prefix(self.group))
         now = self._clock.now()
         self.partition = Partition(
@@ -359,8 +354,7 @@
         )
         if run_times is not None:
             await self._use_run_times(run_times)
-        self._stored_workers = suspects
-        self._unrenewed = _unrenewed(suspects)
+        self._stored_workers = StoredWorkers(suspects)
         self._stored_progress = {item.key: item.value for item in progress}
         watch = PrefixWatcher(
             self._storage,
@@ -375,7 +369,6 @@
         if self.closed.is_set():
             # The group may have got another owner meanwhile.
             return
-        self.partition.allow_starts_on(_unrestricted(self._stored_workers))
         self.loaded = True
         self._meters.count("poplaryard_owner_changes_total", "taken over")
         self._meters.observe("poplaryard_take_over_seconds", self._clock.now() - began)
@@ -561,7 +554,7 @@
                 call = worker.renewal_call(now, self._renewed_lease_s(worker))
             # A call for which the worker may wait delays the next renewal.
             renewed = not waits and (
-                call.deadline_s is not None or worker.worker_id in self._unrenewed
+                call.deadline_s is not None or self._is_unrenewed(worker)
             )
             holding = asyncio.create_task(
                 self._calls.hold(
@@ -604,9 +597,9 @@
             finally:
                 self._waiting_calls.pop(worker.worker_id, None)
             may_be_used = worker.listed and not worker.info.draining
-            if may_be_used and not self._stored_unrestricted(worker.worker_id):
+            if may_be_used and not self._may_run_any_task(worker.worker_id):
                 await self._record_workers({worker.worker_id})
-            elif worker.worker_id in self._unrenewed:
+            elif self._is_unrenewed(worker):
                 await self._update_workers()
             self._wake_loops()
             if worker.acked_seq < worker.seen_seq:
@@ -628,7 +621,7 @@
 
     def _renewed_lease_s(self, worker: Worker) -> float | None:
         """Return the lease to give to a worker's runs, or None for none."""
-        restricted = worker.worker_id in self._unrenewed or worker.restart_suspected
+        restricted = self._is_unrenewed(worker) or worker.restart_suspected
         return self._limits.run_lease_s if worker.reachable and not restricted else None
 
     def _renewal_broke(self, worker: Worker, exc: Exception) -> None:
@@ -661,10 +654,13 @@
             logger.error("unreadable list of workers", extra={"reason": str(exc)})
             return {}
 
-    def _stored_unrestricted(self, worker_id: str) -> bool:
-        """Return whether the store says that the worker may run any task."""
-        stored = self._stored_workers.get(worker_id)
-        return stored is not None and _is_unrestricted(stored)
+    def _may_run_any_task(self, worker_id: str) -> bool:
+        """Return whether the store certainly says that the worker may run any task."""
+        return self._stored_workers.is_unrestricted(worker_id)
+
+    def _is_unrenewed(self, worker: Worker) -> bool:
+        """Return whether the store may say that the worker is given no leases."""
+        return self._stored_workers.is_unrenewed(worker.worker_id)
 
     async def _record_workers(self, added: set[str]) -> None:
         """Record in the store that these workers may run any task.
@@ -673,7 +669,7 @@
         group knows which workers may have runs. Returns early if this process has lost
         the group, since no write of it can succeed any more.
         """
-        while not all(map(self._stored_unrestricted, added)):
+        while not all(map(self._may_run_any_task, added)):
             if self.closed.is_set():
                 return
             if not await self._write_workers(added):
@@ -686,10 +682,11 @@
         What is left of the leases of earlier owners is written with it.
         """
         while not (self._has_written or self.closed.is_set()):
-            if self._stored_workers:
+            if self._stored_workers.known != {}:
                 written = await self._write_workers(added)
             else:
-                written = await self._commit(self._new_transaction())
+                outcome = await self._commit(self._new_transaction())
+                written = outcome is CommitOutcome.WRITTEN
             if not written:
                 await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -700,33 +697,38 @@
         no longer hold runs must not stay stored.
         """
         partition = t.cast(Partition, self.partition)
-        if self._stored_workers != partition.possible_run_holders(self._clock.now()):
+        present = partition.possible_run_holders(self._clock.now())
+        if self._stored_workers.known != present:
             await self._write_workers(set())
 
     async def _write_workers(self, added: set[str]) -> bool:
         partition = t.cast(Partition, self.partition)
         async with self._workers_lock:
-            recorded = all(map(self._stored_unrestricted, added))
+            recorded = all(map(self._may_run_any_task, added))
             if added and recorded and self._has_written:
                 return True
             workers = partition.possible_run_holders(self._clock.now())
             for name in added:
                 suspect = workers.get(name, Suspect())
                 workers[name] = replace(suspect, tasks=None, renewed=True)
-            # Until the outcome of the write is known, the store may hold the old or the
-            # new list, so tasks may be started only on workers in both.
-            in_both = {name for name in workers if self._stored_unrestricted(name)}
-            partition.allow_starts_on(_unrestricted(workers) & in_both)
-            self._unrenewed |= _unrenewed(workers)
+            stored = self._stored_workers
+            stored.write_began(workers)
+            # What the list tells about a worker holds until the outcome is known.
+            partition.allow_starts_on(stored.unrestricted())
             transaction = self._new_transaction()
             value = records.encode(workers)
             transaction.puts.append((records.workers_key(self.group), value, 0))
-            if not await self._commit(transaction):
-                return False
-            self._stored_workers = workers
-            self._unrenewed = _unrenewed(workers)
-            partition.allow_starts_on(_unrestricted(workers))
-            return True
+            outcome = CommitOutcome.IN_DOUBT
+            try:
+                outcome = await self._commit(transaction)
+            finally:
+                if outcome is CommitOutcome.WRITTEN:
+                    stored.written(workers)
+                elif outcome is CommitOutcome.NOT_WRITTEN:
+                    stored.not_written()
+                else:
+                    stored.write_in_doubt()
+            return outcome is CommitOutcome.WRITTEN
 
     # Scheduling
 
@@ -738,6 +740,7 @@
                 self._spawn(self._ledger.run()).add_done_callback(self._on_loop_done)
             if self.has_authority():
                 partition.sole_owner = self.has_lease()
+                partition.allow_starts_on(self._stored_workers.unrestricted())
                 partition.advance(now)
                 self._ledger.pass_ended()
                 self._send_orders()
@@ -986,7 +989,7 @@
         for begin in range(0, len(entries), size):
             transaction = self._new_transaction()
             transaction.puts = entries[begin : begin + size]
-            if not await self._commit(transaction):
+            if await self._commit(transaction) is not CommitOutcome.WRITTEN:
                 partition.progress_not_written(batch)
                 if run_times is not None:
                     run_times.changed = True
@@ -1024,8 +1027,8 @@
         """Return a transaction that fails if the group has another owner."""
         return Transaction(expected={records.claim_key(self.group): self.revision})
 
-    async def _commit(self, transaction: Transaction) -> bool:
-        """Commit a transaction of the owner; return True if it is known to be written.
+    async def _commit(self, transaction: Transaction) -> CommitOutcome:
+        """Commit a transaction of the owner.
 
         A write without an answer may be carried out seconds later. Every write replaces
         the sequence key and requires its last revision, so a delayed write fails
@@ -1033,7 +1036,7 @@
         """
         async with self._commit_lock:
             if self.closed.is_set():
-                return False
+                return CommitOutcome.NOT_WRITTEN
             key = records.sequence_key(self.group)
             transaction.expected[key] = self._sequence
             transaction.puts.append((key, self._identity, 0))
@@ -1042,23 +1045,27 @@
             except (StoreDown, StoreReplyLost, LeaseLost) as exc:
                 extra = {"group": self.group, "reason": exc.detail}
                 logger.warning("write failed", extra=extra)
-                return False
+                if isinstance(exc, StoreReplyLost):
+                    return CommitOutcome.IN_DOUBT
+                return CommitOutcome.NOT_WRITTEN
             if isinstance(found, int):
                 self._sequence = found
                 self._has_written = True
-                return True
+                self._stored_workers.later_write_succeeded()
+                return CommitOutcome.WRITTEN
             present = {item.key: item.revision for item in found if item is not None}
             if present.get(records.claim_key(self.group)) == self.revision:
                 # This write failed because an earlier one, whose reply was lost, has
                 # changed the sequence key.
                 self._sequence = present.get(key, 0)
+                self._stored_workers.earlier_write_carried_out()
                 logger.info(
                     "earlier write was carried out", extra={"group": self.group}
                 )
-                return False
+                return CommitOutcome.NOT_WRITTEN
         logger.warning("group has another owner", extra={"group": self.group})
         self.abandon()
-        return False
+        return CommitOutcome.NOT_WRITTEN
 
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, t.Any]) -> asyncio.Task[t.Any]:
         task = asyncio.create_task(work)
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -734,6 +734,45 @@
     asyncio.run(run())
 
 
+async def until_written_as_silent(fixture):
+    """Let a worker fall silent, and wait until its owner has tried to record that."""
+    fixture.sims["w1"].unreachable = True
+    worker = fixture.owner.partition.workers["w1"]
+    await until(lambda: not worker.reachable and CLOCK.now() > worker.clock_at + 1.0)
+    await until_commit(fixture.storage)
+
+
+async def until_commit(storage):
+    calls = len(storage.calls)
+    await until(lambda: "commit" in storage.calls[calls:])
+
+
+@pytest.mark.parametrize("fault", ["down", "dropped", "late"])
+def test_worker_that_was_silent_during_a_failed_write_is_used_again(fault):
+    """Guards against idle workers that get no tasks once the store answers again."""
+
+    async def run():
+        fixture = OwnerFixture()
+        owner = await fixture.claim()
+        await owner.start(fixture.infos())
+        key = records.workers_key("desk")
+        # The addresses are added by the first of the regular writes.
+        await until(lambda: b"10.0.0.1" in fixture.storage.items[key].value)
+        fixture.storage.faults["commit"] = [fault] * 1000
+        await until_written_as_silent(fixture)
+        fixture.sims["w1"].unreachable = False
+        fixture.storage.faults["commit"] = []
+        await fixture.storage.deliver()
+        spec = job(JOB, step(1, label="r-of-w1"))
+        info = replace(fixture.sims["w1"].info, labels=("a", "r-of-w1"))
+        owner.worker_listed(info)
+        await fixture.store(spec)
+        await until(lambda: owner.state(JOB) is JobState.DONE)
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_owner_that_ends_at_once_leaves_the_leases_of_earlier_owners_recorded():
     """Guards against a third owner that only waits for the leases of the second one."""
 
