--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -300,6 +300,8 @@
         self._progress_written = asyncio.Event()
         self._stored_workers = StoredWorkers({})
         self._has_written = False
+        # Finished jobs that are still to be removed from the store.
+        self._expired: list[str] = []
         self._starts_in_flight = 0
         self._next_summary_at = clock.now() + SUMMARY_EVERY_S
         self._next_prune_at = clock.now() + WORKERS_UPDATE_PERIOD_S
@@ -1008,20 +1010,26 @@
         return expectations.run_times if expectations.run_times.changed else None
 
     async def _remove_finished(self) -> None:
-        """Remove jobs whose retention time has passed from the store."""
+        """Remove jobs whose retention time has passed from the store.
+
+        Those whose removal fails are left for the next time.
+        """
         partition = t.cast(Partition, self.partition)
         before = self._clock.wall() - self._limits.retention_s - RETENTION_SLACK_S
-        expired = partition.forget_finished(before)
-        for begin in range(0, len(expired), REMOVAL_BATCH_JOBS):
+        self._expired += partition.forget_finished(before)
+        while self._expired:
+            batch = self._expired[:REMOVAL_BATCH_JOBS]
             transaction = self._new_transaction()
-            for job_id in expired[begin : begin + REMOVAL_BATCH_JOBS]:
+            for job_id in batch:
                 transaction.removes += [
                     records.home_key(job_id),
                     records.job_key(self.group, job_id),
                     records.cancel_key(self.group, job_id),
                     records.progress_key(self.group, job_id),
                 ]
-            await self._commit(transaction)
+            if await self._commit(transaction) is not CommitOutcome.WRITTEN:
+                return
+            del self._expired[: len(batch)]
 
     def _new_transaction(self) -> Transaction:
         """Return a transaction that fails if the group has another owner."""
--- a/tests/workload/test_owner.py
+++ b/tests/workload/test_owner.py
@@ -617,6 +617,26 @@
     asyncio.run(run())
 
 
+def test_finished_jobs_are_removed_once_the_store_answers_again(monkeypatch):
+    """Guards against jobs that stay in the store if their removal fails."""
+    monkeypatch.setattr(owner_module, "REMOVAL_PERIOD_S", 0.1)
+    monkeypatch.setattr(owner_module, "RETENTION_SLACK_S", -120.0)
+
+    async def run():
+        fixture = OwnerFixture()
+        owner = await fixture.claim()
+        await owner.start(fixture.infos())
+        await fixture.store(job())
+        await until(lambda: owner.state(JOB) is JobState.DONE)
+        fixture.storage.faults["commit"] = ["down", "dropped"]
+        await until(lambda: owner.state(JOB) is None)
+        key = records.job_key("desk", JOB)
+        await until(lambda: key not in fixture.storage.items)
+        fixture.close()
+
+    asyncio.run(run())
+
+
 def test_returning_worker_is_recorded_before_it_is_used():
     """Guards against a later owner that does not know that the worker may have runs."""
 
