--- a/src/poplaryard/platform/front.py
+++ b/src/poplaryard/platform/front.py
@@ -15,6 +15,7 @@
 from ..workload.refusals import retry_after_s
 from ..workload.relay import RELAY_PATH, answer_relayed
 from ..workload.tenancy import KeyOutcome, Verdict
+from ..workload.withdrawals import WITHDRAWN_S
 from .codec import DecodeFailed, decode_submission
 
 __all__ = ["PlatformFrontend", "Response"]
@@ -216,6 +217,8 @@
             return Response(200, {})
         if outcome is SubmitOutcome.REFUSED:
             return Response(503, retry_after_s=retry_after_s(spec))
+        if outcome is SubmitOutcome.WITHDRAWN:
+            return Response(503, retry_after_s=WITHDRAWN_S)
         if outcome is SubmitOutcome.CONFLICT:
             return Response(409)
         # The job may have been stored; the client has to send it again.
--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -37,12 +37,14 @@
 class SubmitOutcome(enum.Enum):
     """Outcome of the submission of a job.
 
-    With `CONFLICT` the id is that of another tenant's job, and nothing was stored.
+    With `CONFLICT` the id is that of another tenant's job, and nothing was stored. With
+    `WITHDRAWN` the job was cancelled before it was stored, and is not stored.
     """
 
     STORED = "stored"
     REFUSED = "refused"
     CONFLICT = "conflict"
+    WITHDRAWN = "withdrawn"
     UNKNOWN = "unknown"
 
 
@@ -246,16 +248,24 @@
         present = {item.key: item for item in found if isinstance(item, Item)}
         known: list[_Submission] = []
         others: list[_Submission] = []
+        withdrawn: list[_Submission] = []
         for submission in batch:
-            if submission.key in present:
-                conflict = submission.conflicts_with(present[submission.key])
-                (others if conflict else known).append(submission)
+            item = present.get(submission.key)
+            if item is None:
+                continue
+            if records.is_withdrawn(item.value):
+                withdrawn.append(submission)
+            elif submission.conflicts_with(item):
+                others.append(submission)
+            else:
+                known.append(submission)
         for submission in known:
             item = present[submission.key]
             if submission.in_doubt and submission.stored_as(item):
                 self._on_stored(list(submission.parts), item.revision)
         self._resolve(known, SubmitOutcome.STORED, None)
         self._resolve(others, SubmitOutcome.CONFLICT, None)
+        self._resolve(withdrawn, SubmitOutcome.WITHDRAWN, None)
         return [submission for submission in batch if submission.key not in present]
 
     def _resolve(
--- a/src/poplaryard/workload/directory.py
+++ b/src/poplaryard/workload/directory.py
@@ -21,7 +21,7 @@
 )
 from .layout import MIN_PARTITION_WORKERS, Layout
 from .model import JobSpec, WorkerInfo
-from .storage import Change, Storage
+from .storage import Change, Item, Storage
 from .tenancy import is_accessible
 
 __all__ = ["PEER_TIMEOUT_S", "Directory"]
@@ -207,6 +207,12 @@
         if len(self._homes) > MAX_KNOWN_HOMES:
             del self._homes[next(iter(self._homes))]
 
+    def remember_stored_homes(self, job_id: str, item: Item) -> None:
+        """Keep the homes and the tenant that the key of a job's homes tells."""
+        partitions = records.decode_homes(item.value)
+        tenant = records.decode_home_tenant(item.value)
+        self.remember_homes(job_id, partitions, tenant)
+
     async def homes_of(self, job_id: str, tenant: str | None = None) -> tuple[str, ...]:
         """Return the partitions of a job; empty if there is no such job.
 
@@ -219,16 +225,17 @@
         known = self._homes.get(job_id)
         if known is None:
             item = await self._storage.get(records.home_key(job_id))
-            if item is None:
+            if item is None or records.is_withdrawn(item.value):
                 return ()
-            known = (
-                records.decode_homes(item.value),
-                records.decode_home_tenant(item.value),
-            )
-            self.remember_homes(job_id, *known)
+            self.remember_stored_homes(job_id, item)
+            known = self._homes[job_id]
         homes, job_tenant = known
         return homes if is_accessible(job_tenant, tenant) else ()
 
+    def knows_job(self, job_id: str) -> bool:
+        """Return whether there certainly is a job, accessible to a tenant or not."""
+        return job_id in self._homes
+
     # Owners
 
     def owner_address(self, partition: str) -> str | None:
--- a/src/poplaryard/workload/meters.py
+++ b/src/poplaryard/workload/meters.py
@@ -13,6 +13,7 @@
 
 _COUNTERS = {
     "poplaryard_jobs_total": "Jobs handed in, by outcome.",
+    "poplaryard_ids_withdrawn_total": "Unknown jobs that were cancelled.",
     "poplaryard_jobs_finished_total": "Jobs that this owner finished, by state.",
     "poplaryard_key_checks_total": "Checks of tenants' keys, by outcome.",
     "poplaryard_starts_total": "Orders to start a run, by outcome.",
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -33,6 +33,7 @@
 from .supervision import run_restarting
 from .tenancy import KeyPolicy, RefusalLog, Verdict, cap_refusal
 from .watching import PrefixWatcher
+from .withdrawals import Withdrawals
 
 __all__ = ["Node", "NodeConfig", "StoreSchema", "Unavailable", "strength"]
 
@@ -236,6 +237,7 @@
             self._directory, storage, self._answering_owner, self._sole_owner
         )
         self._acceptance = Acceptance(storage, self._notify_owners)
+        self._withdrawals = Withdrawals(storage, clock, self.meters)
         self._identity = records.Identity(
             cfg.process, uuid.uuid4().hex, cfg.peer_address
         )
@@ -383,6 +385,7 @@
         """Cancel all tasks and wait for their end."""
         for owner in self.owners.values():
             owner.abandon()
+        self._withdrawals.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -460,6 +463,8 @@
     ) -> bool:
         """Cancel a job; return False if there is no such job for the tenant, if any.
 
+        There will be none later either: a write of it that is on its way has no effect.
+
         Raises
         ------
         Unavailable
@@ -467,6 +472,11 @@
         """
         try:
             homes = await self._directory.homes_of(job_id, tenant)
+            if not homes and not self._directory.knows_job(job_id):
+                stored = await self._withdrawals.withdraw(job_id)
+                if stored is not None:
+                    self._directory.remember_stored_homes(job_id, stored)
+                    homes = await self._directory.homes_of(job_id, tenant)
             if not homes:
                 return False
             entries = [(records.cancel_key(home, job_id), b"1", 0) for home in homes]
--- a/src/poplaryard/workload/records.py
+++ b/src/poplaryard/workload/records.py
@@ -16,6 +16,7 @@
     "Identity",
     "Member",
     "StoredJobs",
+    "WITHDRAWN",
     "allotment_key",
     "allotment_prefix",
     "cancel_key",
@@ -37,6 +38,7 @@
     "encode_allotment",
     "encode_homes",
     "home_key",
+    "is_withdrawn",
     "job_key",
     "job_prefix",
     "LAYOUT_SUFFIX",
@@ -51,6 +53,8 @@
 
 CANCEL_SUFFIX = ".cancel"
 LAYOUT_SUFFIX = ".layout"
+# Value of the key of a job's homes while no job may be stored under the id.
+WITHDRAWN = b""
 
 _encoder = msgspec.json.Encoder()
 _jobs = msgspec.json.Decoder(JobSpec)
@@ -165,6 +169,11 @@
     return f"home/{job_id}"
 
 
+def is_withdrawn(value: bytes) -> bool:
+    """Return whether the key of a job's homes marks the id of the job as withdrawn."""
+    return value == WITHDRAWN
+
+
 def encode_homes(partitions: t.Iterable[str], tenant: str = "") -> bytes:
     """Encode the names of the partitions to which a job belongs, and of its tenant.
 
--- a/tests/workload/test_homes_stateful.py
+++ b/tests/workload/test_homes_stateful.py
@@ -6,8 +6,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from poplaryard.clock import SystemClock
+from poplaryard.exceptions import StoreDown, StoreReplyLost
 from poplaryard.workload import records
 from poplaryard.workload.acceptance import Acceptance, SubmitOutcome
+from poplaryard.workload.meters import Meters
+from poplaryard.workload.withdrawals import Withdrawals
 from tests.workload.builders import job
 from tests.workload.fakes import MemoryStorage
 
@@ -24,7 +28,8 @@
 
     Some jobs have parts in several partitions. Guards against a job or a part that is
     stored twice, which would run twice, or only in some of its homes, against a job
-    that is called stored and is not, and against one that is called refused and runs.
+    that is called stored and is not, against one that is called refused and runs, and
+    against one that is stored after its id was withdrawn.
     """
 
     def __init__(self):
@@ -33,6 +38,8 @@
         self.storage = MemoryStorage()
         self.outcomes = {job_id: [] for job_id in IDS}
         self.notified = []
+        self.withdrawn = set()
+        self.withdrawals = Withdrawals(self.storage, SystemClock(), Meters())
         self.acceptances = [
             Acceptance(self.storage, self._jobs_stored) for _ in range(PROCESSES)
         ]
@@ -70,6 +77,16 @@
         for (_, job_id, _, _), outcome in zip(submissions, results, strict=True):
             self.outcomes[job_id].append(outcome)
 
+    @rule(job_id=st.sampled_from(IDS), fault=st.sampled_from(FAULTS))
+    def withdraw(self, job_id, fault):
+        self.storage.faults["commit"] = [fault]
+        try:
+            stored = self.loop.run_until_complete(self.withdrawals.withdraw(job_id))
+        except (StoreDown, StoreReplyLost):
+            return
+        if stored is None:
+            self.withdrawn.add(job_id)
+
     @rule()
     def carry_out_late_writes(self):
         self.storage.faults["commit"] = []
@@ -84,17 +101,23 @@
                 if records.job_key(partition, job_id) in self.storage.items
             ]
             homes = self.storage.items.get(records.home_key(job_id))
-            expected = records.decode_homes(homes.value) if homes is not None else ()
+            expected = ()
+            if homes is not None and not records.is_withdrawn(homes.value):
+                expected = records.decode_homes(homes.value)
             assert tuple(found) == expected
+            assert not (found and job_id in self.withdrawn)
 
     @invariant()
     def outcomes_are_true(self):
         for job_id, outcomes in self.outcomes.items():
-            stored = records.home_key(job_id) in self.storage.items
+            homes = self.storage.items.get(records.home_key(job_id))
+            stored = homes is not None and not records.is_withdrawn(homes.value)
             if SubmitOutcome.STORED in outcomes:
                 assert stored
             if set(outcomes) <= {SubmitOutcome.REFUSED}:
                 assert not stored
+            if SubmitOutcome.WITHDRAWN in outcomes:
+                assert not stored
 
     @invariant()
     def owners_are_told_of_jobs_in_their_partitions_only(self):
@@ -102,6 +125,8 @@
             assert records.job_key(partition, job_id) in self.storage.items
 
     def teardown(self):
+        self.withdrawals.close()
+        self.loop.run_until_complete(asyncio.sleep(0))
         self.loop.close()
 
 
