--- a/src/poplaryard/workload/acceptance.py
+++ b/src/poplaryard/workload/acceptance.py
@@ -4,13 +4,14 @@
 import enum
 import random
 import typing as t
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 
 from ..exceptions import LeaseLost, StoreDown, StoreReplyLost
 from ..limits import backoff_s
 from ..logs import log_failure, logger
 from . import records
+from .calls import MAX_CALL_DELAY_S
 from .model import JobSpec
 from .storage import MAX_TRANSACTION_ENTRIES, Item, Storage, Transaction
 from .tenancy import is_accessible
@@ -126,6 +127,23 @@
         self._rng = random.Random()
         self._waiting: deque[_Submission] = deque()
         self._commits: set[asyncio.Task[None]] = set()
+        # Submissions that have no outcome yet, by the key of their homes.
+        self._open: Counter[str] = Counter()
+        # Time until which writes without an answer may take effect, by the same key.
+        self._in_doubt_until: dict[str, float] = {}
+
+    def refusal(self, job_id: str) -> SubmitOutcome:
+        """Return the outcome of a submission that is not tried.
+
+        It is no refusal if another one of the same id may still be stored.
+        """
+        return self._refusal(records.home_key(job_id), 0)
+
+    def _refusal(self, key: str, open_count: int) -> SubmitOutcome:
+        now = asyncio.get_running_loop().time()
+        if self._open[key] > open_count or self._in_doubt_until.get(key, now) > now:
+            return SubmitOutcome.UNKNOWN
+        return SubmitOutcome.REFUSED
 
     async def submit(
         self, *parts: JobSpec, retry_window_s: float = 0.0
@@ -140,11 +158,12 @@
             Time for which a write whose reply was lost may be repeated, in seconds.
         """
         if self.isolated or len(self._waiting) >= MAX_WAITING:
-            return SubmitOutcome.REFUSED
+            return self.refusal(parts[0].job_id)
         loop = asyncio.get_running_loop()
         submission = _Submission(
             parts, loop.create_future(), loop.time() + retry_window_s
         )
+        self._open[submission.key] += 1
         self._waiting.append(submission)
         self._start_commits()
         return await submission.fut
@@ -179,21 +198,43 @@
             while batch:
                 batch = await self._write(batch)
         except StoreDown as exc:
-            not_stored = [submission for submission in batch if not submission.in_doubt]
-            self._resolve(not_stored, SubmitOutcome.REFUSED, exc)
+            for submission in batch:
+                if not submission.in_doubt:
+                    outcome = self._refusal(submission.key, 1)
+                    self._resolve([submission], outcome, exc)
             self._retry(
                 [submission for submission in batch if submission.in_doubt], exc
             )
         except (StoreReplyLost, LeaseLost) as exc:
             for submission in batch:
                 submission.lost_replies += 1
+            self._note_doubt(batch)
             self._retry(batch, exc)
         except BaseException:
+            self._note_doubt(batch)
             for submission in batch:
+                self._close(submission)
                 if not submission.fut.done():
                     submission.fut.set_result(SubmitOutcome.UNKNOWN)
             raise
 
+    def _note_doubt(self, batch: list[_Submission]) -> None:
+        """Note that the writes of a batch may take effect later."""
+        now = asyncio.get_running_loop().time()
+        for key, until in list(self._in_doubt_until.items()):
+            if until > now:
+                break
+            del self._in_doubt_until[key]
+        for submission in batch:
+            # The entries stay sorted by time.
+            self._in_doubt_until.pop(submission.key, None)
+            self._in_doubt_until[submission.key] = now + MAX_CALL_DELAY_S
+
+    def _close(self, submission: _Submission) -> None:
+        self._open[submission.key] -= 1
+        if not self._open[submission.key]:
+            del self._open[submission.key]
+
     def _retry(self, batch: list[_Submission], exc: Exception) -> None:
         """Schedule another write of jobs in doubt whose callers still wait."""
         if not batch:
@@ -273,6 +314,7 @@
     ) -> None:
         """Give the outcome to the callers that wait, and log it."""
         for submission in batch:
+            self._close(submission)
             if submission.fut.done():
                 continue
             submission.fut.set_result(outcome)
--- a/src/poplaryard/workload/node.py
+++ b/src/poplaryard/workload/node.py
@@ -446,11 +446,12 @@
     async def submit(self, spec: JobSpec, retry_window_s: float = 0.0) -> SubmitOutcome:
         """Store a job; see `Acceptance.submit`."""
         if self._relayed.store_unreachable:
-            # No write was tried, so it is certain that the job will not run.
+            # No write is tried; only an earlier one of the same id may take effect.
+            outcome = self._acceptance.refusal(spec.job_id)
             extra = {"request": spec.job_id, "reason": "the store does not answer"}
-            logger.info("job refused", extra=extra)
-            self.meters.count("poplaryard_jobs_total", SubmitOutcome.REFUSED.value)
-            return SubmitOutcome.REFUSED
+            logger.info(f"job {outcome.value}", extra=extra)
+            self.meters.count("poplaryard_jobs_total", outcome.value)
+            return outcome
         began = self._clock.now()
         parts = await self._directory.assign_homes(spec, self._local_load)
         accepted = await self._acceptance.submit(*parts, retry_window_s=retry_window_s)
--- a/tests/workload/test_acceptance.py
+++ b/tests/workload/test_acceptance.py
@@ -124,6 +124,38 @@
     asyncio.run(run())
 
 
+def test_job_is_not_refused_while_an_earlier_write_of_it_may_take_effect():
+    """Guards against "it does not run" about a job that is stored seconds later."""
+
+    async def run():
+        storage = MemoryStorage()
+        storage.faults["commit"] = ["late", "down"]
+        acceptance = Acceptance(storage, lambda specs, revision: None)
+        assert await acceptance.submit(job()) is SubmitOutcome.UNKNOWN
+        assert await acceptance.submit(job()) is SubmitOutcome.UNKNOWN
+        acceptance.isolated = True
+        assert await acceptance.submit(job()) is SubmitOutcome.UNKNOWN
+        assert await acceptance.submit(job("b" * 16)) is SubmitOutcome.REFUSED
+        await storage.deliver()
+        assert records.job_key("desk", "a" * 16) in storage.items
+
+    asyncio.run(run())
+
+
+def test_job_is_not_refused_while_an_earlier_submission_of_it_waits():
+    """Guards against "it does not run" about a job that is about to be written."""
+
+    async def run():
+        acceptance = Acceptance(MemoryStorage(), lambda specs, revision: None)
+        first = asyncio.create_task(acceptance.submit(job()))
+        await asyncio.sleep(0)
+        acceptance.isolated = True
+        assert await acceptance.submit(job()) is SubmitOutcome.UNKNOWN
+        assert await first is SubmitOutcome.STORED
+
+    asyncio.run(run())
+
+
 def test_isolated_process_answers_at_once():
     """Guards against callers that wait for a process that can't serve them."""
 
