Let cut-off owners of the allotment simulation read their configuration

TestAllotments failed once: a tenant got no room at an owner although its cap was free. The example, played step by step, shows that this owner kept a cap of 3000 while 6000 was in force, 6 s after its cut had ended.

Cause, in the simulation: an owner that is cut off was to apply the configuration again 0.5 s later, but the nested function that it scheduled was by then the one of the last owner. An owner that had been cut off never applied it, unless it was the last.

Change: the owner is an argument of what is scheduled. Nothing is checked less than before: owners now go from a cut to the newest cap. The example passes.

--- a/tests/workload/allotment_sim.py
+++ b/tests/workload/allotment_sim.py
@@ -1,6 +1,7 @@
 """Simulation of owners that share tenants' caps through a store, in virtual time."""
 
 import collections
+import functools
 import heapq
 import itertools
 import random
@@ -247,15 +248,16 @@
         self.caps_sent.append(self.caps)
         version, caps = len(self.caps_sent), self.caps
         for owner in self.owners.values():
+            delay_s = self.rng.uniform(0.0, CONFIG_DELAY_S)
+            self.at(delay_s, functools.partial(self.apply, owner, version, caps))
 
-            def apply(owner=owner):
-                if owner.cut_off:
-                    self.at(0.5, apply)
-                elif version > owner.version:
-                    owner.version, owner.caps = version, caps
-                    owner.allotments.configure(caps)
-
-            self.at(self.rng.uniform(0.0, CONFIG_DELAY_S), apply)
+    def apply(self, owner, version, caps):
+        """Apply a configuration at an owner, which reads it later if it is cut off."""
+        if owner.cut_off:
+            self.at(0.5, functools.partial(self.apply, owner, version, caps))
+        elif version > owner.version:
+            owner.version, owner.caps = version, caps
+            owner.allotments.configure(caps)
 
     def end_faults(self):
         """End all faults; cut-off owners read the records again."""
