--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -191,7 +191,9 @@
                 candidates = _permitted(step, usable, now)
                 continue
             only = task.retry_worker
-            allowed = [w for w in candidates if only in (None, w)]
+            allowed = candidates
+            if only is not None:
+                allowed = [worker for worker in candidates if worker is only]
             found = placing.place(step, task, allowed, self._reservations.free)
             if found is not None:
                 self._start(task, found, task.last_run_number + 1, now)
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -290,7 +290,7 @@
             and not self.gone
             and not self.info.draining
             and not self.rejected_runs
-            and not self.has_unsettled_strays
+            and not (self.strays and self.has_unsettled_strays)
             and not self.restart_suspected
             and self.described
             and now >= self.paused_until
@@ -499,9 +499,7 @@
 
     @property
     def is_held(self) -> bool:
-        """Whether late starts keep it from being started anywhere."""
-        if not self.strays:
-            return False
+        """Whether its late starts keep it from being started anywhere."""
         spec = self.step.spec
         return (
             not spec.lasting
@@ -650,7 +648,7 @@
             for task in self.tasks
             if not task.done
             and not task.runs
-            and not task.is_held
+            and not (task.strays and task.is_held)
             and task.crash_stored
             and now >= task.not_before
         ]
--- a/src/poplaryard/workload/stored_workers.py
+++ b/src/poplaryard/workload/stored_workers.py
@@ -44,6 +44,7 @@
         # These may be stored as well, or may be later.
         self._in_doubt: list[Workers] = []
         self._writing: Workers | None = None
+        self._update()
 
     @property
     def known(self) -> Workers | None:
@@ -53,8 +54,7 @@
 
     def unrestricted(self) -> set[str]:
         """Return the workers that every list allows any task to be started on."""
-        first, *others = map(unrestricted, self._candidates())
-        return first.intersection(*others)
+        return self._unrestricted
 
     def is_unrestricted(self, worker_id: str) -> bool:
         """Return whether every list allows any task to be started on a worker."""
@@ -73,30 +73,42 @@
     def write_began(self, workers: Workers) -> None:
         """Note that a list is about to be written."""
         self._writing = workers
+        self._update()
 
     def written(self, workers: Workers) -> None:
         """Note that a list has been written."""
         self._writing = None
         self._stored = [workers]
+        self._update()
 
     def not_written(self) -> None:
         """Note that the list that was to be written has had no effect."""
         self._writing = None
+        self._update()
 
     def write_in_doubt(self) -> None:
         """Note that the write of the list has got no answer."""
         if self._writing is not None and self._writing not in self._in_doubt:
             self._in_doubt.append(self._writing)
         self._writing = None
+        self._update()
 
     def later_write_succeeded(self) -> None:
         """Note that some write of the owner has succeeded after those in doubt."""
-        self._in_doubt = []
+        if self._in_doubt:
+            self._in_doubt = []
+            self._update()
 
     def earlier_write_carried_out(self) -> None:
         """Note that one write of those in doubt has taken effect, and no other can."""
         self._stored += self._in_doubt
         self._in_doubt = []
+        self._update()
+
+    def _update(self) -> None:
+        """Derive what every scheduling pass needs from the lists that may be stored."""
+        first, *others = map(unrestricted, self._candidates())
+        self._unrestricted = first.intersection(*others)
 
     def _candidates(self) -> list[Workers]:
         writing = [] if self._writing is None else [self._writing]
