--- a/src/poplaryard/workload/calls.py
+++ b/src/poplaryard/workload/calls.py
@@ -102,10 +102,10 @@
     run : tuple, optional
         Key of the run that it is to start.
     has_ticket : bool
-        Whether it carries a ticket of the advice service, which is valid only for the
-        instance that was up when it was issued, or is up before.
+        Whether it carries a ticket of the advice service. Instances of the worker that
+        start after the ticket was issued refuse it.
     refused_later : bool
-        Whether no instance starts the run any more, even if it is carried out.
+        Whether the present instance and all later ones refuse it.
     """
 
     sent_at: float
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -113,8 +113,8 @@
         Keys of runs that it reported, and that this owner did not adopt but ordered it
         to stop.
     strays : dict of tuple to Stray
-        Starts, by the key of the run, that a later instance may carry out, or that this
-        one may, as they were stopped at an earlier one.
+        Starts without an answer, by the key of the run, that this instance or a later
+        one may carry out although they were ordered to be stopped.
     slowness : float
         Logarithm of its run times relative to other workers'.
     paused_until : float
@@ -441,7 +441,8 @@
     last_run_number : int
         Highest run number used so far.
     strays : list of Stray
-        Starts that a worker may still carry out if it restarts, or has restarted.
+        Starts without an answer that a worker may carry out although they were ordered
+        to be stopped, as it has restarted or may do so.
     late_starts : int
         Number of starts that were added to `strays` since these were last empty.
     avoid : set of str
@@ -490,16 +491,19 @@
 
     @property
     def retry_worker(self) -> Worker | None:
-        """Worker on which alone it may start now; None for no limit, or for none.
+        """The only worker on which it may start while it has late starts, else None.
 
-        The next instance of a worker that may carry a late start out does not run it
-        beside a run of the instance before. But a task that ends would have run before.
+        A late start that the next instance of this worker carries out does not overlap
+        a run there, which has ended with the instance before.
         """
         return self.strays[0].worker if self.strays else None
 
     @property
     def is_held(self) -> bool:
-        """Whether its late starts keep it from being started anywhere."""
+        """Whether its late starts keep it from being started anywhere.
+
+        A task that ends could be done before a late start of it is carried out.
+        """
         spec = self.step.spec
         return (
             not spec.lasting
--- a/src/poplaryard/workload/strays.py
+++ b/src/poplaryard/workload/strays.py
@@ -17,7 +17,7 @@
 
 @dataclass(slots=True, eq=False)
 class Stray:
-    """Start without an answer that was ordered to be stopped.
+    """Start without an answer that was ordered to be stopped and may be late.
 
     Attributes
     ----------
@@ -66,13 +66,15 @@
         self._settle(stray, now)
 
     def _keep_strays(self, worker: Worker, now: float) -> list[Run]:
-        """Return the runs that may have reached the next instance, or still may."""
+        """Return the runs that may have reached the next instance, or still may.
+
+        What an earlier instance has confirmed does not count for the next one.
+        """
         runs = [run for run in worker.runs.values() if run.held_by != worker.born_ms]
         for run in runs:
             run.stop_acked_at = float("inf")
             run.stop_sent_at = float("-inf")
         for stray in worker.strays.values():
-            # The next instance does not know of the stop.
             stray.stop_sent_at, stray.stop_acked_at = float("-inf"), float("inf")
             stray.settled = False
         for call in worker.open_calls.current(now):
