--- a/tests/workload/test_withdrawals.py
+++ b/tests/workload/test_withdrawals.py
@@ -16,7 +16,6 @@
 from poplaryard.workload.withdrawals import BATCH_IDS, MAX_WAITING
 from tests.workload.builders import job
 from tests.workload.fakes import MemoryStorage, make_node
-from tests.workload.test_owner import until
 
 JOB = "a" * 16
 QUEUE = Queue("checks", "desk.example", "/checks/", "desk")
@@ -26,18 +25,33 @@
     return [f"{number:016x}" for number in range(count)]
 
 
-def cancel_while(fault, then=None):
+class StoreDuringCancellation(MemoryStorage):
+    """Store in which a job is cancelled at another process during its first write.
+
+    ``found`` is the answer that the caller gets.
+    """
+
+    found = None
+
+    async def commit(self, transaction):
+        is_first = "commit" not in self.calls
+        try:
+            return await super().commit(transaction)
+        finally:
+            if is_first:
+                self.found = await make_node(self).cancel(QUEUE, JOB)
+
+
+def cancel_while(fault):
     """Cancel a job at one process while another has its write; return the outcomes."""
 
     async def run():
-        storage = MemoryStorage()
-        acceptance = Acceptance(storage, lambda specs, revision: None)
+        storage = StoreDuringCancellation()
         storage.faults["commit"] = [fault]
-        posting = asyncio.create_task(acceptance.submit(job(), retry_window_s=3.0))
-        await until(lambda: storage.calls)
-        found = await make_node(storage).cancel(QUEUE, JOB)
+        acceptance = Acceptance(storage, lambda specs, revision: None)
+        outcome = await acceptance.submit(job(), retry_window_s=3.0)
         await storage.deliver()
-        return storage, found, await posting
+        return storage, storage.found, outcome
 
     return asyncio.run(run())
 
