--- a/tests/platform/test_system.py
+++ b/tests/platform/test_system.py
@@ -390,6 +390,8 @@
         await platform.put("servers/w0", entry(sim, late.ports[0]))
         await until_equal(lambda: len(process.node.owners), 1)
         owner = process.node.owners["desk"]
+        # The owner has no partition before it has read the group from the store.
+        await until_equal(lambda: owner.loaded, True)
         await until_equal(lambda: "w0" in owner.partition.workers, True)
         await asyncio.sleep(0.4)
         await late.start()
