--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -19,6 +19,9 @@
 # crashes, and at most two more starts after three.
 MAX_CRASHES = 3
 MAX_STARTS = 5
+# Longest time without a run that the users accept of a lasting task, in seconds: 6 and 3
+# more while all else is calm.
+LONGEST_WAIT_S = 9.0
 
 
 class CrashingGroup(SimulatedGroup):
@@ -181,6 +184,34 @@
     assert group.state(DEADLY) is JobState.DONE
 
 
+known_red = pytest.mark.xfail(strict=True, reason="issue 55; see KNOWN-RED.txt")
+
+
+@known_red
+@pytest.mark.parametrize("lasting", [False, True])
+@pytest.mark.parametrize("crashes", [3, 6])
+@pytest.mark.parametrize("crash_after_s", [0.5, 2.5])
+def test_sound_task_whose_workers_crash_by_chance_runs_again(
+    crash_after_s, crashes, lasting
+):
+    """Guards against accepted jobs that are given up after crashes of workers."""
+    group = CrashingGroup(8, deadly=(), back_s=1.0)
+    group.submit(job(DEADLY, step(estimate_s=8.0, lasting=lasting)))
+    task = group.partition.jobs[DEADLY].occurrences[0][0].tasks[0]
+    for _ in range(crashes):
+        idle_since = group.now
+        while not task.runs and group.now < idle_since + LONGEST_WAIT_S:
+            group.run(0.05)
+        group.run(crash_after_s)
+        assert group.state(DEADLY) is JobState.RUNNING
+        group.crash(group.sims[task.runs[0].worker.worker_id])
+        group.run(group.back_s + 0.1)
+    group.run(LONGEST_WAIT_S)
+    assert task.runs
+    group.run(10.0)
+    assert group.state(DEADLY) is (JobState.RUNNING if lasting else JobState.DONE)
+
+
 def test_nothing_of_a_job_starts_after_a_task_was_given_up():
     """Guards against starts for a job that ends in the same pass.
 
