--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -19,8 +19,8 @@
 # crashes, and at most two more starts after three.
 MAX_CRASHES = 3
 MAX_STARTS = 5
-# Longest time without a run that the users accept of a lasting task, in seconds: 6 and 3
-# more while all else is calm.
+# Longest time without a run that the users accept of a lasting task, in seconds: 6, and
+# 3 more while all else is calm.
 LONGEST_WAIT_S = 9.0
 
 
