--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -15,7 +15,7 @@
 from .runtime import JobRun, Run, RunPhase, StepRun, Task, Worker
 from .tenancy import CapLimits, Shares, TenantAccounts, Unlimited
 
-__all__ = ["JobTable"]
+__all__ = ["JobTable", "amount_text"]
 
 # Run numbers that a new owner skips after the highest stored one: starts are not
 # written to the store, so the earlier owner may have used higher numbers.
@@ -48,7 +48,7 @@
     return amount.cpu_m + GPU_CPU_M * amount.gpus
 
 
-def _amount(resources: Resources) -> str:
+def amount_text(resources: Resources) -> str:
     """Return an amount for a log line."""
     return f"{resources.cpu_m}m/{resources.mem_mb}MB/{resources.gpus}"
 
@@ -392,13 +392,27 @@
             return False
         self._refused.setdefault(tenant, []).append(need)
         if step.waiting(now):
-            extra = {"used": _amount(used), "need": _amount(need)}
+            extra = {"used": amount_text(used), "need": amount_text(need)}
             available = self.caps.available(tenant)
             if available is not None:
-                extra["available"] = _amount(available)
+                extra["available"] = amount_text(available)
             self._log_tenant("tenant at its cap", tenant, extra, now)
         return False
 
+    def _cap_detail(self, step: StepRun) -> str | None:
+        """Return the amounts if the tenant's cap has refused a step, else None.
+
+        That was in the last pass: to ask again would count as a need of the tenant.
+        """
+        refused = self._refused.get(step.tenant)
+        if not refused:
+            return None
+        need = step.spec.need.times(step.spec.count if step.spec.gang else 1)
+        if not any(earlier.fits_in(need) for earlier in refused):
+            return None
+        used = amount_text(self._accounts.used(step.tenant))
+        return f"{step.tenant} uses {used}, needs {amount_text(need)}"
+
     def _log_tenant(
         self, text: str, tenant: str, extra: dict[str, t.Any], now: float
     ) -> None:
@@ -441,6 +455,14 @@
                 del self._suspects[name]
         return self._suspects
 
+    def _suspects_until(self, now: float) -> dict[str, tuple[Suspect, float]]:
+        """Return the workers that may hold runs of an earlier owner, and until when."""
+        return {
+            name: (suspect, self._suspected_until[name])
+            for name, suspect in self._suspects.items()
+            if now < self._suspected_until[name]
+        }
+
     def waits_for_workers(self, now: float) -> bool:
         """Return whether there are workers that may hold runs of an earlier owner."""
         return bool(self._current_suspects(now))
--- a/src/poplaryard/workload/meters.py
+++ b/src/poplaryard/workload/meters.py
@@ -39,6 +39,8 @@
     "poplaryard_config_age_seconds": "Age of the confirmed configuration.",
     "poplaryard_group": "Figures of the groups that the process owns.",
     "poplaryard_tenant": "Figures of tenants in the groups that the process owns.",
+    "poplaryard_waiting_tasks": "Tasks that have waited for over 3 s, by reason.",
+    "poplaryard_longest_wait_seconds": "Longest wait of such a task, by reason.",
     "poplaryard_log_lines_dropped": "Log lines that nobody read in time.",
     "process_resident_memory_bytes": "Resident memory.",
     "process_cpu_seconds": "Processor time used.",
--- a/src/poplaryard/workload/owner.py
+++ b/src/poplaryard/workload/owner.py
@@ -85,6 +85,11 @@
 JOBS_READ_PERIOD_S = 0.1
 # Time between two log lines on the state of a group, in seconds.
 SUMMARY_EVERY_S = 2.0
+# Fields of `DelayFigures`, by metric.
+DELAY_METRICS = {
+    "poplaryard_waiting_tasks": "tasks",
+    "poplaryard_longest_wait_seconds": "longest_s",
+}
 # Shortest time between two writes of the learned run times, in seconds. They are part
 # of a transaction that is made anyway; a new owner lacks at most the runs since.
 RUN_TIMES_PERIOD_S = 5.0
@@ -469,7 +474,8 @@
         if not self.closed.is_set():
             self._meters.count("poplaryard_owner_changes_total", "given up")
             logger.info("group given up", extra={"group": self.group})
-            self._meters.replace("poplaryard_tenant", self.group, ())
+            for name in ("poplaryard_tenant", *DELAY_METRICS):
+                self._meters.replace(name, self.group, ())
         self.closed.set()
         for task in [*self._tasks, *self._renewals.values()]:
             task.cancel()
@@ -947,6 +953,7 @@
                     labels = {"group": self.group, "figure": name}
                     self._meters.set("poplaryard_group", labels, value)
                 self._write_tenant_figures(partition, now)
+                self._write_delays(partition, now)
             if now >= self._next_prune_at:
                 self._next_prune_at = now + WORKERS_UPDATE_PERIOD_S
                 await self._update_workers()
@@ -963,6 +970,26 @@
         ]
         self._meters.replace("poplaryard_tenant", self.group, samples)
 
+    def _write_delays(self, partition: Partition, now: float) -> None:
+        """Log why tasks have waited for long, and write the figures."""
+
+        def can_call(cost_s: float) -> bool:
+            return self._channels.select(cost_s > SLOW_CALL_S, now) is not None
+
+        try:
+            found = partition.report_delays(now, self.has_authority(), can_call)
+        except Exception as exc:
+            # The owner schedules without it.
+            extra = {"group": self.group}
+            logger.critical("delays not reported", exc_info=exc, extra=extra)
+            return
+        for name, figure in DELAY_METRICS.items():
+            samples = [
+                ({"group": self.group, "reason": reason.value}, getattr(each, figure))
+                for reason, each in found.items()
+            ]
+            self._meters.replace(name, self.group, samples)
+
     async def _wait_for_urgent_progress(self) -> None:
         """Wait for urgent progress, for at most `PROGRESS_WRITE_DELAY_S` seconds."""
         self._write_wake.clear()
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -14,6 +14,8 @@
 from ..resources import ZERO, Resources
 from . import placing
 from .advising import AdvicePlanner
+from .delay_tracking import DelayFigures, DelayTracker
+from .delays import DelayReason, GroupView
 from .homes import PartitionLoad
 from .model import StartOutcome
 from .orders import AdviceRequest, ProgressBatch, StartOrder, StopOrder
@@ -53,6 +55,8 @@
 PREEMPTION_PAUSE_S = 4.0
 # Time between two searches for stragglers, in seconds.
 STRAGGLER_SEARCH_PERIOD_S = 0.25
+# Maximum number of steps for which a report of delays searches the workers.
+MAX_DELAY_SCANS = 50
 # Share of a worker's capacity from which a task counts as large.
 LARGE_TASK_SHARE = 0.25
 
@@ -99,6 +103,7 @@
         self._next_copy_check_at = 0.0
         self._usable_workers: dict[str, Worker] = {}
         self._order: ShareOrder[StepRun] | None = None
+        self._delay_tracker = DelayTracker()
 
     def advance(self, now: float) -> None:
         """Make the decisions that are due: start tasks, and drop runs that are lost."""
@@ -497,14 +502,17 @@
 
     def _expire_runs(self, worker: Worker, now: float) -> None:
         """Drop an unreachable worker's runs if their leases have certainly expired."""
-        lapsed_at = worker.leases_expired_at()
         for run in list(worker.runs.values()):
-            lost_at = lapsed_at
-            if run.held_by != worker.born_ms:
-                lost_at = max(lapsed_at, self._expired_elsewhere_at(run, now))
-            if now > lost_at:
+            if now > self._lost_at(run, now):
                 self._expire_run(run, now, "lease lapsed on a silent worker")
 
+    def _lost_at(self, run: Run, now: float) -> float:
+        """Return when a run on a worker that does not answer has certainly ended."""
+        lapsed_at = run.worker.leases_expired_at()
+        if run.held_by == run.worker.born_ms:
+            return lapsed_at
+        return max(lapsed_at, self._expired_elsewhere_at(run, now))
+
     def _expired_elsewhere_at(self, run: Run, now: float) -> float:
         """Return when a run has expired that a later instance of its worker may hold.
 
@@ -586,3 +594,37 @@
                 max((now - step.job.arrived_at for step in steps), default=0.0), 1
             ),
         }
+
+    def report_delays(
+        self,
+        now: float,
+        has_authority: bool = True,
+        can_call: t.Callable[[float], bool] = lambda cost_s: True,
+    ) -> dict[DelayReason, DelayFigures]:
+        """Log why tasks have waited for long, and return the figures by reason.
+
+        Parameters
+        ----------
+        has_authority : bool
+            Whether orders may be sent.
+        can_call : callable
+            Returns whether a call for advice that takes this many seconds can be made.
+        """
+        view = GroupView(
+            now=now,
+            steps=[step for step in self._open_steps.values() if self._ready(step)],
+            workers=self.workers.values(),
+            startable=self._startable_workers,
+            suspects=self._suspects_until(now),
+            reservations=self._reservations,
+            has_authority=has_authority,
+            is_ending=self.fenced or not self.accepts_starts,
+            sole_owner=self.sole_owner,
+            cap_detail=self._cap_detail,
+            needs_trial=self._needs_trial,
+            lost_at=lambda run: self._lost_at(run, now),
+            lapsed_at=self.leases.lapsed_at,
+            can_call=can_call,
+            scans_left=MAX_DELAY_SCANS,
+        )
+        return self._delay_tracker.report(view)
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -407,6 +407,11 @@
         """Whether its worker is known to have run it for `SETTLED_S`."""
         return self.seen_at - self.sent_at >= SETTLED_S
 
+    @property
+    def last_seen_at(self) -> float:
+        """Time at which its worker was last known to run it; infinity if never."""
+        return max(self.confirmed_at, self.seen_at)
+
     @property
     def key(self) -> tuple[str, int]:
         """Task name and run number, which identify the run."""
@@ -463,6 +468,9 @@
         Instance of the worker of its last trial, unless that has survived.
     trial_began : float
         Time of its last start on trial.
+    waiting_since : float
+        Last time at which one of its former runs was known to be at work; before the
+        first, the time of its creation. No decision depends on it.
     """
 
     name: str
@@ -483,6 +491,10 @@
     trial_host: Worker | None = None
     trial_at: str = ""
     trial_began: float = 0.0
+    waiting_since: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.waiting_since = self.idle_since
 
     @property
     def finished(self) -> bool:
@@ -523,6 +535,8 @@
         """Remove a run that has ended or was lost."""
         self.runs.remove(run)
         self.idle_since = now
+        if run.confirmed_at <= now:
+            self.waiting_since = max(self.waiting_since, run.last_seen_at)
 
 
 @dataclass(slots=True)
