--- a/tests/workload/test_delays.py
+++ b/tests/workload/test_delays.py
@@ -5,6 +5,7 @@
 import itertools
 import json
 import logging
+import pathlib
 from dataclasses import replace
 
 import pytest
@@ -332,6 +333,12 @@
     assert list(figures) == [reason]
 
 
+@pytest.mark.parametrize("reason", Why)
+def test_operators_can_look_up_each_reason(reason):
+    page = pathlib.Path(__file__).parents[2] / "docs" / "OPERATIONS.md"
+    assert f"`{reason.value}`" in page.read_text()
+
+
 def test_tasks_that_run_or_are_not_ready_do_not_wait(caplog):
     group = SimulatedGroup()
     submit(group, step(2, estimate_s=8.0), step(after=(0,)))
