--- a/src/poplaryard/workload/delays.py
+++ b/src/poplaryard/workload/delays.py
@@ -260,8 +260,8 @@
 def _trial_delay(task: Task, place: t.Callable[[], Delay]) -> Delay:
     host = task.trial_host
     if host is not None:
-        detail = f"{host.worker_id} is held; its {len(host.runs)} runs are not settled"
-        return Delay(DelayReason.TRIAL, detail=detail)
+        missing = "has no room yet" if host.runs_settled else "has runs not settled"
+        return Delay(DelayReason.TRIAL, detail=f"{host.worker_id} is held, {missing}")
     delay = place()
     detail = f"{delay.reason}: {delay.detail}" if delay.detail else delay.reason.value
     return Delay(DelayReason.TRIAL, delay.until, detail)
--- a/tests/workload/test_delays.py
+++ b/tests/workload/test_delays.py
@@ -113,6 +113,18 @@
     return group
 
 
+def with_late_start_on_paused_worker():
+    group = SimulatedGroup()
+    submit(group, step(estimate_s=LONG_S, lasting=True))
+    group.deliver_start = lambda run, deadline: StartOutcome.IN_DOUBT
+    while not group.partition.workers["w0"].strays:
+        group.step()
+        group.now += 0.05
+    group.partition.workers["w0"].paused_until = group.now + LONG_S
+    group.run(WAIT_S)
+    return group
+
+
 def with_task(**fields):
     group = SimulatedGroup()
     submit(group)
@@ -142,6 +154,18 @@
     return full(suspected=True)
 
 
+def suspected_beside_unsettled_run():
+    group = SimulatedGroup(workers=1)
+    submit(group)
+    task_of(group).suspected = True
+    group.submit(job("b" * 16))
+    group.partition.workers["w0"].paused_until = group.now + 0.2
+    group.run(0.2)
+    group.now += WAIT_S
+    group.partition.advance(group.now)
+    return group
+
+
 def gang_with_silent_member():
     group = SimulatedGroup()
     submit(group, step(2, cpu=3000, gang=True, estimate_s=LONG_S))
@@ -261,9 +285,16 @@
         (stopping, Why.RUN_STOPPING, None, "run 1 at w"),
         (lambda: with_late_start(False), Why.LATE_START, 9.0, "w"),
         (lambda: with_late_start(True), Why.LATE_START, 9.0, "w"),
+        (
+            with_late_start_on_paused_worker,
+            Why.LATE_START,
+            8.9,
+            "may start only on w0, which is paused",
+        ),
         (lambda: with_task(crash_stored=False), Why.CRASH_NOT_STORED, None, ""),
         (paused, Why.TASK_PAUSED, 5.5, TASK),
         (suspected, Why.TRIAL, None, "no room: needs 1000m/100MB/0"),
+        (suspected_beside_unsettled_run, Why.TRIAL, None, "w0 is held, has runs not"),
         (gang_with_silent_member, Why.GANG_MEMBERS, None, "1 of 2 members"),
         (gang_with_silent_member, Why.SILENT_WORKER, 3.0, "run 1 at w0"),
         (at_cap, Why.TENANT_CAP, None, "a uses 0m/0MB/0, needs 1000m/100MB/0"),
