--- a/src/poplaryard/workload/delays.py
+++ b/src/poplaryard/workload/delays.py
@@ -23,8 +23,9 @@
 
 # Time for which a task waits before its delay is examined, in seconds.
 MIN_WAIT_S = 3.0
-# Maximum number of tasks that one report examines.
-MAX_TASKS = 1000
+# Maximum numbers of steps and of tasks that one report examines.
+MAX_STEPS = 200
+MAX_TASKS = 500
 
 NOT_EXAMINED = Delay(DelayReason.NOT_EXAMINED)
 
@@ -51,19 +52,26 @@
 
 
 def find_delays(view: GroupView) -> list[StepDelay]:
-    """Return the delays of all tasks that wait for long, the longest wait first.
+    """Return the delays of tasks that wait for long, the longest wait first.
 
-    The cost of a report is bounded: tasks beyond `MAX_TASKS`, and those of steps for
-    which too many searches of the workers would be needed, are not examined.
+    The cost of a report is bounded: steps beyond `MAX_STEPS`, tasks beyond `MAX_TASKS`,
+    and those of steps for which too many searches of the workers would be needed, are
+    not examined.
     """
+    old = [step for step in view.steps if step.job.arrived_at + MIN_WAIT_S <= view.now]
     found = []
-    for step in view.steps:
-        if step.job.arrived_at + MIN_WAIT_S <= view.now:
-            waiting = _waiting_tasks(step, view.now)
-            if waiting:
-                found.append((min(waiting.values()), step, waiting))
-    found.sort(key=lambda entry: entry[0])
     delays = []
+    for number, step in enumerate(old):
+        if number >= MAX_STEPS:
+            arrived_at = step.job.arrived_at
+            delays.append(
+                StepDelay(step, NOT_EXAMINED, step.remaining, arrived_at, view.now)
+            )
+            continue
+        waiting = _waiting_tasks(step, view.now)
+        if waiting:
+            found.append((min(waiting.values()), step, waiting))
+    found.sort(key=lambda entry: entry[0])
     tasks_left = MAX_TASKS
     for since, step, waiting in found:
         left = len(waiting)
