--- a/src/poplaryard/workload/crashes.py
+++ b/src/poplaryard/workload/crashes.py
@@ -5,32 +5,31 @@
 task is to blame for a further crash.
 """
 
+import math
 import typing as t
 
 from ..logs import logger
 from ..resources import Resources
 from . import placing
 from .ends import RunEndHandler
-from .model import JobState
 from .runtime import SETTLED_S, Run, StepRun, Task, Worker
+from .trial_pauses import pause_after_s
 
 __all__ = ["CrashHandler"]
 
-# Number of workers that may crash under a task before it is given up, and the number if
-# a worker fell silent at once under its trial.
-MAX_CRASHES = 3
-MAX_PROVEN_CRASHES = 2
-# Time after the start of a trial in which the worker falls silent at once, in seconds.
+# Time after the start of a run in which its worker falls silent at once, in seconds.
 # Later it may have crashed by chance. The crash of a worker closes its connections,
 # which its owner notices within 0.1 s.
-PROOF_S = 0.3
-# Number of crashes from which all runs of a task are trials until they end.
+SUDDEN_S = 0.3
+# Number of crashes from which all starts of a task are trials.
 REPEATED_CRASHES = 2
-# A task that has run for this long did not crash its worker by starting, in seconds.
+# A task that has run for this long did not crash its worker, in seconds.
 BLAME_S = 10.0
 # Longest time for which a worker is held for a trial that has not begun, in seconds.
 # Its runs are settled after 2 s, since it reports them every second.
 HOLD_S = 3.0
+# Number of crashes that are kept of a task; older ones change no decision.
+MAX_CRASHES_KEPT = 8
 
 
 class CrashHandler(RunEndHandler):
@@ -39,6 +38,9 @@
     A task does not start again before its crashes are stored, and a trial is stored as
     a crash before it begins, until the worker has survived it. A change of the owner
     thus loses no crash of a suspected task.
+
+    No job ends because workers have crashed. Tasks of gangs have no trials, but the
+    pauses between their starts grow in the same way.
     """
 
     def _drop_runs(
@@ -54,18 +56,22 @@
             Runs that a later instance of the worker may hold.
         """
         instance = worker.instance
-        blamed = dict.fromkeys(self._accused.pop(instance, ()), False)
+        # Run of each blamed task that was lost just now, if there is one.
+        blamed: dict[Task, Run | None] = dict.fromkeys(self._accused.pop(instance, ()))
         for run in list(worker.runs.values()):
             if run in kept:
                 continue
             if self._may_have_crashed(run):
-                blamed[run.task] = worker.clock_at - run.sent_at < SETTLED_S
+                blamed[run.task] = run
             self._run_lost(run, now, reason)
         worker.rejected_runs.clear()
         suspect = self._suspects.get(worker.worker_id)
         for name in (suspect.tasks or ()) if suspect is not None else ():
             if name in self._tasks:
-                blamed.setdefault(self._tasks[name], False)
+                blamed.setdefault(self._tasks[name])
+        for task in [task for task in blamed if _is_held_for(task, instance)]:
+            self._acquit(task, instance)
+            del blamed[task]
         tried = [task for task in blamed if task.trial_at == instance]
         self._close_trial(worker)
         for run in kept:
@@ -73,16 +79,17 @@
             may_be_blamed = not worker.info.draining and self._may_have_crashed(run)
             if may_be_blamed and (not tried or run.task in tried):
                 run.crashed_instance = instance
-                run.proves_crash = run.task in tried and _fell_silent(worker, run.task)
-        for task, just_begun in blamed.items():
+                run.crashed_suddenly = _fell_silent(worker, run)
+        for task, lost_run in blamed.items():
             if worker.info.draining or (tried and task not in tried):
                 self._acquit(task, instance)
                 continue
-            task.suspected = task.suspected or just_begun
-            if task in tried and _fell_silent(worker, task):
-                task.proven = True
-            self._accuse(task, instance)
-            self._judge(task, now)
+            if lost_run is None:
+                self._accuse(task, instance)
+                continue
+            if worker.clock_at - lost_run.sent_at < SETTLED_S:
+                task.suspected = True
+            self._count_crash(lost_run, instance, _fell_silent(worker, lost_run))
 
     def _start_lost(self, run: Run, now: float, reason: str) -> None:
         """Drop a run that no instance of its worker holds.
@@ -92,9 +99,7 @@
         self._run_lost(run, now, reason)
         if run.crashed_instance:
             run.task.suspected = True
-            run.task.proven = run.task.proven or run.proves_crash
-            self._accuse(run.task, run.crashed_instance)
-            self._judge(run.task, now)
+            self._count_crash(run, run.crashed_instance, run.crashed_suddenly)
 
     def _clear_crash(self, run: Run) -> None:
         """Take back the crash of an instance before the one that holds a run."""
@@ -110,20 +115,30 @@
             self._close_trial(worker)
         if not worker.info.draining and self._may_have_crashed(run):
             self._accused.setdefault(worker.instance, {})[task] = None
-            self._accuse(task, worker.instance)
-            self._judge(task, now)
+            self._count_crash(run, worker.instance, _fell_silent(worker, run))
 
     def _worker_survived(self, worker: Worker) -> None:
         """Acquit the tasks of a worker that answers, but for one that is on trial."""
         task = worker.trial
-        if task is not None and (task.finished or _has_survived(task, worker)):
-            task.suspected = False
-            self._close_trial(worker)
+        if task is not None:
+            self._trial_reported(task, worker)
         for accused in list(self._accused.get(worker.instance, ())):
             if accused is not worker.trial:
                 del self._accused[worker.instance][accused]
                 self._acquit(accused, worker.instance)
 
+    def _trial_reported(self, task: Task, worker: Worker) -> None:
+        """End the trial of a task if its worker has reported the run for long enough.
+
+        A run that has lasted did not crash its worker by starting.
+        """
+        has_lasted = any(run.settled for run in task.runs if run.worker is worker)
+        if has_lasted:
+            self._clear_sudden_crashes(task)
+        if has_lasted or task.finished:
+            task.suspected = False
+            self._close_trial(worker)
+
     def _may_have_crashed(self, run: Run) -> bool:
         """Return whether a run may have crashed its worker."""
         return run.worker.clock_at - run.sent_at < BLAME_S
@@ -134,7 +149,8 @@
         crashes = job.progress.crashes.get(task.name, [])
         if task.finished or instance in crashes:
             return
-        job.progress.crashes[task.name] = [*crashes, instance]
+        kept = [*crashes, instance][-MAX_CRASHES_KEPT:]
+        job.progress.crashes[task.name] = kept
         job.progress.run = max(job.progress.run, task.last_run_number)
         task.crash_stored = False
         self._crashed_tasks.append(task)
@@ -149,37 +165,70 @@
         }
         logger.info("crash counted", extra=extra)
 
+    def _count_crash(self, run: Run, instance: str, sudden: bool) -> None:
+        """Count the crash of an instance under a run, and delay the next trial.
+
+        Parameters
+        ----------
+        sudden : bool
+            Whether the instance fell silent at once after the start.
+        """
+        task = run.task
+        self._accuse(task, instance)
+        on_trial = task.trial_at == instance
+        if sudden and (on_trial or task.step.spec.gang):
+            self._delay_trial(task, instance, run.sent_at)
+        elif run.settled:
+            self._clear_sudden_crashes(task)
+        elif on_trial:
+            self._clear_sudden_crash(task, instance)
+
+    def _delay_trial(self, task: Task, instance: str, began: float) -> None:
+        """Delay the next trial after a sudden crash under one that began at a time."""
+        if task.finished:
+            return
+        self._add_sudden_crash(task, instance)
+        count = task.sudden_crash_count
+        pause_s = pause_after_s(count)
+        task.next_trial_at = max(task.next_trial_at, began + pause_s)
+        self._meters.count("poplaryard_crashing_tasks_total")
+        extra = {
+            "request": task.step.job.spec.job_id,
+            "task": task.name,
+            "worker": instance,
+            "sudden_crashes": count,
+            "pause_s": pause_s,
+        }
+        logger.warning("worker fell silent at once under a task", extra=extra)
+
+    def _add_sudden_crash(self, task: Task, instance: str) -> None:
+        progress = task.step.job.progress
+        known = progress.sudden_crashes.get(task.name, [])
+        if instance not in known:
+            kept = [*known, instance][-MAX_CRASHES_KEPT:]
+            progress.sudden_crashes[task.name] = kept
+            self._dirty.add(task.step.job.spec.job_id)
+
+    def _clear_sudden_crash(self, task: Task, instance: str) -> None:
+        """Note that a worker did not fall silent at once under a task."""
+        if _remove_crash(task.step.job.progress.sudden_crashes, task, instance):
+            task.next_trial_at = 0.0
+            self._dirty.add(task.step.job.spec.job_id)
+
+    def _clear_sudden_crashes(self, task: Task) -> None:
+        """Note that a task does not crash workers at once."""
+        if task.step.job.progress.sudden_crashes.pop(task.name, None):
+            task.next_trial_at = 0.0
+            self._dirty.add(task.step.job.spec.job_id)
+
     def _acquit(self, task: Task, instance: str) -> None:
         """Take back what was counted against a task."""
         if task.trial_at == instance:
             task.trial_at = ""
-        progress = task.step.job.progress
-        crashes = progress.crashes.pop(task.name, [])
-        left = [crash for crash in crashes if crash != instance]
-        if left:
-            progress.crashes[task.name] = left
-        if len(left) < len(crashes):
+        self._clear_sudden_crash(task, instance)
+        if _remove_crash(task.step.job.progress.crashes, task, instance):
             self._dirty.add(task.step.job.spec.job_id)
 
-    def _judge(self, task: Task, now: float) -> bool:
-        """Give the job of a task up if the task has crashed too many workers.
-
-        Workers that the owner before this one has recorded count, too: those that
-        answer have acquitted the task before it can start. Returns whether the task is
-        not to be run any more.
-        """
-        limit = MAX_PROVEN_CRASHES if task.proven else MAX_CRASHES
-        if not task.finished and task.crash_count >= limit:
-            extra = {
-                "request": task.step.job.spec.job_id,
-                "task": task.name,
-                "workers": task.step.job.progress.crashes[task.name],
-            }
-            logger.warning("job given up: a task crashes its workers", extra=extra)
-            self._meters.count("poplaryard_crashing_tasks_total")
-            self._finish(task.step.job, JobState.FAILED, now)
-        return task.finished
-
     # Trials
 
     def _needs_trial(self, task: Task) -> bool:
@@ -240,8 +289,11 @@
         if host.instance in crashes:
             return task.crash_stored
         task.trial_at = host.instance
+        task.trial_began = float("inf")
         self._accused.setdefault(host.instance, {})[task] = None
         self._accuse(task, host.instance)
+        # A later owner does not know how the trial went.
+        self._add_sudden_crash(task, host.instance)
         return False
 
     def _close_trial(self, worker: Worker) -> None:
@@ -250,22 +302,23 @@
             worker.trial = None
 
 
-def _fell_silent(worker: Worker, task: Task) -> bool:
-    """Return whether a worker fell silent at once under the trial of a task."""
-    return 0 <= worker.silent_since - task.trial_began < PROOF_S
+def _is_held_for(task: Task, instance: str) -> bool:
+    """Return whether a worker is held for a trial that has not begun."""
+    return task.trial_at == instance and math.isinf(task.trial_began)
 
 
-def _has_survived(task: Task, worker: Worker) -> bool:
-    """Return whether the trial of a task on a worker has lasted for long enough.
+def _fell_silent(worker: Worker, run: Run) -> bool:
+    """Return whether a worker fell silent at once after the start of a run."""
+    return 0 <= worker.silent_since - run.sent_at < SUDDEN_S
 
-    A task under which several workers have crashed may do so long after its start.
-    """
-    needed_s = BLAME_S if task.crash_count >= REPEATED_CRASHES else SETTLED_S
-    return any(
-        run.seen_at - run.sent_at >= needed_s
-        for run in task.runs
-        if run.worker is worker
-    )
+
+def _remove_crash(crashes: dict[str, list[str]], task: Task, instance: str) -> bool:
+    """Remove an instance from the crashes of a task; return whether it was there."""
+    known = crashes.pop(task.name, [])
+    left = [crash for crash in known if crash != instance]
+    if left:
+        crashes[task.name] = left
+    return len(left) < len(known)
 
 
 def _possible_crashes(task: Task) -> int:
--- a/src/poplaryard/workload/delays.py
+++ b/src/poplaryard/workload/delays.py
@@ -204,14 +204,13 @@
 
 
 def _task_delay(task: Task, view: GroupView) -> Delay | None:
-    """Return why a task without runs may not start anywhere, or None.
-
-    A further reason of single tasks belongs here.
-    """
+    """Return why a task without runs may not start anywhere, or None."""
     if task.strays and task.is_held:
         return _late_start_delay(task, view)
     if not task.crash_stored:
         return Delay(DelayReason.CRASH_NOT_STORED)
+    if view.now < task.next_trial_at:
+        return Delay(DelayReason.CRASH_PAUSE, task.next_trial_at, task.name)
     if view.now < task.not_before:
         workers = view.suspected_tasks.get(task.name)
         if workers:
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -289,6 +289,9 @@
         must count only once.
     crashes : dict of str to list of str
         Workers that crashed while the task may have caused it, by task.
+    sudden_crashes : dict of str to list of str
+        Those of them that fell silent at once when a trial of the task began there, or
+        may have done so.
     run : int
         Highest run number used so far.
     finished_at : float
@@ -299,6 +302,7 @@
     done: dict[str, list[int]] = field(default_factory=dict)
     failures: dict[str, list[int]] = field(default_factory=dict)
     crashes: dict[str, list[str]] = field(default_factory=dict)
+    sudden_crashes: dict[str, list[str]] = field(default_factory=dict)
     run: int = 0
     finished_at: float = 0.0
 
--- a/src/poplaryard/workload/obstacles.py
+++ b/src/poplaryard/workload/obstacles.py
@@ -40,6 +40,7 @@
     RUN_STOPPING = "run is being stopped"
     LATE_START = "late start may still arrive"
     CRASH_NOT_STORED = "crash of a worker not stored yet"
+    CRASH_PAUSE = "paused after crashes of workers"
     TASK_PAUSED = "task paused"
     TRIAL = "trial waits for a worker"
     GANG_MEMBERS = "other members of the gang can't start"
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -169,8 +169,7 @@
     def _start_step(self, step: StepRun, usable: dict[str, Worker], now: float) -> bool:
         """Start the tasks that fit; return False if a waiting task does not."""
         waiting = step.waiting(now)
-        # The job may have been given up earlier in this pass.
-        if not waiting or step.job.progress.state.final:
+        if not waiting:
             return True
         candidates = _permitted(step, usable, now)
         if step.spec.gang:
@@ -191,8 +190,6 @@
                 return True
             if self._needs_trial(task):
                 self._start_trial(task, usable, now)
-                if task.finished:
-                    return True
                 candidates = _permitted(step, usable, now)
                 continue
             only = task.retry_worker
@@ -222,8 +219,6 @@
         beside : Worker, optional
             Worker that runs the task already.
         """
-        if self._judge(task, now):
-            return
         workers = [
             worker
             for worker in _permitted(task.step, self._usable_workers, now)
@@ -334,6 +329,8 @@
         worker, task = run.worker, run.task
         self._release_run(run)
         task.remove_run(run, now)
+        if worker.trial is task:
+            task.trial_began = float("inf")
         if outcome is StartOutcome.FENCED:
             self.fenced = True
         elif outcome is StartOutcome.BAD_TICKET:
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -367,8 +367,8 @@
         None while its start may have been taken by a later instance.
     crashed_instance : str
         Instance of its worker that its start may have crashed; empty for none.
-    proves_crash : bool
-        Whether that instance fell silent at once under the trial of its task.
+    crashed_suddenly : bool
+        Whether that instance fell silent at once after the start.
     progressed_at : float
         Time at which its percentage last changed.
     seen_at : float
@@ -394,7 +394,7 @@
     call: SentCall | None = None
     held_by: int | None = None
     crashed_instance: str = ""
-    proves_crash: bool = False
+    crashed_suddenly: bool = False
     percent: float = 0.0
     progressed_at: float = 0.0
     load: float = 0.0
@@ -458,8 +458,8 @@
         Time since which it has had no run, if it has none.
     suspected : bool
         Whether it may have crashed a worker by its start.
-    proven : bool
-        Whether a worker fell silent at once under its trial.
+    next_trial_at : float
+        Time before which it must not start after sudden crashes.
     crash_stored : bool
         Whether all crashes that count against it are stored.
     trial_host : Worker or None
@@ -467,7 +467,7 @@
     trial_at : str
         Instance of the worker of its last trial, unless that has survived.
     trial_began : float
-        Time of its last start on trial.
+        Time of its last start on trial; infinity while its worker is held for one.
     waiting_since : float
         Last time at which one of its former runs was known to be at work; before the
         first, the time of its creation. No decision depends on it.
@@ -486,7 +486,7 @@
     not_before: float = 0.0
     idle_since: float = 0.0
     suspected: bool = False
-    proven: bool = False
+    next_trial_at: float = 0.0
     crash_stored: bool = True
     trial_host: Worker | None = None
     trial_at: str = ""
@@ -531,6 +531,11 @@
         host = self.trial_host
         return len(crashes) - (host is not None and host.instance in crashes)
 
+    @property
+    def sudden_crash_count(self) -> int:
+        """Number of workers that fell silent at once when it began there on trial."""
+        return len(self.step.job.progress.sudden_crashes.get(self.name, ()))
+
     def remove_run(self, run: Run, now: float) -> None:
         """Remove a run that has ended or was lost."""
         self.runs.remove(run)
@@ -668,7 +673,7 @@
             and not task.runs
             and not (task.strays and task.is_held)
             and task.crash_stored
-            and now >= task.not_before
+            and now >= max(task.not_before, task.next_trial_at)
         ]
 
     def on_worker(self, worker: Worker) -> int:
--- a/tests/workload/test_delays.py
+++ b/tests/workload/test_delays.py
@@ -292,6 +292,7 @@
             "may start only on w0, which is paused",
         ),
         (lambda: with_task(crash_stored=False), Why.CRASH_NOT_STORED, None, ""),
+        (lambda: with_task(next_trial_at=110.0), Why.CRASH_PAUSE, 5.5, TASK),
         (paused, Why.TASK_PAUSED, 5.5, TASK),
         (suspected, Why.TRIAL, None, "no room: needs 1000m/100MB/0"),
         (suspected_beside_unsettled_run, Why.TRIAL, None, "w0 is held, has runs not"),
