--- a/src/poplaryard/workload/crashes.py
+++ b/src/poplaryard/workload/crashes.py
@@ -13,7 +13,6 @@
 from . import placing
 from .ends import RunEndHandler
 from .runtime import SETTLED_S, Run, StepRun, Task, Worker
-from .trial_pauses import pause_after_s
 
 __all__ = ["CrashHandler"]
 
@@ -188,15 +187,14 @@
         if task.finished:
             return
         self._add_sudden_crash(task, instance)
-        count = task.sudden_crash_count
-        pause_s = pause_after_s(count)
+        pause_s = task.crash_pause_s
         task.next_trial_at = max(task.next_trial_at, began + pause_s)
         self._meters.count("poplaryard_crashing_tasks_total")
         extra = {
             "request": task.step.job.spec.job_id,
             "task": task.name,
             "worker": instance,
-            "sudden_crashes": count,
+            "sudden_crashes": task.sudden_crash_count,
             "pause_s": pause_s,
         }
         logger.warning("worker fell silent at once under a task", extra=extra)
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -14,7 +14,6 @@
 from .run_times import NO_RUN_TIME_USES, RunTimeUses
 from .runtime import JobRun, Run, RunPhase, StepRun, Task, Worker
 from .tenancy import CapLimits, Shares, TenantAccounts, Unlimited
-from .trial_pauses import pause_after_s
 
 __all__ = ["JobTable", "amount_text"]
 
@@ -273,7 +272,7 @@
                 for instance in job.progress.crashes.get(name, ()):
                     task.suspected = True
                     self._accused.setdefault(instance, {})[task] = None
-                task.next_trial_at = now + pause_after_s(task.sudden_crash_count)
+                task.next_trial_at = now + task.crash_pause_s
                 task.not_before = quarantined.get(name, 0.0)
                 step.tasks.append(task)
                 if not task.done:
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -16,6 +16,7 @@
 )
 from .model import JobSpec, JobState, Progress, StepSpec, WorkerInfo
 from .run_times import NO_RUN_TIME_USES, Expectation, RunTimeUses
+from .trial_pauses import pause_after_s
 
 if t.TYPE_CHECKING:
     from .strays import Stray
@@ -536,6 +537,14 @@
         """Number of workers that fell silent at once when it began there on trial."""
         return len(self.step.job.progress.sudden_crashes.get(self.name, ()))
 
+    @property
+    def crash_pause_s(self) -> float:
+        """Time from its last start to the next after sudden crashes, in seconds.
+
+        A gang has no trials: other tasks may have caused the first crash under it.
+        """
+        return pause_after_s(self.sudden_crash_count - self.step.spec.gang)
+
     def remove_run(self, run: Run, now: float) -> None:
         """Remove a run that has ended or was lost."""
         self.runs.remove(run)
--- a/src/poplaryard/workload/trial_pauses.py
+++ b/src/poplaryard/workload/trial_pauses.py
@@ -18,7 +18,7 @@
 
 def pause_after_s(sudden_crashes: int) -> float:
     """Return the time between the last sudden crash and the next trial, in seconds."""
-    if not sudden_crashes:
+    if sudden_crashes <= 0:
         return 0.0
     # The exponent is limited, as a large power of a float is an error.
     exponent = min(sudden_crashes - 1, 10)
--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -231,6 +231,21 @@
     assert group.state(DEADLY) is JobState.DONE
 
 
+def test_sound_gang_whose_workers_crash_at_once_by_chance_starts_in_time():
+    """Guards against long pauses of a gang, whose crashes may have other causes."""
+    group = CrashingGroup(8, deadly=(), back_s=1.0)
+    spec = job(DEADLY, step(count=2, gang=True, estimate_s=8.0))
+    task = group.submit(spec).occurrences[0][0].tasks[0]
+    for _ in range(3):
+        while not task.runs:
+            group.run(0.05)
+        group.run(0.1)
+        group.crash(group.sims[task.runs[0].worker.worker_id])
+        group.run(group.back_s + 0.1)
+    group.run(14.0)
+    assert task.runs or task.done
+
+
 @pytest.mark.parametrize("crash_after_s", [0.1, 2.0])
 def test_task_that_lasts_again_loses_its_pauses(crash_after_s):
     """Guards against pauses that grow over the life of a sound task that lasts."""
