--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -51,14 +51,27 @@
 ) -> int | None:
     """Return how many of the workers are enough; None if all have too little room."""
     wanted = PLACES_PER_TASK * step.remaining
-    limit = step.spec.max_per_worker or step.remaining
     for number, worker in enumerate(workers, 1):
-        wanted -= min(step.need.fit_count(rooms[worker]), limit)
+        wanted -= min(placing.places(step, worker, rooms[worker]), step.remaining)
         if wanted <= 0:
             return number
     return None
 
 
+def _ending_tasks(step: StepRun, worker: Worker, until: float, now: float) -> int:
+    """Return how many tasks of a limited step are expected to end on a worker."""
+    if not step.spec.max_per_worker:
+        return 0
+    own = (run for run in worker.runs.values() if run.task.step is step)
+    return sum(run.ends_at(now) <= until for run in own)
+
+
+def _stays_at_limit(step: StepRun, worker: Worker, until: float, now: float) -> bool:
+    """Return whether a step can start nothing more on a worker, even with room."""
+    ending = _ending_tasks(step, worker, until, now)
+    return not placing.places(step, worker, worker.info.capacity, -ending)
+
+
 class AdvicePlanner(JobTable):
     """Chooses the calls to the advice service and processes their answers."""
 
@@ -241,19 +254,22 @@
                 name for name, permit in step.permits.items() if permit.until > now
             )
         waiting = len(step.waiting(now))
+        ahead_s = self._advice_ahead_s(step)
         claimed = ZERO
         for worker_id in known:
             worker = self.workers.get(worker_id)
             if worker is None or worker not in rooms:
                 continue
             room = rooms[worker] - self._reservations.reserved_for_others(step, worker)
-            if step.asking and not step.need.fits_in(room):
-                room = room + self._ending_room(worker, self._advice_ahead_s(step), now)
-            while waiting > 0 and step.need.fits_in(room):
-                waiting -= 1
-                room = room - step.need
-                claimed = claimed + step.need
-                rooms[worker] = rooms[worker] - step.need
+            ending = 0
+            if step.asking and not placing.places(step, worker, room):
+                room = room + self._ending_room(worker, ahead_s, now)
+                ending = _ending_tasks(step, worker, now + ahead_s, now)
+            count = min(waiting, placing.places(step, worker, room, -ending))
+            if count:
+                waiting -= count
+                claimed = claimed + step.need.times(count)
+                rooms[worker] = rooms[worker] - step.need.times(count)
             if not waiting:
                 break
         return claimed
@@ -340,6 +356,7 @@
         waiting = len(step.waiting(now))
         claimed = ZERO
         within_s = self._advice_ahead_s(step)
+        lapses_at = now + within_s + t.cast(AdviceCost, step.job.spec.advice).valid_s
         need = step.need
         for worker, free in rooms.items():
             allowed = step.may_run.get(worker.worker_id)
@@ -349,19 +366,24 @@
             room = free - reserved if reserved is not ZERO else free
             permit = step.permits.get(worker.worker_id)
             permitted = permit is not None and permit.until > now
+            places = placing.places(step, worker, room)
             if not permitted:
+                if _stays_at_limit(step, worker, lapses_at, now):
+                    continue
                 (approved if allowed else unasked).append(worker)
-                if not need.fits_in(room):
+                if not places:
                     room = room + self._ending_room(worker, within_s, now)
-            if not need.fits_in(room):
+                    ending = _ending_tasks(step, worker, now + within_s, now)
+                    places = placing.places(step, worker, room, -ending)
+            if not places:
                 continue
             could_start = could_start or permitted
             has_room = has_room or not permitted
-            while waiting > 0 and need.fits_in(room):
-                waiting -= 1
-                room = room - need
-                claimed = claimed + need
-                rooms[worker] = rooms[worker] - need
+            count = min(waiting, places)
+            if count:
+                waiting -= count
+                claimed = claimed + need.times(count)
+                rooms[worker] = rooms[worker] - need.times(count)
         if step.spec.gang:
             may_ask_unasked = bool(unasked) and (may_ask_early or has_room)
             wanted = may_ask_unasked or self._gang_could_start(step, now)
--- a/src/poplaryard/workload/placing.py
+++ b/src/poplaryard/workload/placing.py
@@ -5,7 +5,7 @@
 from ..resources import Resources
 from .runtime import StepRun, Task, Worker
 
-__all__ = ["admits", "place", "place_gang"]
+__all__ = ["admits", "place", "place_gang", "places"]
 
 # Workers are grouped into speed classes by the logarithm of their relative run time;
 # this is the width of a class.
@@ -52,9 +52,24 @@
 RoomFor: t.TypeAlias = t.Callable[[StepRun, Worker], Resources]
 
 
-def _below_worker_limit(step: StepRun, worker: Worker, placed: int) -> bool:
+def places(step: StepRun, worker: Worker, room: Resources, added: int = 0) -> int:
+    """Return how many more tasks of a step can run on a worker.
+
+    Parameters
+    ----------
+    room : Resources
+        Resources that the step may use there.
+    added : int
+        Number of its tasks that are expected to start there before, less those that
+        are expected to end.
+    """
+    if not step.need.fits_in(room):
+        return 0
+    count = step.need.fit_count(room)
     limit = step.spec.max_per_worker
-    return not limit or step.on_worker(worker) + placed < limit
+    if limit:
+        count = min(count, limit - step.on_worker(worker) - added)
+    return max(0, count)
 
 
 def place(
@@ -75,9 +90,7 @@
         if not step.need.fits_in(worker.free()):
             continue
         free = room(step, worker)
-        if not step.need.fits_in(free) or not admits(step, worker):
-            continue
-        if not _below_worker_limit(step, worker, 0):
+        if not admits(step, worker) or not places(step, worker, free):
             continue
         score = (worker.worker_id in task.avoid, *_score(step, worker, free))
         if best is None or score < best_score:
@@ -117,16 +130,8 @@
         ),
     )
     for worker in ranked:
-        free = room(step, worker)
-        placed = 0
-        while (
-            len(chosen) < step.spec.count
-            and step.need.fits_in(free)
-            and _below_worker_limit(step, worker, placed)
-        ):
-            free = free - step.need
-            placed += 1
-            chosen.append(worker)
+        count = places(step, worker, room(step, worker))
+        chosen += [worker] * min(count, step.spec.count - len(chosen))
         if len(chosen) == step.spec.count:
             return chosen
     return None
--- a/src/poplaryard/workload/room.py
+++ b/src/poplaryard/workload/room.py
@@ -138,8 +138,9 @@
     preemptable: set[Run],
 ) -> list[Plan]:
     """Return a plan for each task of the step that fits on a worker, soonest first."""
-    limit = step.spec.max_per_worker or waiting
     free = reservations.free(step, worker)
+    # Tasks of the step that are placed here, less those that end first.
+    added = 0
 
     def ends_at(run: Run) -> float:
         return now if run in preemptable else run.ends_at(now)
@@ -148,8 +149,9 @@
     options: list[Plan] = []
     victims: list[Run] = []
     ready_at = now
-    while len(options) < min(waiting, limit):
-        if step.need.fits_in(free):
+    while len(options) < waiting:
+        if placing.places(step, worker, free, added):
+            added += 1
             free = free - step.need
             options.append(Plan([worker], victims, ready_at))
             victims = []
@@ -157,7 +159,9 @@
         if not ending:
             break
         run = ending.pop(0)
-        if run.need == ZERO:
+        if run.task.step is step:
+            added -= 1
+        elif run.need == ZERO:
             continue
         free = free + run.need
         if run in preemptable:
--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -279,6 +279,44 @@
         ]
 
 
+class SlowAdviceGroup(SimulatedGroup):
+    """Simulated group in which a call for advice takes as long as it costs.
+
+    Only ``channels`` calls are in progress at a time. ``permitted_by_job`` holds the
+    permitted workers by job id; for jobs that it leaves out, advice permits all.
+    ``calls`` holds the step's job id and the time of each call.
+    """
+
+    def __init__(self, channels=1, **fields):
+        super().__init__(**fields)
+        self.channels = channels
+        self.permitted_by_job = {}
+        self.calls = []
+        self._in_progress = []
+
+    def advise(self):
+        for call in [call for call in self._in_progress if call[0] <= self.now]:
+            self._in_progress.remove(call)
+            self._answer(*call)
+        for request in self.partition.advice_wanted(self.now, self._can_call):
+            self.calls.append((request.step.job.spec.job_id, self.now))
+            self._in_progress.append((self.now + request.cost_s, request))
+
+    def _can_call(self, cost_s):
+        return len(self._in_progress) < self.channels
+
+    def _answer(self, answered_at, request):
+        spec = request.step.job.spec
+        good = self.permitted_by_job.get(spec.job_id, request.workers)
+        tickets = {name: "t" for name in request.workers if name in good}
+        until = answered_at + spec.advice.valid_s
+        self.partition.advice_answered(request, tickets, until, self.now)
+
+    def calls_for(self, job_id, since=0.0):
+        """Return the number of calls for a job since a time."""
+        return sum(job_id == found and at >= since for found, at in self.calls)
+
+
 class MemoryStorage:
     """In-memory `Storage` that can inject faults.
 
--- a/tests/workload/test_advice.py
+++ b/tests/workload/test_advice.py
@@ -5,6 +5,9 @@
 from poplaryard.codes import Code
 from poplaryard.exceptions import PoplaryardError
 from poplaryard.workload.advice import ChannelPool, LocalAdvisor, preferred_peers
+from poplaryard.workload.model import AdviceCost
+from tests.workload.builders import ADVICE, job, step, worker_info
+from tests.workload.fakes import SimulatedGroup, wanted_advice
 
 
 class FakeService:
@@ -153,3 +156,57 @@
         assert pool.select(True, clock()) is None or len(peer.calls) == 1
 
     asyncio.run(run())
+
+
+def group_with_step_at_its_limit():
+    """Return a group on whose only worker a limited step runs all that it may."""
+    group = SimulatedGroup(workers=1)
+    group.run(0.2)
+    limited = step(2, cpu=2000, estimate_s=1e6, lasting=True, max_per_worker=1)
+    group.submit(job("a" * 16, limited, priority=0, advice=ADVICE))
+    group.run(0.2)
+    assert len(group.starts()) == 1
+    return group
+
+
+def test_step_at_its_limit_claims_no_room():
+    """Guards against a step that is not asked for as another seems to take the room."""
+    group = group_with_step_at_its_limit()
+    group.submit(job("b" * 16, step(1, cpu=2000), priority=1, advice=ADVICE))
+    request = wanted_advice(group.partition, group.now)
+    assert request is not None
+    assert request.step.job.spec.job_id == "b" * 16
+
+
+def test_worker_at_the_limit_of_a_step_keeps_no_call_for_others_back():
+    """Guards against a step that seems able to start where its limit is reached."""
+    group = group_with_step_at_its_limit()
+    group.add_worker(worker_info(1))
+    group.advise = lambda: None
+    group.run(0.1)
+    request = wanted_advice(group.partition, group.now)
+    assert request is not None
+    assert set(request.workers) == {"w1"}
+
+
+def test_step_at_its_limit_asks_again_for_no_worker():
+    """Guards against a call for the same workers whenever the permits lapse."""
+    group = group_with_step_at_its_limit()
+    group.advise = lambda: None
+    group.run(5.0)
+    assert wanted_advice(group.partition, group.now) is None
+
+
+def test_advice_is_asked_for_before_a_task_of_a_limited_step_ends():
+    """Guards against a worker that is idle during the call after each task."""
+    group = SimulatedGroup(workers=1)
+    group.run(0.2)
+    advice = AdviceCost(base_s=0.3, per_worker_s=0.01, valid_s=1.0)
+    limited = step(2, estimate_s=5.0, max_per_worker=1)
+    group.submit(job("a" * 16, limited, advice=advice))
+    group.run(0.2)
+    group.advise = lambda: None
+    group.run(3.0)
+    assert wanted_advice(group.partition, group.now) is None
+    group.run(1.5)
+    assert wanted_advice(group.partition, group.now) is not None
--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -46,6 +46,28 @@
     assert len(group.starts()) == 6
 
 
+def test_nothing_is_preempted_or_reserved_for_tasks_beyond_a_limit_per_worker():
+    """Guards against room that is kept free for tasks that must not start there."""
+    group = SimulatedGroup(workers=1)
+    limited = step(2, cpu=1000, estimate_s=1e6, lasting=True, max_per_worker=1)
+    group.submit(job("f" * 16, limited, priority=1))
+    group.run(0.2)
+    small_jobs(group, 3, cpu=900, estimate_s=30.0, checkpointable=True)
+    for _ in range(10):
+        group.run(1.0)
+        assert group.partition.summary(group.now)["plans"] == 0
+    assert len(group.starts()) == 4
+
+
+def test_room_is_reserved_where_a_task_of_a_limited_step_ends_soon():
+    """Guards against small tasks that take the room before the next task starts."""
+    group = SimulatedGroup(workers=1)
+    limited = step(2, cpu=3000, estimate_s=2.0, max_per_worker=1)
+    group.submit(job("f" * 16, limited, priority=1))
+    group.run(1.0)
+    assert group.partition.summary(group.now)["plans"] == 1
+
+
 def test_one_free_slot_leads_to_one_call_for_advice():
     """Guards against useless slow calls while many jobs wait for few workers."""
     group = SimulatedGroup(workers=0)
