--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -86,13 +86,14 @@
         self._lives: dict[str, int] = {}
 
     def _waiting_steps(self, now: float) -> list[StepRun]:
-        self._drop_outdated_permits()
+        self._drop_outdated_advice()
         return super()._waiting_steps(now)
 
-    def _drop_outdated_permits(self) -> None:
-        """Drop the permits for workers that have restarted or left since the last pass.
+    def _drop_outdated_advice(self) -> None:
+        """Drop the advice on workers that have restarted or left since the last pass.
 
-        A ticket is valid only during the life of the worker for which it was issued.
+        A ticket is valid only during the life of the worker for which it was issued,
+        and a worker that has restarted under its id may be of another kind.
         """
         lives = {worker.worker_id: worker.born_ms for worker in self.workers.values()}
         ended = [
@@ -103,6 +104,7 @@
             for step in self._open_steps.values():
                 for name in ended:
                     step.permits.pop(name, None)
+                    step.may_run.pop(name, None)
 
     def advice_answered(
         self,
@@ -126,9 +128,11 @@
             step.ask_after = now + ADVICE_RETRY_S
             return
         for worker_id, born_ms in request.workers.items():
-            step.may_run[worker_id] = worker_id in tickets
             worker = self.workers.get(worker_id)
-            if worker_id in tickets and worker and worker.born_ms == born_ms:
+            if worker is None or worker.born_ms != born_ms:
+                continue
+            step.may_run[worker_id] = worker_id in tickets
+            if worker_id in tickets:
                 permit = Permit(tickets[worker_id], until - PERMIT_SLACK_S)
                 step.permits[worker_id] = permit
 
--- a/tests/workload/test_permits_after_restarts.py
+++ b/tests/workload/test_permits_after_restarts.py
@@ -73,3 +73,28 @@
     assert tickets_of_starts(group) == set()
     answer(group, wanted_advice(group.partition, group.now))
     assert tickets_of_starts(group) == {f"w0@{group.sims['w0'].info.born_ms}"}
+
+
+def test_restarted_worker_that_was_not_permitted_is_asked_about_again():
+    """Guards against a task that never starts on a sound worker of another kind.
+
+    A worker that restarts under its id may get another answer from the service.
+    """
+    group = group_with_waiting_task()
+    request = wanted_advice(group.partition, group.now)
+    group.partition.advice_answered(request, {}, group.now + VALID_S, group.now)
+    assert wanted_advice(group.partition, group.now) is None
+    restart(group)
+    answer(group, wanted_advice(group.partition, group.now))
+    assert tickets_of_starts(group) == {f"w0@{group.sims['w0'].info.born_ms}"}
+
+
+def test_advice_on_an_earlier_instance_tells_nothing_of_the_present_one():
+    """Guards against the same if the worker restarts during the call."""
+    group = group_with_waiting_task()
+    request = wanted_advice(group.partition, group.now)
+    restart(group)
+    group.partition.advance(group.now)
+    group.partition.advice_answered(request, {}, group.now + VALID_S, group.now)
+    answer(group, wanted_advice(group.partition, group.now))
+    assert tickets_of_starts(group) == {f"w0@{group.sims['w0'].info.born_ms}"}
