--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -84,6 +84,12 @@
     ]
 
 
+def _seeks_room(step: StepRun, now: float) -> bool:
+    """Return whether a step has tasks that would start if there were room."""
+    waiting = len(step.waiting(now))
+    return waiting == step.spec.count if step.spec.gang else waiting > 0
+
+
 def _is_large(step: StepRun, capacities: t.Iterable[Resources]) -> bool:
     """Return whether a step rarely fits into the gaps that small tasks leave."""
     return step.spec.gang or any(
@@ -152,12 +158,15 @@
                 and searches_left
                 and len(self._plans) < MAX_PLANS
                 and _is_large(step, capacities)
+                and _seeks_room(step, now)
             ):
                 searches_left -= 1
                 self._plan_room(step, now, may_preempt)
             if not fits and step.rank[1]:
                 self._log_held(step, now)
-            may_preempt = may_preempt and (fits or step.name in self._plans)
+            may_preempt = may_preempt and (
+                fits or step.name in self._plans or not _seeks_room(step, now)
+            )
             self._log_starts(step, orders_before, now)
         self._order = None
         if shares is not None and shares.changes:
--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -68,6 +68,21 @@
     assert group.partition.summary(group.now)["plans"] == 1
 
 
+def test_steps_whose_tasks_all_run_need_no_plan():
+    """Guards against a gang without reserved room, as running steps use up the plans.
+
+    Pattern: large tasks fill the group, and small ones would fill each gap.
+    """
+    group = SimulatedGroup(workers=2)
+    for number in range(4):
+        large = step(1, cpu=2000, estimate_s=4.0 if number < 2 else 60.0)
+        group.submit(job(f"{number:016x}", large, priority=0))
+    group.run(0.3)
+    group.submit(job("f" * 16, step(2, cpu=2000, gang=True), priority=1))
+    group.run(1.0)
+    assert group.partition.summary(group.now)["plans"] == 1
+
+
 def test_one_free_slot_leads_to_one_call_for_advice():
     """Guards against useless slow calls while many jobs wait for few workers."""
     group = SimulatedGroup(workers=0)
