--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -127,6 +127,8 @@
         if tickets is None:
             step.ask_after = now + ADVICE_RETRY_S
             return
+        if tickets:
+            step.plan_after = now
         for worker_id, born_ms in request.workers.items():
             worker = self.workers.get(worker_id)
             if worker is None or worker.born_ms != born_ms:
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -48,8 +48,12 @@
 COPY_SILENT_S = 1.8
 # Maximum number of steps with reserved room: each reservation leaves some room idle.
 MAX_PLANS = 4
-# Maximum number of searches for room to reserve per round: each scans all workers.
+# Maximum number of searches for room to reserve per round, beside those for steps that
+# had reserved room in the round before: each scans all workers.
 MAX_PLAN_SEARCHES = 8
+# Time without a search for a step after one in vain, in seconds. Steps that never find
+# room would use up the searches of every pass otherwise.
+VAIN_SEARCH_PAUSE_S = 0.5
 # Time after which a step may preempt runs again, in seconds; it doubles each time. If
 # the room has gone to more urgent steps, there is no use in preempting more runs soon.
 PREEMPTION_PAUSE_S = 4.0
@@ -126,6 +130,7 @@
             for worker_id, worker in self._usable_workers.items()
             if worker.accepts_others(now)
         }
+        planned = set(self._plans)
         self._reservations.clear()
         self._plans.clear()
         self._begin_tenants(now)
@@ -155,12 +160,13 @@
                     orders_counted = len(self.orders)
             if (
                 not fits
-                and searches_left
                 and len(self._plans) < MAX_PLANS
+                and (step.name in planned or (searches_left and now >= step.plan_after))
                 and _is_large(step, capacities)
                 and _seeks_room(step, now)
             ):
-                searches_left -= 1
+                # Room that is not reserved in one pass is taken by others.
+                searches_left -= step.name not in planned
                 self._plan_room(step, now, may_preempt)
             if not fits and step.rank[1]:
                 self._log_held(step, now)
@@ -461,6 +467,7 @@
         if plan is not None and not self._take_shares(step, plan.victims):
             plan = self._plan_of(step, now, may_preempt=False)
         if plan is None:
+            step.plan_after = now + VAIN_SEARCH_PAUSE_S
             return
         self._plans[step.name] = plan
         self._reservations.reserve(step, plan.workers, now)
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -612,6 +612,8 @@
         idle.
     run_times : RunTimeMean
         Run times of its tasks that have ended.
+    plan_after : float
+        Time before which no room is sought to reserve for it.
     reserved_since, reserved_until : float
         Time since which, and last time at which, room was reserved for it.
     preemptions : int
@@ -645,6 +647,7 @@
     rank: tuple[int, int, int, float] = (0, 0, 0, 0.0)
     starved: bool = False
     run_times: RunTimeMean = field(default_factory=RunTimeMean)
+    plan_after: float = float("-inf")
     reserved_since: float = float("-inf")
     reserved_until: float = float("-inf")
     preemptions: int = 0
--- a/tests/workload/test_backlog_cost.py
+++ b/tests/workload/test_backlog_cost.py
@@ -114,6 +114,19 @@
     assert len(checks) <= 2 * WORKERS
 
 
+def test_room_to_reserve_is_sought_for_few_steps_in_a_pass(checks):
+    """Guards against a search per step for large steps that never find room."""
+    group = full_group()
+    for number in range(BACKLOG):
+        large = step(1, cpu=4000, label="none")
+        group.submit(job(f"{0xF000 + number:016x}", large, priority=0))
+    for _ in range(20):
+        checks.clear()
+        group.partition.advance(group.now)
+        assert len(checks) <= 12 * WORKERS
+        group.now += 0.05
+
+
 def test_steps_of_a_tenant_at_its_cap_need_no_check_of_workers(checks):
     """Guards against a search per step, and per pass, that cannot lead to a start.
 
--- a/tests/workload/test_room.py
+++ b/tests/workload/test_room.py
@@ -4,6 +4,9 @@
 from tests.workload.builders import ADVICE, job, step, worker_info
 from tests.workload.fakes import SimulatedGroup, wanted_advice
 
+# Number of steps that no worker can run: several times the searches of a pass.
+HOPELESS = 40
+
 
 def small_jobs(group, count, first=0, **fields):
     fields.setdefault("estimate_s", 2.0)
@@ -83,6 +86,41 @@
     assert group.partition.summary(group.now)["plans"] == 1
 
 
+def submit_hopeless(group):
+    """Submit large tasks that no worker can run, and wait until they are starved."""
+    for number in range(HOPELESS):
+        name = f"{0xE00 + number:016x}"
+        group.submit(job(name, step(1, label="none"), priority=0, stretch=50.0))
+    group.run(2.0)
+
+
+def test_gang_whose_permits_have_lapsed_starts_behind_hopeless_steps():
+    """Guards against a gang that asks for advice no more, as no plan is made for it."""
+    group = SimulatedGroup(workers=2)
+    small_jobs(group, 2, cpu=4000, estimate_s=6.0)
+    group.run(0.2)
+    submit_hopeless(group)
+    gang = step(2, cpu=2000, gang=True)
+    spec = job("f" * 16, gang, priority=1, stretch=100.0, advice=ADVICE)
+    group.submit(spec)
+    group.run(8.0)
+    assert group.partition.jobs["f" * 16].started
+
+
+def test_gang_behind_hopeless_steps_starts_among_a_stream_of_small_tasks():
+    """Guards against a gang for which no room is reserved behind hopeless steps."""
+    group = SimulatedGroup(workers=2)
+    submit_hopeless(group)
+    for number in range(48):
+        small_jobs(group, 1, number)
+        if number == 10:
+            group.submit(job("f" * 16, step(2, cpu=4000, gang=True), priority=1))
+            submitted = group.now
+        group.run(0.25)
+    started = group.partition.jobs["f" * 16].first_start_at
+    assert 0 < started - submitted < 5.0
+
+
 def test_one_free_slot_leads_to_one_call_for_advice():
     """Guards against useless slow calls while many jobs wait for few workers."""
     group = SimulatedGroup(workers=0)
