--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -379,3 +379,6 @@
         elif run.stop_acked_at < sent_at:
             self._start_lost(run, now, "stopped before it began")
             self._keep_late_start(run, now)
+        elif run.call is not None and run.call.late_until < sent_at:
+            run.task.avoid.add(run.worker.worker_id)
+            self._start_lost(run, now, "can no longer begin")
