--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -4,7 +4,12 @@
 
 from ..logs import logger
 from ..resources import ZERO, Resources
-from .calls import DEFAULT_LEASES, MAX_CLOCK_SKEW_S, LeaseLimits
+from .calls import (
+    DEFAULT_LEASES,
+    MAX_CALL_DELAY_S,
+    MAX_CLOCK_SKEW_S,
+    LeaseLimits,
+)
 from .expectations import StepExpectations
 from .meters import Meters
 from .model import JobSpec, JobState, Progress, Suspect, Tenant
@@ -476,6 +481,14 @@
         started_at = self._started_at(suspect.born_ms)
         return max(earlier, self.leases.longest_until(quarantine_until, started_at))
 
+    def _earlier_calls_until(self) -> float:
+        """Return the time until which calls of earlier owners may be carried out.
+
+        Leases that these give on purpose end within the quarantine, so that no earlier
+        owner makes a call after it.
+        """
+        return self._quarantine_until + MAX_CALL_DELAY_S
+
     def _started_at(self, born_ms: int) -> float:
         """Return the latest time on the owner's clock at which a worker was started.
 
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -101,7 +101,7 @@
                 self._mark_gone(other, f"replaced by {worker.worker_id}", now)
 
     def _reset_after_restart(
-        self, worker: Worker, report: HoldReport, now: float
+        self, worker: Worker, report: HoldReport, call: SentCall, now: float
     ) -> None:
         self._meters.count("poplaryard_worker_restarts_total")
         unconfirmed = sum(run.confirmed_at > now for run in worker.runs.values())
@@ -120,8 +120,8 @@
             },
         )
         self._drop_runs(worker, "worker restarted", now, self._keep_strays(worker, now))
-        stray_at = worker.open_calls.last_grant_sent_at(now) + MAX_CALL_DELAY_S
-        worker.strays_lapsed_at = self.leases.lapsed_at(max(now, stray_at))
+        stray_at = self._last_stray_grant_at(worker, call, now)
+        worker.strays_lapsed_at = self.leases.lapsed_at(stray_at)
         # The worker would forget ends of this instance that have not been reported.
         acks_until = worker.open_calls.acknowledgements_until(now)
         worker.paused_until = max(worker.paused_until, acks_until)
@@ -135,6 +135,24 @@
         worker.latest_deadline_s = 0.0
         worker.synced = False
 
+    def _last_stray_grant_at(self, worker: Worker, call: SentCall, now: float) -> float:
+        """Return the latest time at which calls for earlier instances give leases.
+
+        Parameters
+        ----------
+        call : SentCall
+            Call that a new instance of the worker has just answered.
+        """
+        by_earlier_owners = min(now, self._earlier_calls_until())
+        by_answered_call = float("-inf") if call.deadline_s is None else now
+        by_open_calls = worker.open_calls.last_grant_sent_at(now) + MAX_CALL_DELAY_S
+        return max(
+            by_earlier_owners,
+            by_answered_call,
+            by_open_calls,
+            worker.unproven_grant_at,
+        )
+
     def _mark_gone(self, worker: Worker, reason: str, now: float) -> None:
         logger.info("worker gone", extra={"worker": worker.worker_id, "reason": reason})
         worker.gone = True
@@ -261,7 +279,7 @@
         if report.born_ms and worker.born_ms and report.born_ms != worker.born_ms:
             # Calls follow one after the other, so that no earlier instance answers. Its
             # start time may be earlier all the same, by its wall clock.
-            self._reset_after_restart(worker, report, now)
+            self._reset_after_restart(worker, report, call, now)
         else:
             worker.forgotten_seq = max(worker.forgotten_seq, call.acknowledged)
         worker.born_ms = report.born_ms or worker.born_ms
--- a/tests/workload/test_longest_waits.py
+++ b/tests/workload/test_longest_waits.py
@@ -7,14 +7,24 @@
 import pytest
 
 from poplaryard.workload.calls import MAX_CALL_DELAY_S
-from tests.workload.builders import ADVICE
-from tests.workload.fakes import SimulatedGroup
+from tests.workload.builders import ADVICE, job, step, worker_info
+from tests.workload.fakes import RUN_LEASE_S, SimulatedGroup
 from tests.workload.test_restarted_workers import (
+    JOB,
+    LONG_S,
     TASK,
+    accept,
+    deadline_of,
+    ordered,
     run_alone,
     start_without_answer,
+    starts_once_more,
 )
 
+# Time from a task's last run until it has to run again, if nothing else is lost, in
+# seconds: `finish_s` and 3 s for a job, 6 s and 3 s for a task that lasts.
+JOB_S = 17.0
+LASTING_S = 9.0
 tickets = pytest.mark.parametrize("advice", [None, ADVICE])
 
 
@@ -44,3 +54,95 @@
     assert idle_s(group) < MAX_CALL_DELAY_S + 0.5
     [(worker_id, _, _)] = group.starts(TASK)
     assert worker_id != sim.info.worker_id
+
+
+def lose_after_restart(group, before_restart=lambda worker: None):
+    """Give a task that lasts to a worker that has restarted, and lose the worker.
+
+    Another worker is free from then on.
+
+    Parameters
+    ----------
+    before_restart : callable
+        Called with the worker at the last moment of the instance before.
+    """
+    group.run(30.0)
+    sim = group.sims["w0"]
+    before_restart(group.partition.workers["w0"])
+    sim.unreachable = True
+    group.run(0.5)
+    sim.restart(group.now)
+    sim.unreachable = False
+    group.partition.worker_listed(sim.info)
+    group.submit(job(JOB, step(lasting=True), advice=ADVICE))
+    group.run(0.5)
+    assert group.starts(TASK)
+    group.add_worker(worker_info(1))
+    group.run(0.2)
+    sim.unreachable = True
+
+
+def test_worker_is_expected_to_hold_usual_leases_if_no_call_was_open_at_its_restart():
+    """Guards against tasks that wait for leases that no call can have given."""
+    group = SimulatedGroup(workers=1)
+    lose_after_restart(group)
+    assert idle_s(group) < LASTING_S
+
+
+def restart_unheard(group, sim):
+    """Restart a worker whose owner has just missed a report."""
+    sim.restart(group.now)
+    group.partition.hold_failed(group.partition.workers["w0"], group.now)
+
+
+def test_call_of_an_earlier_owner_may_give_a_long_lease_after_a_restart():
+    """Guards against a second run beside one that an earlier owner's call prolongs."""
+    group = SimulatedGroup(workers=1, quarantine_until=110.0)
+    group.run(1.0)
+    sim = group.sims["w0"]
+    restart_unheard(group, sim)
+    sim.grant(LONG_S, group.now)
+    check_only_run_on_lost_worker(group, sim)
+
+
+def test_open_call_may_give_a_long_lease_after_a_restart():
+    """Guards against a second run beside one that a late renewal prolongs."""
+    group = SimulatedGroup(workers=1)
+    group.run(1.0)
+    sim = group.sims["w0"]
+    group.partition.workers["w0"].renewal_call(group.now, RUN_LEASE_S)
+    restart_unheard(group, sim)
+    check_only_run_on_lost_worker(group, sim, late_grant=True)
+
+
+def test_answered_start_may_give_a_long_lease_after_a_restart():
+    """Guards against a second run beside one that the answer to a start prolongs."""
+    group = SimulatedGroup(workers=1)
+    run = ordered(group)
+    deadline = deadline_of(group, run)
+    sim = group.sims["w0"]
+    restart_unheard(group, sim)
+    accept(group, run, deadline)
+    check_only_run_on_lost_worker(group, sim)
+
+
+def check_only_run_on_lost_worker(group, sim, late_grant=False):
+    """Check that a long task on a worker that is lost starts only once more.
+
+    Parameters
+    ----------
+    late_grant : bool
+        Whether the worker gets the longest lease just before it is lost.
+    """
+    group.run(0.5)
+    group.partition.worker_listed(sim.info)
+    group.submit(job(JOB, step(estimate_s=LONG_S)))
+    group.run(0.2)
+    assert group.starts(TASK)
+    group.add_worker(worker_info(1))
+    group.run(0.2)
+    if late_grant:
+        sim.grant(LONG_S, group.now)
+    sim.unreachable = True
+    run_alone(group, 30.0)
+    assert starts_once_more(group, "w0")
