--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -531,8 +531,12 @@
 
         A deadline on the clock of the instance before it gives it the longest lease.
         """
-        expired_at = self.leases.lapsed_at(run.worker.later_grant_at(now))
         call = run.call
+        if call is not None and call.has_ticket and run.worker.asked_at > call.sent_at:
+            # An instance that has reported since then was up when the ticket was
+            # issued, so that later ones refuse it.
+            return float("-inf")
+        expired_at = self.leases.lapsed_at(run.worker.later_grant_at(now))
         if call is None or run.confirmed_at <= now:
             return expired_at
         if call.has_ticket or run.task.step.spec.speculative:
--- a/tests/workload/test_longest_waits.py
+++ b/tests/workload/test_longest_waits.py
@@ -16,6 +16,7 @@
     accept,
     deadline_of,
     ordered,
+    restarted,
     run_alone,
     start_without_answer,
     starts_once_more,
@@ -146,3 +147,28 @@
     sim.unreachable = True
     run_alone(group, 30.0)
     assert starts_once_more(group, "w0")
+
+
+@pytest.mark.parametrize("is_listed_again", [False, True])
+def test_start_with_a_ticket_is_waited_for_as_long_as_leases_last(is_listed_again):
+    """Guards against a wait for instances that refuse the ticket of a lost start."""
+    group = SimulatedGroup()
+    sim = lose_start(group, advice=ADVICE, lasting=True)
+    group.run(0.5)
+    sim.unreachable = True
+    if is_listed_again:
+        sim.restart(group.now)
+        group.partition.worker_listed(sim.info)
+    assert idle_s(group) < LASTING_S
+
+
+def test_start_with_a_ticket_may_be_held_by_an_instance_that_has_not_reported():
+    """Guards against a second run where a ticket is of an instance not known yet."""
+    group = SimulatedGroup()
+    run = ordered(group, advice=ADVICE)
+    deadline = deadline_of(group, run)
+    sim = restarted(group, run)
+    accept(group, run, deadline)
+    sim.unreachable = True
+    run_alone(group, 30.0)
+    assert starts_once_more(group, sim.info.worker_id)
