--- a/tests/workload/test_longest_waits.py
+++ b/tests/workload/test_longest_waits.py
@@ -26,6 +26,7 @@
 # seconds: `finish_s` and 3 s for a job, 6 s and 3 s for a task that lasts.
 JOB_S = 17.0
 LASTING_S = 9.0
+known_red = pytest.mark.xfail(strict=True, reason="issue 55; see KNOWN-RED.txt")
 tickets = pytest.mark.parametrize("advice", [None, ADVICE])
 
 
@@ -172,3 +173,65 @@
     sim.unreachable = True
     run_alone(group, 30.0)
     assert starts_once_more(group, sim.info.worker_id)
+
+
+@known_red
+@pytest.mark.parametrize(
+    ("advice", "lasting", "allowed_s"),
+    [(ADVICE, True, LASTING_S), (None, True, LASTING_S), (None, False, JOB_S)],
+)
+def test_start_on_a_worker_that_is_lost_with_it_is_repeated_in_time(
+    advice, lasting, allowed_s
+):
+    """Guards against a task that waits for a start that can arrive nowhere."""
+    group = SimulatedGroup()
+    run, _ = start_without_answer(group, advice=advice, lasting=lasting)
+    group.sims[run.worker.worker_id].unreachable = True
+    assert idle_s(group) < allowed_s
+
+
+@known_red
+def test_start_on_a_worker_that_is_lost_after_a_restart_is_repeated_in_time():
+    """Guards against a job that waits for an instance that is lost at once."""
+    group = SimulatedGroup()
+    run, _ = start_without_answer(group, advice=ADVICE)
+    sim = group.sims[run.worker.worker_id]
+    sim.unreachable = True
+    sim.restart(group.now)
+    group.partition.worker_listed(sim.info)
+    assert idle_s(group) < JOB_S
+
+
+@known_red
+def test_leases_that_an_open_call_may_have_given_end_in_time():
+    """Guards against a job that waits for leases of a call from before a restart."""
+    group = SimulatedGroup(workers=1)
+    lose_after_restart(group, lambda worker: worker.renewal_call(group.now, 6.0))
+    assert idle_s(group) < JOB_S
+
+
+@known_red
+def test_task_with_no_other_workers_starts_on_an_ejected_one():
+    """Guards against a task that waits beside empty workers that are ejected."""
+    group = SimulatedGroup()
+    for number in range(12):
+        for worker in group.partition.workers.values():
+            group.partition._count_worker_failure(worker, f"{number:016x}", group.now)
+    group.run(0.1)
+    group.submit(job(JOB, step(lasting=True)))
+    assert idle_s(group) < LASTING_S
+
+
+@known_red
+def test_worker_that_may_forget_ends_starts_a_task_that_has_no_other_worker():
+    """Guards against a wait of all tasks for an acknowledgement on its way."""
+    group = SimulatedGroup(workers=1)
+    group.submit(job("b" * 16, step(estimate_s=0.1)))
+    group.run(1.0)
+    worker, sim = group.partition.workers["w0"], group.sims["w0"]
+    worker.forgotten_seq = 0
+    worker.renewal_call(group.now, None)
+    restart_unheard(group, sim)
+    group.partition.worker_listed(sim.info)
+    group.submit(job(JOB, step(lasting=True)))
+    assert idle_s(group) < LASTING_S
