--- a/src/poplaryard/workload/ends.py
+++ b/src/poplaryard/workload/ends.py
@@ -137,7 +137,7 @@
             return
         pause_s = min(EJECT_S * 2**worker.ejections, EJECT_MAX_S)
         worker.ejections += 1
-        worker.paused_until = max(worker.paused_until, now + pause_s)
+        worker.ejected_until = max(worker.ejected_until, now + pause_s)
         self._meters.count("poplaryard_workers_ejected_total")
         logger.warning(
             "worker ejected",
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -168,6 +168,8 @@
                 # Room that is not reserved in one pass is taken by others.
                 searches_left -= step.name not in planned
                 self._plan_room(step, now, may_preempt)
+            if not fits and step.starved and step.spec.lasting:
+                self._end_ejection(step, now)
             if not fits and step.rank[1]:
                 self._log_held(step, now)
             may_preempt = may_preempt and (
@@ -218,6 +220,50 @@
                 return False
         return True
 
+    def _end_ejection(self, step: StepRun, now: float) -> None:
+        """End the ejection of one worker for a starved step that has no other.
+
+        The failures there are no proof that its tasks would fail, and those of tasks
+        that last are not counted as attempts.
+        """
+        ejected = [
+            worker
+            for worker in self.workers.values()
+            if now < worker.ejected_until
+            and worker.worker_id in self._startable_workers
+            and worker.usable_if_not_ejected(now)
+        ]
+        needed = step.spec.count if step.spec.gang else 1
+        if not ejected or self._places(step, self._usable_workers.values()) >= needed:
+            return
+        ejected = [worker for worker in ejected if self._places(step, [worker])]
+        worker = min(ejected, key=lambda worker: worker.ejected_until, default=None)
+        if worker is None:
+            return
+        worker.ejected_until = now
+        logger.info(
+            "ejection ended early",
+            extra={
+                "worker": worker.worker_id,
+                "request": step.job.spec.job_id,
+                "step": step.name,
+            },
+        )
+
+    def _places(self, step: StepRun, workers: t.Iterable[Worker]) -> int:
+        """Return how many tasks of a step have room on workers that may run them."""
+        places = 0
+        for worker in workers:
+            may_run = step.may_run.get(worker.worker_id, True)
+            if not may_run or not placing.admits(step, worker):
+                continue
+            fitting = step.need.fit_count(self._reservations.free(step, worker))
+            if step.spec.max_per_worker:
+                left = step.spec.max_per_worker - step.on_worker(worker)
+                fitting = min(fitting, left)
+            places += max(0, fitting)
+        return places
+
     def _start_trial(
         self,
         task: Task,
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -122,8 +122,10 @@
         Time before which nothing is started on it.
     failed_jobs : list of str
         Jobs whose runs failed on it since its last success.
+    ejected_until : float
+        Time before which nothing is started on it after failed runs.
     ejections : int
-        Number of times that it was paused after failed runs.
+        Number of times that it was ejected.
     trial : Task or None
         Task that is on trial here, or is to be; see `poplaryard.workload.crashes`.
     held_until : float
@@ -158,6 +160,7 @@
     slowness: float = 0.0
     paused_until: float = 0.0
     failed_jobs: list[str] = field(default_factory=list)
+    ejected_until: float = 0.0
     ejections: int = 0
     trial: "Task | None" = None
     held_until: float = 0.0
@@ -284,6 +287,10 @@
 
     def usable(self, now: float) -> bool:
         """Return whether tasks may be started on the worker."""
+        return now >= self.ejected_until and self.usable_if_not_ejected(now)
+
+    def usable_if_not_ejected(self, now: float) -> bool:
+        """Return whether only an ejection may keep tasks from being started."""
         return (
             self.synced
             and self.reachable
--- a/tests/workload/test_longest_waits.py
+++ b/tests/workload/test_longest_waits.py
@@ -210,18 +210,56 @@
     assert idle_s(group) < JOB_S
 
 
-@known_red
-def test_task_with_no_other_workers_starts_on_an_ejected_one():
-    """Guards against a task that waits beside empty workers that are ejected."""
-    group = SimulatedGroup()
+def eject(group, *worker_ids):
+    """Eject workers for the longest time, for failures of other jobs."""
     for number in range(12):
-        for worker in group.partition.workers.values():
+        for worker_id in worker_ids:
+            worker = group.partition.workers[worker_id]
             group.partition._count_worker_failure(worker, f"{number:016x}", group.now)
+
+
+@tickets
+def test_task_with_no_other_workers_starts_on_an_ejected_one(advice):
+    """Guards against a task that waits beside empty workers that are ejected."""
+    group = SimulatedGroup()
+    eject(group, "w0", "w1")
     group.run(0.1)
-    group.submit(job(JOB, step(lasting=True)))
+    group.submit(job(JOB, step(lasting=True), advice=advice))
     assert idle_s(group) < LASTING_S
 
 
+@tickets
+def test_task_starts_on_an_ejected_worker_if_others_have_reached_their_limit(advice):
+    """Guards against a task that waits since all other permitted workers run one."""
+    group = SimulatedGroup(workers=4)
+    group.permitted = {"w0", "w1", "w2"} if advice else None
+    eject(group, "w2")
+    if not advice:
+        eject(group, "w3")
+    tasks = step(3, lasting=True, max_per_worker=1, estimate_s=LONG_S)
+    group.submit(job(JOB, tasks, advice=advice))
+    group.run(LASTING_S)
+    assert len(group.starts()) == 3
+
+
+def test_ejection_does_not_end_while_another_worker_has_room():
+    """Guards against starts on a worker that fails, beside free ones that don't."""
+    group = SimulatedGroup()
+    eject(group, "w0")
+    group.submit(job(JOB, step(2, lasting=True, estimate_s=LONG_S)))
+    group.run(LASTING_S)
+    assert {worker_id for worker_id, _, _ in group.starts()} == {"w1"}
+
+
+def test_ejection_does_not_end_for_tasks_whose_failures_count():
+    """Guards against a job that loses its attempts on workers that fail."""
+    group = SimulatedGroup()
+    eject(group, "w0", "w1")
+    group.run(0.1)
+    group.submit(job(JOB, step()))
+    assert LASTING_S < idle_s(group) < JOB_S
+
+
 @known_red
 def test_worker_that_may_forget_ends_starts_a_task_that_has_no_other_worker():
     """Guards against a wait of all tasks for an acknowledgement on its way."""
