--- a/src/poplaryard/workload/obstacles.py
+++ b/src/poplaryard/workload/obstacles.py
@@ -161,6 +161,7 @@
         (worker.has_unsettled_strays, "with a late start"),
         (worker.restart_suspected, "with a suspected restart"),
         (not worker.described, "with an outdated entry"),
+        (now < worker.ejected_until, "ejected"),
         (now < worker.paused_until, "paused"),
         (worker.worker_id not in startable, "not recorded"),
     )
@@ -247,8 +248,8 @@
     if not places.enough((w, w.info.capacity) for w in [*usable, *unusable]):
         return Delay(DelayReason.NO_FIT, detail=_need_text(step))
     until = None
-    if all(view.obstacles[worker] == "paused" for worker in unusable):
-        until = min(worker.paused_until for worker in unusable)
+    if all(view.obstacles[worker] in ("ejected", "paused") for worker in unusable):
+        until = min(max(w.ejected_until, w.paused_until) for w in unusable)
     detail = _usable_text(usable, unusable, view)
     return Delay(DelayReason.UNUSABLE, until, detail)
 
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -257,11 +257,9 @@
             may_run = step.may_run.get(worker.worker_id, True)
             if not may_run or not placing.admits(step, worker):
                 continue
-            fitting = step.need.fit_count(self._reservations.free(step, worker))
-            if step.spec.max_per_worker:
-                left = step.spec.max_per_worker - step.on_worker(worker)
-                fitting = min(fitting, left)
-            places += max(0, fitting)
+            places += placing.places(
+                step, worker, self._reservations.free(step, worker)
+            )
         return places
 
     def _start_trial(
--- a/tests/workload/test_delays.py
+++ b/tests/workload/test_delays.py
@@ -217,7 +217,7 @@
     group = SimulatedGroup()
     submit(group)
     for number, worker in enumerate(group.partition.workers.values()):
-        worker.paused_until = 110.0 + number
+        worker.ejected_until = 110.0 + number
     group.run(WAIT_S)
     return group
 
@@ -302,7 +302,7 @@
         (with_label, Why.NO_FIT, None, "with label gpu"),
         (too_large, Why.NO_FIT, None, "needs 5000m/100MB/0 for each of 1 together"),
         (draining, Why.UNUSABLE, None, "0 of 2 workers usable, 2 draining"),
-        (ejected, Why.UNUSABLE, 5.5, "0 of 2 workers usable, 2 paused"),
+        (ejected, Why.UNUSABLE, 5.5, "0 of 2 workers usable, 2 ejected"),
         (not_permitted, Why.ADVICE_REFUSED, None, "0 of 2 permitted"),
         (asking, Why.ADVICE_UNANSWERED, None, "1 workers asked for"),
         (refused_call, Why.ADVICE_NOT_ASKED, 5.5, "the last call failed"),
@@ -390,6 +390,7 @@
         {"later_seen_at": 100.0},
         {"born_ms": 999},
         {"paused_until": 200.0},
+        {"ejected_until": 200.0},
         {"worker_id": "other"},
         {"info": worker_info(0, draining=True)},
     ],
