--- a/src/poplaryard/workload/crashes.py
+++ b/src/poplaryard/workload/crashes.py
@@ -16,10 +16,6 @@
 
 __all__ = ["CrashHandler"]
 
-# Time after the start of a run in which its worker falls silent at once, in seconds.
-# Later it may have crashed by chance. The crash of a worker closes its connections,
-# which its owner notices within 0.1 s.
-SUDDEN_S = 0.3
 # Number of crashes from which all starts of a task are trials.
 REPEATED_CRASHES = 2
 # A task that has run for this long did not crash its worker, in seconds.
@@ -78,7 +74,7 @@
             may_be_blamed = not worker.info.draining and self._may_have_crashed(run)
             if may_be_blamed and (not tried or run.task in tried):
                 run.crashed_instance = instance
-                run.crashed_suddenly = _fell_silent(worker, run)
+                run.crashed_suddenly = _is_sudden(worker, run)
         for task, lost_run in blamed.items():
             if worker.info.draining or (tried and task not in tried):
                 self._acquit(task, instance)
@@ -86,9 +82,7 @@
             if lost_run is None:
                 self._accuse(task, instance)
                 continue
-            if worker.clock_at - lost_run.sent_at < SETTLED_S:
-                task.suspected = True
-            self._count_crash(lost_run, instance, _fell_silent(worker, lost_run))
+            self._count_crash(lost_run, instance, _is_sudden(worker, lost_run))
 
     def _start_lost(self, run: Run, now: float, reason: str) -> None:
         """Drop a run that no instance of its worker holds.
@@ -97,7 +91,6 @@
         """
         self._run_lost(run, now, reason)
         if run.crashed_instance:
-            run.task.suspected = True
             self._count_crash(run, run.crashed_instance, run.crashed_suddenly)
 
     def _clear_crash(self, run: Run) -> None:
@@ -114,13 +107,16 @@
             self._close_trial(worker)
         if not worker.info.draining and self._may_have_crashed(run):
             self._accused.setdefault(worker.instance, {})[task] = None
-            self._count_crash(run, worker.instance, _fell_silent(worker, run))
+            self._count_crash(run, worker.instance, _is_sudden(worker, run))
 
     def _worker_survived(self, worker: Worker) -> None:
         """Acquit the tasks of a worker that answers, but for one that is on trial."""
         task = worker.trial
         if task is not None:
             self._trial_reported(task, worker)
+        for member in list(self._suspected_members):
+            if member.finished or _has_settled(member, worker):
+                self._clear_sudden_crashes(member)
         for accused in list(self._accused.get(worker.instance, ())):
             if accused is not worker.trial:
                 del self._accused[worker.instance][accused]
@@ -131,10 +127,10 @@
 
         A run that has lasted did not crash its worker by starting.
         """
-        has_lasted = any(run.settled for run in task.runs if run.worker is worker)
-        if has_lasted:
+        has_settled = _has_settled(task, worker)
+        if has_settled:
             self._clear_sudden_crashes(task)
-        if has_lasted or task.finished:
+        if has_settled or task.finished:
             task.suspected = False
             self._close_trial(worker)
 
@@ -170,54 +166,61 @@
         Parameters
         ----------
         sudden : bool
-            Whether the instance fell silent at once after the start.
+            Whether the instance crashed before the run had settled.
         """
         task = run.task
         self._accuse(task, instance)
-        on_trial = task.trial_at == instance
-        if sudden and (on_trial or task.step.spec.gang):
-            self._delay_trial(task, instance, run.sent_at)
-        elif run.settled:
+        if not sudden:
             self._clear_sudden_crashes(task)
-        elif on_trial:
-            self._clear_sudden_crash(task, instance)
+            return
+        task.suspected = True
+        if task.trial_at == instance or task.step.spec.gang:
+            self._delay_trial(task, instance, run.sent_at)
 
     def _delay_trial(self, task: Task, instance: str, began: float) -> None:
         """Delay the next trial after a sudden crash under one that began at a time."""
         if task.finished:
             return
-        self._add_sudden_crash(task, instance)
-        pause_s = task.crash_pause_s
-        task.next_trial_at = max(task.next_trial_at, began + pause_s)
+        self._add_sudden_crash(task, instance, began)
+        task.next_trial_at = began + task.crash_pause_s
         self._meters.count("poplaryard_crashing_tasks_total")
         extra = {
             "request": task.step.job.spec.job_id,
             "task": task.name,
             "worker": instance,
             "sudden_crashes": task.sudden_crash_count,
-            "pause_s": pause_s,
+            "pause_s": task.crash_pause_s,
         }
-        logger.warning("worker fell silent at once under a task", extra=extra)
+        logger.warning("worker crashed at once under a task", extra=extra)
 
-    def _add_sudden_crash(self, task: Task, instance: str) -> None:
+    def _add_sudden_crash(self, task: Task, instance: str, began: float) -> None:
+        """Count a crash, or possible one, under a start at a time as sudden."""
         progress = task.step.job.progress
+        if task.step.spec.gang:
+            self._suspected_members.add(task)
         known = progress.sudden_crashes.get(task.name, [])
         if instance not in known:
             kept = [*known, instance][-MAX_CRASHES_KEPT:]
             progress.sudden_crashes[task.name] = kept
-            self._dirty.add(task.step.job.spec.job_id)
+        next_trial_at = began + task.crash_pause_s
+        progress.next_trials[task.name] = next_trial_at + self._wall_offset
+        self._dirty.add(task.step.job.spec.job_id)
 
     def _clear_sudden_crash(self, task: Task, instance: str) -> None:
-        """Note that a worker did not fall silent at once under a task."""
-        if _remove_crash(task.step.job.progress.sudden_crashes, task, instance):
-            task.next_trial_at = 0.0
-            self._dirty.add(task.step.job.spec.job_id)
+        """Note that a worker has not crashed at once under a task."""
+        progress = task.step.job.progress
+        if not _remove_crash(progress.sudden_crashes, task, instance):
+            return
+        self._dirty.add(task.step.job.spec.job_id)
+        task.next_trial_at = 0.0
+        if not task.sudden_crash_count:
+            progress.next_trials.pop(task.name, None)
+            self._suspected_members.discard(task)
 
     def _clear_sudden_crashes(self, task: Task) -> None:
         """Note that a task does not crash workers at once."""
-        if task.step.job.progress.sudden_crashes.pop(task.name, None):
-            task.next_trial_at = 0.0
-            self._dirty.add(task.step.job.spec.job_id)
+        for instance in task.step.job.progress.sudden_crashes.get(task.name, []):
+            self._clear_sudden_crash(task, instance)
 
     def _acquit(self, task: Task, instance: str) -> None:
         """Take back what was counted against a task."""
@@ -279,7 +282,7 @@
             task.trial_host = host
         return host
 
-    def _may_begin_trial(self, task: Task, host: Worker) -> bool:
+    def _may_begin_trial(self, task: Task, host: Worker, now: float) -> bool:
         """Return whether a trial can begin now; store it as a crash first."""
         if not host.runs_settled or not task.step.need.fits_in(host.free()):
             return False
@@ -291,7 +294,7 @@
         self._accused.setdefault(host.instance, {})[task] = None
         self._accuse(task, host.instance)
         # A later owner does not know how the trial went.
-        self._add_sudden_crash(task, host.instance)
+        self._add_sudden_crash(task, host.instance, now)
         return False
 
     def _close_trial(self, worker: Worker) -> None:
@@ -305,9 +308,14 @@
     return task.trial_at == instance and math.isinf(task.trial_began)
 
 
-def _fell_silent(worker: Worker, run: Run) -> bool:
-    """Return whether a worker fell silent at once after the start of a run."""
-    return 0 <= worker.silent_since - run.sent_at < SUDDEN_S
+def _has_settled(task: Task, worker: Worker) -> bool:
+    """Return whether a worker is known to have run a task for long enough."""
+    return any(run.settled for run in task.runs if run.worker is worker)
+
+
+def _is_sudden(worker: Worker, run: Run) -> bool:
+    """Return whether a worker may have crashed before a run had settled there."""
+    return worker.clock_at - run.sent_at < SETTLED_S
 
 
 def _remove_crash(crashes: dict[str, list[str]], task: Task, instance: str) -> bool:
--- a/src/poplaryard/workload/jobtable.py
+++ b/src/poplaryard/workload/jobtable.py
@@ -161,6 +161,8 @@
         # Tasks by the instance of a worker whose crash counts against them, but is not
         # certain.
         self._accused: dict[str, dict[Task, None]] = {}
+        # Members of gangs under which workers crashed at once.
+        self._suspected_members: set[Task] = set()
         self._open_steps: dict[str, StepRun] = {}
         self._tasks: dict[str, Task] = {}
         self._reservations = Reservations()
@@ -277,7 +279,7 @@
                 for instance in job.progress.crashes.get(name, ()):
                     task.suspected = True
                     self._accused.setdefault(instance, {})[task] = None
-                task.next_trial_at = now + task.crash_pause_s
+                task.next_trial_at = self._next_trial_at(task, now)
                 task.not_before = quarantined.get(name, 0.0)
                 step.tasks.append(task)
                 if not task.done:
@@ -299,6 +301,18 @@
         if not any(step.remaining for step in steps):
             self._close_occurrence(job, number)
 
+    def _next_trial_at(self, task: Task, now: float) -> float:
+        """Return the stored time before which a task must not start.
+
+        The clock of the process that stored it may be ahead.
+        """
+        if not task.sudden_crash_count:
+            return 0.0
+        if task.step.spec.gang:
+            self._suspected_members.add(task)
+        stored = task.step.job.progress.next_trials.get(task.name, float("inf"))
+        return min(stored - self._wall_offset, now + task.crash_pause_s)
+
     def _ready(self, step: StepRun) -> bool:
         if not step.spec.after:
             return True
--- a/src/poplaryard/workload/meters.py
+++ b/src/poplaryard/workload/meters.py
@@ -20,7 +20,7 @@
     "poplaryard_runs_ended_total": "Runs that ended, by how.",
     "poplaryard_advice_total": "Calls for advice, by outcome.",
     "poplaryard_workers_ejected_total": "Workers ejected after failed runs.",
-    "poplaryard_crashing_tasks_total": "Workers that fell silent at once under a task.",
+    "poplaryard_crashing_tasks_total": "Workers that crashed at once under a task.",
     "poplaryard_owner_changes_total": "Groups taken over and given up.",
     "poplaryard_worker_restarts_total": "Restarts of workers under their ids.",
     "poplaryard_late_starts_total": "Starts without an answer that hold tasks back.",
--- a/src/poplaryard/workload/model.py
+++ b/src/poplaryard/workload/model.py
@@ -290,8 +290,10 @@
     crashes : dict of str to list of str
         Workers that crashed while the task may have caused it, by task.
     sudden_crashes : dict of str to list of str
-        Those of them that fell silent at once when a trial of the task began there, or
-        may have done so.
+        Those of them that crashed, or may have, before a trial of the task had settled.
+    next_trials : dict of str to float
+        Time before which a task must not start after sudden crashes, by task, on the
+        wall clock in seconds since 1970.
     run : int
         Highest run number used so far.
     finished_at : float
@@ -303,6 +305,7 @@
     failures: dict[str, list[int]] = field(default_factory=dict)
     crashes: dict[str, list[str]] = field(default_factory=dict)
     sudden_crashes: dict[str, list[str]] = field(default_factory=dict)
+    next_trials: dict[str, float] = field(default_factory=dict)
     run: int = 0
     finished_at: float = 0.0
 
--- a/src/poplaryard/workload/partition.py
+++ b/src/poplaryard/workload/partition.py
@@ -287,7 +287,7 @@
         if host is None:
             return
         usable.pop(host.worker_id, None)
-        if self._may_begin_trial(task, host):
+        if self._may_begin_trial(task, host, now):
             task.trial_began = now
             self._start(task, host, task.last_run_number + 1, now)
 
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -376,7 +376,7 @@
     crashed_instance : str
         Instance of its worker that its start may have crashed; empty for none.
     crashed_suddenly : bool
-        Whether that instance fell silent at once after the start.
+        Whether that instance crashed before the run had settled.
     progressed_at : float
         Time at which its percentage last changed.
     seen_at : float
@@ -541,7 +541,7 @@
 
     @property
     def sudden_crash_count(self) -> int:
-        """Number of workers that fell silent at once when it began there on trial."""
+        """Number of workers that crashed before a trial of it had settled."""
         return len(self.step.job.progress.sudden_crashes.get(self.name, ()))
 
     @property
@@ -695,6 +695,13 @@
             and now >= max(task.not_before, task.next_trial_at)
         ]
 
+    def may_start_by(self, until: float) -> bool:
+        """Return whether it has a task without a run that is not paused until then."""
+        return any(
+            not task.done and not task.runs and task.next_trial_at <= until
+            for task in self.tasks
+        )
+
     def on_worker(self, worker: Worker) -> int:
         """Return the number of the step's tasks on a worker."""
         return sum(
