--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -175,7 +175,7 @@
             if not can_call(advice.base_s + advice.per_worker_s):
                 continue
             if not step.spec.gang:
-                if not any(not task.done and not task.runs for task in step.tasks):
+                if not step.may_start_by(now + self._advice_ahead_s(step)):
                     continue
                 claimed = self._claim_known(step, rooms, now)
                 room_left = room_left - claimed
--- a/tests/workload/test_advice.py
+++ b/tests/workload/test_advice.py
@@ -210,3 +210,14 @@
     assert wanted_advice(group.partition, group.now) is None
     group.run(1.5)
     assert wanted_advice(group.partition, group.now) is not None
+
+
+def test_task_that_is_paused_asks_for_advice_only_before_its_pause_ends():
+    """Guards against calls for a step that can't start, which keep others waiting."""
+    group = SimulatedGroup(workers=1)
+    group.run(0.2)
+    advice = AdviceCost(base_s=0.3, per_worker_s=0.01, valid_s=1.0)
+    run = group.submit(job("a" * 16, step(), advice=advice))
+    run.occurrences[0][0].tasks[0].next_trial_at = group.now + 30.0
+    assert wanted_advice(group.partition, group.now) is None
+    assert wanted_advice(group.partition, group.now + 29.8) is not None
