--- a/src/poplaryard/workload/calls.py
+++ b/src/poplaryard/workload/calls.py
@@ -54,6 +54,19 @@
         """
         return arrived_at + self.longest_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
 
+    def deadline_lapsed_at(self, arrives_at: float, left_s: float, now: float) -> float:
+        """Return the time by which a lease up to a deadline has lapsed.
+
+        Parameters
+        ----------
+        arrives_at : float
+            Latest time at which the call that gives it arrives.
+        left_s : float
+            Time from now until the deadline on the worker's clock, in seconds.
+        """
+        deadline_at = now + max(0.0, left_s) / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+        return min(deadline_at, self.lapsed_at(arrives_at))
+
     def longest_until(self, given_until: float, started_at: float) -> float:
         """Return the time by which leases have lapsed that earlier owners gave.
 
@@ -157,6 +170,14 @@
                     )
         return list(self._calls)
 
+    def last_expired_grant_at(self, now: float) -> float:
+        """Return until when calls that give leases arrived late, but can't any more.
+
+        That is minus infinity if there are none.
+        """
+        self.current(now)
+        return self._last_expired_grant + MAX_CALL_DELAY_S
+
     def acknowledgements_until(self, now: float) -> float:
         """Return the time until which acknowledgements may still be carried out.
 
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -5,7 +5,7 @@
 
 from ..logs import logger
 from ..resources import ZERO
-from .calls import MAX_CALL_DELAY_S, SentCall
+from .calls import SentCall
 from .model import HoldReport, RunningRun, Suspect, WorkerInfo
 from .orders import StopOrder
 from .runtime import Run, RunPhase, Worker
@@ -120,8 +120,7 @@
             },
         )
         self._drop_runs(worker, "worker restarted", now, self._keep_strays(worker, now))
-        stray_at = self._last_stray_grant_at(worker, call, now)
-        worker.strays_lapsed_at = self.leases.lapsed_at(stray_at)
+        worker.strays_lapsed_at = self._strays_lapsed_at(worker, report, call, now)
         # The worker would forget ends of this instance that have not been reported.
         acks_until = worker.open_calls.acknowledgements_until(now)
         worker.paused_until = max(worker.paused_until, acks_until)
@@ -135,23 +134,32 @@
         worker.latest_deadline_s = 0.0
         worker.synced = False
 
-    def _last_stray_grant_at(self, worker: Worker, call: SentCall, now: float) -> float:
-        """Return the latest time at which calls for earlier instances give leases.
+    def _strays_lapsed_at(
+        self, worker: Worker, report: HoldReport, call: SentCall, now: float
+    ) -> float:
+        """Return when leases have lapsed that calls for earlier instances give.
 
         Parameters
         ----------
+        report : HoldReport
+            First report of a new instance of the worker.
         call : SentCall
-            Call that a new instance of the worker has just answered.
+            Call that it answers.
         """
-        by_earlier_owners = min(now, self._earlier_calls_until())
-        by_answered_call = float("-inf") if call.deadline_s is None else now
-        by_open_calls = worker.open_calls.last_grant_sent_at(now) + MAX_CALL_DELAY_S
-        return max(
-            by_earlier_owners,
-            by_answered_call,
-            by_open_calls,
+        arrived_at = max(
+            min(now, self._earlier_calls_until()),
             worker.unproven_grant_at,
+            worker.open_calls.last_expired_grant_at(now),
         )
+        lapsed_at = self.leases.lapsed_at(arrived_at)
+        for sent in (call, *worker.open_calls.current(now)):
+            if sent.deadline_s is None:
+                continue
+            arrives_at = now if sent is call else sent.late_until
+            left_s = sent.deadline_s - report.clock_s
+            until = self.leases.deadline_lapsed_at(arrives_at, left_s, now)
+            lapsed_at = max(lapsed_at, until)
+        return lapsed_at
 
     def _mark_gone(self, worker: Worker, reason: str, now: float) -> None:
         logger.info("worker gone", extra={"worker": worker.worker_id, "reason": reason})
--- a/tests/workload/test_longest_waits.py
+++ b/tests/workload/test_longest_waits.py
@@ -58,7 +58,7 @@
     assert worker_id != sim.info.worker_id
 
 
-def lose_after_restart(group, before_restart=lambda worker: None):
+def lose_after_restart(group, before_restart=lambda worker: None, up_s=30.0):
     """Give a task that lasts to a worker that has restarted, and lose the worker.
 
     Another worker is free from then on.
@@ -67,9 +67,13 @@
     ----------
     before_restart : callable
         Called with the worker at the last moment of the instance before.
+    up_s : float
+        Time for which that instance is up, in seconds.
     """
-    group.run(30.0)
     sim = group.sims["w0"]
+    sim.restart(group.now)
+    group.partition.worker_listed(sim.info)
+    group.run(up_s)
     before_restart(group.partition.workers["w0"])
     sim.unreachable = True
     group.run(0.5)
@@ -91,6 +95,14 @@
     assert idle_s(group) < LASTING_S
 
 
+def test_open_call_gives_no_lease_beyond_its_deadline_on_the_clock_of_a_new_instance():
+    """Guards against tasks that wait for leases on workers that restart often."""
+    group = SimulatedGroup(workers=1)
+    renew = lambda worker: worker.renewal_call(group.now, RUN_LEASE_S)  # noqa: E731
+    lose_after_restart(group, renew, up_s=2.0)
+    assert idle_s(group) < LASTING_S
+
+
 def restart_unheard(group, sim):
     """Restart a worker whose owner has just missed a report."""
     sim.restart(group.now)
@@ -117,6 +129,21 @@
     check_only_run_on_lost_worker(group, sim, late_grant=True)
 
 
+def test_call_that_arrived_late_gives_a_long_lease_after_a_restart():
+    """Guards against a second run beside one that a call of 12 s ago prolongs."""
+    group = SimulatedGroup(workers=1)
+    group.run(1.0)
+    sim = group.sims["w0"]
+    group.partition.workers["w0"].renewal_call(group.now, RUN_LEASE_S)
+    restart_unheard(group, sim)
+    sim.unreachable = True
+    group.run(12.0)
+    sim.grant(LONG_S, group.now)
+    group.run(0.6)
+    sim.unreachable = False
+    check_only_run_on_lost_worker(group, sim)
+
+
 def test_answered_start_may_give_a_long_lease_after_a_restart():
     """Guards against a second run beside one that the answer to a start prolongs."""
     group = SimulatedGroup(workers=1)
