--- a/tests/workload/fakes.py
+++ b/tests/workload/fakes.py
@@ -197,7 +197,7 @@
             self.now += step_s
 
     def step(self):
-        self.partition.allow_starts_on(self.partition.possible_run_holders(self.now))
+        self.allow_starts()
         for sim in self.sims.values():
             sim.advance(self.now)
             worker = self.partition.workers.get(sim.info.worker_id)
@@ -207,6 +207,13 @@
         self.advise()
         self.partition.advance(self.now)
         self.carry_out_orders()
+        self.write_progress()
+
+    def allow_starts(self):
+        """Allow starts on all workers, as if they were recorded at once."""
+        self.partition.allow_starts_on(self.partition.possible_run_holders(self.now))
+
+    def write_progress(self):
         self.partition.progress_written(self.partition.take_progress())
 
     def renew_leases(self, worker, sim):
--- a/tests/workload/test_restarts_randomized.py
+++ b/tests/workload/test_restarts_randomized.py
@@ -39,12 +39,12 @@
 class UnreliableGroup(SimulatedGroup):
     """Group whose calls may get no answer and be carried out late."""
 
-    def __init__(self, seed, lost_share=0.05):
+    def __init__(self, seed, lost_share=0.05, workers=4):
         self.rng = random.Random(seed)
         self.lost_share = lost_share
         self.late = []
         self.next_hold_at = Counter()
-        super().__init__(workers=4)
+        super().__init__(workers=workers)
 
     def add_worker(self, info):
         self.sims[info.worker_id] = UnreliableWorker(info)
@@ -73,8 +73,8 @@
             return
         pause_s = self.rng.choice([0.05, 0.3, 1.0])
         self.next_hold_at[worker.worker_id] = self.now + pause_s
-        may_renew = worker.reachable and not worker.restart_suspected
-        call = worker.renewal_call(self.now, RUN_LEASE_S if may_renew else None)
+        lease_s = RUN_LEASE_S if self.may_renew(worker) else None
+        call = worker.renewal_call(self.now, lease_s)
         if self.is_silent(sim) or self.is_lost():
             self.partition.hold_failed(worker, self.now, call=call)
             if not self.is_silent(sim):
@@ -83,6 +83,9 @@
         found = sim.hold(self.fence, call.acknowledged, call.deadline_s, self.now)
         self.partition.hold_answered(worker, found, call, self.now)
 
+    def may_renew(self, worker):
+        return worker.reachable and not worker.restart_suspected
+
     def hold_late(self, sim, call):
         if not sim.is_dark(self.now):
             sim.hold(self.fence, call.acknowledged, call.deadline_s, self.now)
@@ -91,7 +94,7 @@
         orders, self.partition.orders = self.partition.orders, []
         for order in orders:
             if isinstance(order, StartOrder):
-                self.send_start(order.run)
+                self.send_start(order)
             elif not self.is_silent(self.sims[order.worker.worker_id]):
                 self.send_stop(order)
 
@@ -104,9 +107,12 @@
         acked = sim.stop((order.task, order.number), self.fence)
         self.partition.stop_answered(order, acked, self.now)
 
-    def send_start(self, run):
+    def send_start(self, order):
+        run = order.run
         sim = self.sims[run.worker.worker_id]
-        deadline = run.worker.start_call(run, self.now, START_WINDOW_S).deadline_s
+        has_ticket = bool(order.ticket)
+        call = run.worker.start_call(run, self.now, START_WINDOW_S, has_ticket)
+        deadline = call.deadline_s
         if not self.is_silent(sim) and not self.is_lost():
             transit_s = self.rng.choice([0.0, 0.0, 0.1, 0.6])
             self.deliver_later(transit_s, self.start_in_time, sim, run, deadline)
