--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -13,7 +13,9 @@
 
 import pytest
 
+from tests.workload.builders import job, step
 from tests.workload.waiting_sim import (
+    SLOW,
     FaultPlan,
     FaultyGroup,
     WaitWatch,
@@ -72,3 +74,26 @@
     """Guards against accepted tasks that wait although there is room for them."""
     _, watch, plan = play(seed)
     assert not watch.found, plan.log
+
+
+@pytest.mark.xfail(strict=True, reason="issue 55; see KNOWN-RED.txt")
+@pytest.mark.parametrize("wide_jobs", [5, 12])
+def test_steps_that_can_start_nothing_more_do_not_keep_advice_from_others(wide_jobs):
+    """Guards against calls for advice on workers that hold all that they may hold.
+
+    A wide step has a task on each worker that it may use; its other tasks wait for
+    good. It asks about the same workers whenever its tickets have expired.
+    """
+    group = FaultyGroup(1, workers=30, channels=1)
+    group.run(2.0)
+    wide = step(60, cpu=50, max_per_worker=1, lasting=True, estimate_s=1000.0)
+    for number in range(wide_jobs):
+        group.submit(job(f"{number:016x}", wide, advice=SLOW), share=0.4)
+        group.run(3.0)
+    watch = WaitWatch(group)
+    for number in range(100, 103):
+        group.submit(job(f"{number:016x}", step(estimate_s=0.5), advice=SLOW))
+        for _ in range(int(4.0 / LOOK_PERIOD_S)):
+            watch.look()
+            group.run(LOOK_PERIOD_S)
+    assert not watch.found
