--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -163,3 +163,20 @@
     group.run(wait_limit_s(lasting))
     lost_id = group.lost.info.worker_id
     assert any(worker_id != lost_id for worker_id, *_ in group.starts())
+
+
+@known_red
+@pytest.mark.parametrize("lasting", [False, True])
+def test_task_runs_after_the_joint_loss_of_its_worker_and_its_owner(lasting):
+    """Guards against an owner that waits too long for the worker (review case 10)."""
+    group = FaultyGroup(1, workers=10)
+    group.run(2.0)
+    estimate_s = 1000.0 if lasting else 30.0
+    group.submit(job(JOB, step(estimate_s=estimate_s, lasting=lasting), advice=SLOW))
+    group.run(3.0)
+    ((worker_id, *_),) = group.starts()
+    group.sims[worker_id].crash(group.now, math.inf)
+    group.run(0.3)
+    group.lose_owner(restarts=False)
+    group.run(wait_limit_s(lasting))
+    assert len(group.starts()) > 1
