--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from poplaryard.workload.model import Progress
 from tests.workload.builders import job, step
 from tests.workload.waiting_sim import (
     FAULT_KINDS,
@@ -180,3 +181,23 @@
     group.lose_owner(restarts=False)
     group.run(wait_limit_s(lasting))
     assert len(group.starts()) > 1
+
+
+@known_red
+@pytest.mark.parametrize("workers", [2, 4])
+def test_trials_of_sound_tasks_leave_workers_to_others(workers):
+    """Guards against trials that keep all workers from other tasks for 10 s.
+
+    A trial of a task under which two workers have crashed holds its worker so long.
+    """
+    group = FaultyGroup(1, workers=workers)
+    group.run(2.0)
+    for number in range(workers):
+        name = f"{number:016x}"
+        progress = Progress(crashes={f"{name}.0.0.0": ["x@1", "y@1"]}, run=3)
+        spec = job(name, step(cpu=200, estimate_s=60.0))
+        group.submit(spec, fresh=False, progress=progress)
+    group.run(1.0)
+    group.submit(job(JOB, step(cpu=200)))
+    group.run(WAIT_S + 1.0)
+    assert group.starts(f"{JOB}.0.0.0")
