--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -15,6 +15,7 @@
 import pytest
 
 from poplaryard.workload.model import Progress
+from tests.load_patterns.test_crashing_tasks import CrashingGroup
 from tests.workload.builders import job, step
 from tests.workload.waiting_sim import (
     FAULT_KINDS,
@@ -201,3 +202,23 @@
     group.submit(job(JOB, step(cpu=200)))
     group.run(WAIT_S + 1.0)
     assert group.starts(f"{JOB}.0.0.0")
+
+
+@known_red
+@pytest.mark.parametrize(("crashes", "gang"), [(3, True), (4, False)])
+def test_sound_task_whose_workers_crash_at_once_by_chance_runs_in_time(crashes, gang):
+    """Guards against pauses that outlast the time that the users accept (seed 5021).
+
+    Workers that flap are empty when they are back, and so get the task again.
+    """
+    group = CrashingGroup(8, deadly=(), back_s=1.0)
+    spec = job(JOB, step(2 if gang else 1, estimate_s=8.0, gang=gang))
+    task = group.submit(spec).occurrences[0][0].tasks[0]
+    for _ in range(crashes):
+        while not task.runs:
+            group.run(0.05)
+        group.run(0.1)
+        group.crash(group.sims[task.runs[0].worker.worker_id])
+        group.run(group.back_s + 0.1)
+    group.run(SETTLE_S + WAIT_S)
+    assert task.runs or task.done
