--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -5,7 +5,8 @@
 after the last of these, what can run has to run.
 
 ``WAITS_SEEDS=BEGIN-END`` plays the seeds from BEGIN up to END, without END, in place of
-the few below.
+the few below. ``WAITS_FAULTS`` names the kinds of faults, separated by commas, in place
+of those that the seed selects; see `waiting_sim.FAULT_KINDS`.
 """
 
 import math
@@ -47,7 +48,7 @@
 
 
 def seeds():
-    begin, _, end = os.environ.get("WAITS_SEEDS", "3-5").partition("-")
+    begin, _, end = os.environ.get("WAITS_SEEDS", "4-7").partition("-")
     return range(int(begin), int(end))
 
 
@@ -55,13 +56,20 @@
     return group.rng.random() < JOB_SHARE and watch.busy_share() < SUBMIT_BELOW
 
 
-def play(seed, kinds=None):
+def seed_kinds(rng):
+    """Return the kinds of faults of a history."""
+    named = os.environ.get("WAITS_FAULTS")
+    if named:
+        return tuple(named.split(","))
+    return rng.sample(FAULT_KINDS, rng.randint(3, len(FAULT_KINDS)))
+
+
+def play(seed):
     """Play a random history; return the group, what waited, and the faults."""
     rng = random.Random(f"history {seed}")
     group = FaultyGroup(seed, rng.randint(10, 40), rng.randint(2, 4))
     group.run(2.0, STEP_S)
-    kinds = kinds or rng.sample(FAULT_KINDS, rng.randint(3, len(FAULT_KINDS)))
-    plan = FaultPlan(group, group.now + FAULTS_S, kinds)
+    plan = FaultPlan(group, group.now + FAULTS_S, seed_kinds(rng))
     rate = rng.uniform(*FAULT_SHARE)
     watch = WaitWatch(group)
     until = plan.until + SETTLE_S + WATCH_S
@@ -222,3 +230,24 @@
         group.run(group.back_s + 0.1)
     group.run(SETTLE_S + WAIT_S)
     assert task.runs or task.done
+
+
+@known_red
+def test_worker_that_has_failed_runs_is_used_again_in_time():
+    """Guards against workers that are left out for longer than a task may wait.
+
+    The pause of a worker that fails runs doubles each time, and never becomes shorter.
+    """
+    group = FaultyGroup(1, workers=1)
+    group.run(2.0)
+    (sim,) = group.sims.values()
+    sim.failing = True
+    for number in range(2):
+        group.submit(job(f"{number:016x}", step(cpu=200), attempts=1000))
+    while group.partition.workers[sim.info.worker_id].ejections < 4:
+        group.run(STEP_S)
+    sim.failing = False
+    lasting = step(cpu=200, lasting=True, estimate_s=1000.0)
+    group.submit(job(JOB, lasting))
+    group.run(wait_limit_s(lasting=True))
+    assert group.starts(f"{JOB}.0.0.0")
--- a/tests/workload/waiting_sim.py
+++ b/tests/workload/waiting_sim.py
@@ -611,12 +611,12 @@
     kind = rng.choice(
         ["plain"] * 6
         + ["steps"] * 3
-        + ["gang"] * 3
+        + ["gang"] * 4
         + ["lasting"] * 2
         + ["spread", "wide", "wide lasting", "hopeless", "copied"]
     )
     cpu = rng.choice([200, 500, 1000, 2000])
-    estimate_s = rng.choice([0.5, 1.0, 3.0, 12.0])
+    estimate_s = rng.choice([0.5, 1.0, 3.0, 12.0, 30.0])
     tasks = {"cpu": cpu, "estimate_s": estimate_s}
     steps = (step(rng.randint(1, 4), **tasks),)
     if kind == "steps":
@@ -626,7 +626,7 @@
             step(1, after=(1,), cpu=cpu, estimate_s=1.0),
         )
     elif kind == "gang":
-        cpu = rng.choice([1000, 2000, 4000])
+        cpu = rng.choice([1000, 2000, 4000, 6000])
         count = rng.randint(1, 6)
         steps = (step(count, cpu=cpu, estimate_s=estimate_s, gang=True),)
     elif kind == "lasting":
