--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -251,3 +251,25 @@
     group.submit(job(JOB, lasting))
     group.run(wait_limit_s(lasting=True))
     assert group.starts(f"{JOB}.0.0.0")
+
+
+@known_red
+def test_lasting_task_runs_after_the_loss_of_a_worker_that_had_just_restarted():
+    """Guards against leases of late calls that keep a confirmed run for too long.
+
+    The worker restarts under its id, takes the task and is lost for good.
+    """
+    group = FaultyGroup(1, workers=1)
+    group.run(2.0)
+    (sim,) = group.sims.values()
+    sim.restart(group.now)
+    sim.dark_until = group.now + 0.7
+    group.run(2.0)
+    group.submit(job(JOB, step(cpu=200, lasting=True, estimate_s=1000.0)))
+    while not sim.runs:
+        group.run(STEP_S)
+    group.add_worker(group.new_info(1))
+    group.run(1.0)
+    sim.crash(group.now, math.inf)
+    group.run(wait_limit_s(lasting=True))
+    assert len(group.starts()) > 1
