--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -166,6 +166,9 @@
             advice = step.job.spec.advice
             if advice is None:
                 continue
+            ahead_s = self._advice_ahead_s(step)
+            if step.spec.gang and step.paused_until > now + ahead_s:
+                continue
             gangs += step.spec.gang
             may_ask_early = step.spec.gang and gangs <= MAX_GANGS_AHEAD
             if now < step.ask_after or not (
@@ -175,7 +178,7 @@
             if not can_call(advice.base_s + advice.per_worker_s):
                 continue
             if not step.spec.gang:
-                if not step.may_start_by(now + self._advice_ahead_s(step)):
+                if not step.may_start_by(now + ahead_s):
                     continue
                 claimed = self._claim_known(step, rooms, now)
                 room_left = room_left - claimed
--- a/src/poplaryard/workload/crashes.py
+++ b/src/poplaryard/workload/crashes.py
@@ -209,12 +209,14 @@
     def _clear_sudden_crash(self, task: Task, instance: str) -> None:
         """Note that a worker has not crashed at once under a task."""
         progress = task.step.job.progress
+        before_s = task.crash_pause_s
         if not _remove_crash(progress.sudden_crashes, task, instance):
             return
         self._dirty.add(task.step.job.spec.job_id)
-        task.next_trial_at = 0.0
+        task.next_trial_at -= before_s - task.crash_pause_s
+        progress.next_trials[task.name] = task.next_trial_at + self._wall_offset
         if not task.sudden_crash_count:
-            progress.next_trials.pop(task.name, None)
+            del progress.next_trials[task.name]
             self._suspected_members.discard(task)
 
     def _clear_sudden_crashes(self, task: Task) -> None:
--- a/src/poplaryard/workload/reports.py
+++ b/src/poplaryard/workload/reports.py
@@ -124,6 +124,9 @@
         # The worker would forget ends of this instance that have not been reported.
         acks_until = worker.open_calls.acknowledgements_until(now)
         worker.paused_until = max(worker.paused_until, acks_until)
+        worker.failed_jobs.clear()
+        worker.ejections = 0
+        worker.ejected_until = 0.0
         worker.unproven_grant_at = float("-inf")
         worker.later_seen_at = float("inf")
         worker.born_ms = report.born_ms
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -695,6 +695,11 @@
             and now >= max(task.not_before, task.next_trial_at)
         ]
 
+    @property
+    def paused_until(self) -> float:
+        """Time before which not all of its tasks may start after sudden crashes."""
+        return max(task.next_trial_at for task in self.tasks)
+
     def may_start_by(self, until: float) -> bool:
         """Return whether it has a task without a run that is not paused until then."""
         return any(
--- a/tests/load_patterns/test_crashing_tasks.py
+++ b/tests/load_patterns/test_crashing_tasks.py
@@ -263,6 +263,18 @@
     assert group.state(DEADLY) is JobState.DONE
 
 
+def test_worker_that_comes_back_takes_only_its_own_part_of_a_pause():
+    """Guards against a pause that ends as one of several workers had not crashed."""
+    group = CrashingGroup(2, deadly=())
+    task = group.submit(job(DEADLY)).occurrences[0][0].tasks[0]
+    for instance in ("x@1", "y@1", "z@1"):
+        group.partition._add_sudden_crash(task, instance, group.now)
+    task.next_trial_at = group.now + task.crash_pause_s
+    group.partition._acquit(task, "z@1")
+    assert task.sudden_crash_count == 2
+    assert task.next_trial_at == group.now + 6.0
+
+
 def test_gang_that_lasts_again_loses_its_pauses():
     """Guards against pauses that grow over the life of a sound gang that lasts."""
     group = CrashingGroup(8, deadly=(), back_s=0.7)
--- a/tests/workload/test_longest_waits.py
+++ b/tests/workload/test_longest_waits.py
@@ -300,3 +300,20 @@
     group.partition.worker_listed(sim.info)
     group.submit(job(JOB, step(lasting=True)))
     assert idle_s(group) < LASTING_S
+
+
+def test_restarted_worker_is_not_ejected_for_runs_of_the_instance_before():
+    """Guards against evidence of an earlier instance that keeps tasks from the next."""
+    group = SimulatedGroup(workers=1)
+    group.run(0.2)
+    [worker] = group.partition.workers.values()
+    worker.ejections = 5
+    for name in ("a", "b"):
+        group.partition._count_worker_failure(worker, name * 16, group.now)
+    [sim] = group.sims.values()
+    sim.restart(group.now)
+    group.partition.worker_listed(sim.info)
+    group.submit(job("c" * 16, step()))
+    group.run(1.0)
+    assert len(group.starts()) == 1
+    assert not worker.ejections
