--- a/tests/workload/test_waits_randomized.py
+++ b/tests/workload/test_waits_randomized.py
@@ -271,3 +271,19 @@
     sim.crash(group.now, math.inf)
     group.run(wait_limit_s(lasting=True))
     assert len(group.starts()) > 1
+
+
+@known_red
+def test_step_whose_tasks_may_not_start_yet_does_not_ask_for_advice():
+    """Guards against calls for advice that expire long before a task may start.
+
+    After three sudden crashes a task pauses for 50 s; tickets last for 2 s.
+    """
+    group = FaultyGroup(1, workers=10, channels=1)
+    group.run(2.0)
+    crashes = {f"{JOB}.0.0.0": ["x@1", "y@1", "z@1"]}
+    progress = Progress(crashes=crashes, sudden_crashes=crashes, run=3)
+    group.submit(job(JOB, step(), advice=SLOW), fresh=False, progress=progress)
+    group.run(30.0)
+    assert not group.starts()
+    assert group.asked[f"{JOB}.0.0"] <= 1
--- a/tests/workload/waiting_sim.py
+++ b/tests/workload/waiting_sim.py
@@ -141,6 +141,8 @@
         self.tickets = {}
         self.fences = {}
         self.advice_calls = []
+        # Number of calls for advice by step.
+        self.asked = Counter()
         self.channel_count = channels
         self.last_run_at = {}
         self.specs = {}
@@ -325,6 +327,7 @@
                 tickets = self.issue_tickets(request, self.now + took_s)
             entry = (self.now + took_s, channel, slow, request, tickets, pause_s)
             self.advice_calls.append(entry)
+            self.asked[request.step.name] += 1
 
     def issue_tickets(self, request, answered_at):
         name = request.step.name
