--- a/src/poplaryard/workload/advising.py
+++ b/src/poplaryard/workload/advising.py
@@ -73,10 +73,10 @@
 
 
 def _fits_nowhere(step: StepRun, now: float) -> bool:
-    """Return whether a step that claims no room shows that there is none.
+    """Return whether a step that claims no room shows that no worker has any.
 
-    It is also not claimed where advice, a label or a limit keeps the step from it, or
-    if no task may start now.
+    It shows nothing if advice, a label or a limit may keep the step from free room, or
+    if none of its tasks may start now.
     """
     limited = step.may_run or step.spec.label or step.spec.max_per_worker
     return not limited and bool(step.waiting(now))
--- a/src/poplaryard/workload/calls.py
+++ b/src/poplaryard/workload/calls.py
@@ -171,9 +171,9 @@
         return list(self._calls)
 
     def last_expired_grant_at(self, now: float) -> float:
-        """Return until when calls that give leases arrived late, but can't any more.
+        """Return the latest time at which a call may have arrived that no longer can.
 
-        That is minus infinity if there are none.
+        Only calls that give leases count. That is minus infinity if there are none.
         """
         self.current(now)
         return self._last_expired_grant + MAX_CALL_DELAY_S
--- a/src/poplaryard/workload/runtime.py
+++ b/src/poplaryard/workload/runtime.py
@@ -290,7 +290,7 @@
         return now >= self.ejected_until and self.usable_if_not_ejected(now)
 
     def usable_if_not_ejected(self, now: float) -> bool:
-        """Return whether only an ejection may keep tasks from being started."""
+        """Return whether tasks may be started on the worker unless it is ejected."""
         return (
             self.synced
             and self.reachable
@@ -556,7 +556,7 @@
     def crash_pause_s(self) -> float:
         """Time from its last start to the next after sudden crashes, in seconds.
 
-        A gang has no trials: other tasks may have caused the first crash under it.
+        The first crash under a gang may have another cause, since it has no trials.
         """
         excused = 1 if self.step.spec.gang else 0
         return pause_after_s(self.sudden_crash_count - excused)
